--- /dev/null
+++ b/drill/decode_settings.cpp
@@ -0,0 +1,143 @@
+#include "decode_settings.h"
+
+#include "frames.h"
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace firtide::drill {
+namespace {
+
+constexpr size_t most_items = 4096;
+
+using Values = std::map<std::string, std::string, std::less<>>;
+
+Values split(std::string_view text)
+{
+    Values values;
+    while (!text.empty()) {
+        const auto line = text.substr(0, text.find('\n'));
+        text.remove_prefix(std::min(text.size(), line.size() + 1));
+        if (line.empty()) continue;
+        const auto eq = line.find('=');
+        if (eq == std::string_view::npos) throw Malformed("a setting without '=': " + std::string(line));
+        values.insert_or_assign(std::string(line.substr(0, eq)), std::string(line.substr(eq + 1)));
+    }
+    return values;
+}
+
+class Decoder {
+  public:
+    explicit Decoder(std::string_view text) : values_(split(text)) {}
+
+    std::string_view text(const std::string& key) const
+    {
+        const auto at = values_.find(key);
+        return at == values_.end() ? std::string_view() : std::string_view(at->second);
+    }
+
+    double number(const std::string& key, double absent) const
+    {
+        const auto value = text(key);
+        if (value.empty()) return absent;
+        double parsed = 0;
+        const auto [end, failed] = std::from_chars(value.data(), value.data() + value.size(), parsed);
+        if (failed != std::errc() || end != value.data() + value.size() || !(parsed >= 0 && parsed < 1e15))
+            throw Malformed("unreadable setting " + key + "=" + std::string(value));
+        return parsed;
+    }
+
+    Span span(const std::string& key, Span absent) const
+    {
+        return {static_cast<int64_t>(number(key, static_cast<double>(absent.us)))};
+    }
+
+    bool flag(const std::string& key) const { return choice<bool>(key, {{"true", true}, {"false", false}}, false); }
+
+    template <class T>
+    T choice(const std::string& key, const std::map<std::string_view, T>& known, T absent) const
+    {
+        const auto value = text(key);
+        if (value.empty()) return absent;
+        const auto at = known.find(value);
+        if (at == known.end()) throw Malformed("unreadable setting " + key + "=" + std::string(value));
+        return at->second;
+    }
+
+    size_t count(const std::string& list) const
+    {
+        const auto n = number(list + ".count", 0);
+        if (n > most_items) throw Malformed("too many items in " + list);
+        return static_cast<size_t>(n);
+    }
+
+  private:
+    Values values_;
+};
+
+std::vector<ReportField> report_fields(std::string_view names)
+{
+    static const std::map<std::string_view, ReportField> known = {{"depth", &Report::queue},
+                                                                  {"concurrent", &Report::inflight},
+                                                                  {"load_share", &Report::utilisation},
+                                                                  {"mean_ms", &Report::latency_ms},
+                                                                  {"err_ps", &Report::errors}};
+    std::vector<ReportField> fields;
+    while (!names.empty()) {
+        const auto name = names.substr(0, names.find(','));
+        names.remove_prefix(std::min(names.size(), name.size() + 1));
+        const auto at = known.find(name);
+        fields.push_back(at == known.end() ? nullptr : at->second);
+    }
+    return fields;
+}
+
+}  // namespace
+
+Setup decode_settings(std::string_view text)
+{
+    const Decoder in(text);
+    Setup out;
+    Settings& s = out.settings;
+    for (size_t i = 0; i < in.count("operations"); ++i) {
+        const auto at = "operations." + std::to_string(i) + ".";
+        Operation op;
+        op.repeat = in.choice<Repeat>(at + "repeat",
+                                      {{"free", Repeat::idempotent},
+                                       {"guarded", Repeat::deduplicated},
+                                       {"single_shot", Repeat::non_idempotent}},
+                                      op.repeat);
+        op.group = in.choice<Group>(
+            at + "group", {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}}, op.group);
+        op.window = in.span(at + "window_us", op.window);
+        op.latency_objective = in.span(at + "latency_objective_us", op.latency_objective);
+        op.late_billed_value = in.number(at + "late_billed_value", op.late_billed_value);
+        s.operations.push_back(op);
+    }
+    for (size_t i = 0; i < in.count("projects"); ++i)
+        s.quotas.push_back(in.number("projects." + std::to_string(i) + ".quota_per_s", 0));
+    s.balancers = static_cast<uint32_t>(in.number("balancers", s.balancers));
+    s.tier = static_cast<uint32_t>(in.number("tier", s.tier));
+    s.reports_by_probe = in.text("telemetry.source") == "pull";
+    s.list_must_be_asked = in.text("registry_mode") == "subscribe";
+    s.may_cancel = in.flag("policy_limits.cancel");
+    s.may_overlap = in.flag("policy_limits.may_duplicate");
+    s.may_probe = in.flag("policy_limits.may_probe");
+    s.max_forwards = static_cast<uint32_t>(in.number("policy_limits.max_forwards", s.max_forwards));
+    if (in.flag("policy_limits.retry_after"))
+        s.max_come_back = in.span("policy_limits.max_retry_after_us", s.max_come_back);
+    s.ask_within = in.span("contract.ask_within_us", s.ask_within);
+    s.cold_share = in.number("contract.cold_share", s.cold_share);
+    s.cold = in.span("contract.cold_us", s.cold);
+    s.fall_multiple = in.number("contract.fall_multiple", s.fall_multiple);
+    s.fall = in.span("contract.fall_us", s.fall);
+    const auto weights = in.text("weights");
+    out.sizes_listed = weights == "nominal" || weights == "rough";
+    out.report = report_fields(in.text("telemetry.fields"));
+    return out;
+}
+
+}  // namespace firtide::drill
--- /dev/null
+++ b/drill/instance.cpp
@@ -0,0 +1,170 @@
+#include "instance.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace firtide::drill {
+namespace {
+
+Result result_of(uint16_t code)
+{
+    switch (code) {
+        case 100: return Result::succeeded;
+        case 301: return Result::errored;
+        case 302: return Result::full;
+        case 303: return Result::timed_out;
+        case 304: return Result::unreachable;
+        case 305: return Result::reset;
+        case 306: return Result::cancelled;
+        case 307: return Result::not_sent;
+    }
+    throw Malformed("unknown outcome " + std::to_string(code));
+}
+
+uint32_t wire_span(Span span)
+{
+    return static_cast<uint32_t>(std::clamp<int64_t>(span.us, 0, INT32_MAX));
+}
+
+}  // namespace
+
+Instance::Instance(uint16_t name, uint64_t seed, std::string_view setup, Writer& out)
+    : name_(name), out_(out), setup_(decode_settings(setup)), balancer_(setup_.settings, seed, *this)
+{
+}
+
+Tgt Instance::upstream(uint32_t id)
+{
+    const auto [at, fresh] = upstream_of_.try_emplace(id, static_cast<Tgt>(upstreams_.size()));
+    if (fresh) upstreams_.push_back(id);
+    return at->second;
+}
+
+void Instance::roster(Point now, uint8_t scope, const std::vector<Entry>& entries)
+{
+    if (scope == 3) return balancer_.list_answered(now, false);
+    if (scope > 3) throw Malformed("unknown scope of a list");
+    listings_.clear();
+    for (const Entry& e : entries) {
+        if (e.state > 2) throw Malformed("unknown state of an upstream");
+        Listing l{upstream(e.upstream), static_cast<Presence>(e.state), e.zone, e.cell, 1, {}};
+        if (setup_.sizes_listed && std::isfinite(e.nominal) && e.nominal > 0) l.size = e.nominal;
+        if (e.ready_at) l.started = Point{static_cast<int64_t>(e.ready_at)};
+        listings_.push_back(l);
+    }
+    if (scope == 0)
+        balancer_.list_changed(now, listings_);
+    else
+        balancer_.list_is(now, listings_);
+    if (scope != 2) balancer_.list_answered(now, true);
+}
+
+Report Instance::report(Reader& in) const
+{
+    Report report;
+    const auto n = in.get<uint8_t>();
+    for (size_t i = 0; i < n; ++i) {
+        const auto value = in.get<float>();
+        if (i < setup_.report.size() && setup_.report[i] && std::isfinite(value))
+            report.*setup_.report[i] = std::max(0.0, static_cast<double>(value));
+    }
+    return report;
+}
+
+void Instance::demand(Point now, Reader& in)
+{
+    const auto id = in.get<uint32_t>();
+    Ask ask;
+    ask.operation = in.get<uint8_t>();
+    ask.tenant = in.get<uint32_t>();
+    in.get<uint64_t>();  // the subject
+    ask.time_left = Span{in.get<uint32_t>()};
+    in.get<uint32_t>();  // the expected work
+    in.get<uint16_t>();  // marks
+    if (ask.operation >= setup_.settings.operations.size()) throw Malformed("unknown operation");
+    if (free_.empty()) {
+        free_.push_back(static_cast<Inv>(invocations_.size()));
+        invocations_.emplace_back();
+    }
+    const auto inv = free_.back();
+    if (!invocation_of_.try_emplace(id, inv).second) throw Malformed("an invocation came twice");
+    free_.pop_back();
+    invocations_[inv] = {id, 0};
+    balancer_.accept(now, inv, ask);
+}
+
+void Instance::reply(Point now, Reader& in)
+{
+    const auto id = in.get<uint32_t>();
+    const auto forward = in.get<uint16_t>();
+    in.get<uint32_t>();  // the upstream is known from the forward
+    const auto result = result_of(in.get<uint16_t>());
+    const Span took{in.get<uint32_t>()};
+    const bool over = in.get<uint8_t>();
+    const auto load = report(in);
+    const auto at = invocation_of_.find(id);
+    if (at == invocation_of_.end() || forward >= invocations_[at->second].forwards)
+        throw Malformed("an outcome of a forward that was never sent");
+    balancer_.ended(now, at->second, forward, result, took, over, load);
+}
+
+void Instance::gone(Point now, Reader& in)
+{
+    const auto at = invocation_of_.find(in.get<uint32_t>());
+    if (at != invocation_of_.end()) balancer_.client_left(now, at->second);
+}
+
+void Instance::probed(Point now, Reader& in)
+{
+    in.get<uint32_t>();  // time taken
+    const auto id = in.get<uint32_t>();
+    const auto result = result_of(in.get<uint16_t>());
+    const auto load = report(in);
+    const auto at = upstream_of_.find(id);
+    if (at == upstream_of_.end()) throw Malformed("a probe's result from an unknown upstream");
+    balancer_.probed(now, at->second, result, load);
+}
+
+void Instance::forward(Inv inv, Tgt tgt, Span limit)
+{
+    ++invocations_[inv].forwards;
+    act(91).put(invocations_[inv].id).put(wire_span(limit)).put(upstreams_[tgt]);
+}
+
+void Instance::throttle(Inv inv, Span come_back)
+{
+    act(81).put(invocations_[inv].id).put(wire_span(come_back));
+}
+
+void Instance::error(Inv inv)
+{
+    act(83).put(invocations_[inv].id);
+}
+
+void Instance::cancel(Inv inv, uint32_t forward)
+{
+    act(80).put(invocations_[inv].id).put(static_cast<uint16_t>(forward));
+}
+
+void Instance::released(Inv inv)
+{
+    invocation_of_.erase(invocations_[inv].id);
+    free_.push_back(inv);
+}
+
+void Instance::wake(Point at, uint64_t name)
+{
+    act(84).put(name).put(static_cast<uint64_t>(at.us));
+}
+
+void Instance::probe(Tgt tgt)
+{
+    act(87).put(upstreams_[tgt]);
+}
+
+void Instance::watch_list()
+{
+    act(85).put(uint8_t{1});
+}
+
+}  // namespace firtide::drill
--- /dev/null
+++ b/drill/instance.h
@@ -0,0 +1,66 @@
+// One instance of the module behind the wire: ids to small indices, events into calls, decisions into actions.
+#pragma once
+
+#include "decode_settings.h"
+#include "frames.h"
+
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace firtide::drill {
+
+struct Entry {
+    uint32_t upstream;
+    uint8_t zone;
+    uint16_t cell;
+    uint8_t state;
+    float nominal;
+    uint64_t ready_at;
+};
+
+class Instance : private Outlet {
+  public:
+    Instance(uint16_t name, uint64_t seed, std::string_view setup, Writer& out);
+
+    void begin(Point now) { balancer_.started(now); }
+    void roster(Point now, uint8_t scope, const std::vector<Entry>& entries);
+    void demand(Point now, Reader& in);
+    void reply(Point now, Reader& in);
+    void gone(Point now, Reader& in);
+    void probed(Point now, Reader& in);
+    void wakeup(Point now, Reader& in) { balancer_.woken(now, in.get<uint64_t>()); }
+
+  private:
+    struct Invocation {
+        uint32_t id = 0;
+        uint32_t forwards = 0;
+    };
+
+    void forward(Inv inv, Tgt tgt, Span limit) override;
+    void throttle(Inv inv, Span come_back) override;
+    void error(Inv inv) override;
+    void cancel(Inv inv, uint32_t forward) override;
+    void released(Inv inv) override;
+    void wake(Point at, uint64_t name) override;
+    void probe(Tgt tgt) override;
+    void watch_list() override;
+
+    Writer& act(uint8_t code) { return out_.record(code).put(name_); }
+    Tgt upstream(uint32_t id);
+    Report report(Reader& in) const;
+
+    uint16_t name_;
+    Writer& out_;
+    Setup setup_;
+    std::unordered_map<uint32_t, Inv> invocation_of_;
+    std::vector<Invocation> invocations_;
+    std::vector<Inv> free_;
+    std::unordered_map<uint32_t, Tgt> upstream_of_;
+    std::vector<uint32_t> upstreams_;
+    std::vector<Listing> listings_;
+    Balancer balancer_;
+};
+
+}  // namespace firtide::drill
--- /dev/null
+++ b/drill/main.cpp
@@ -0,0 +1,127 @@
+// firtide_drill: many independent instances of the decision module on the simulator's wire.
+// Reads batches from standard input, writes one reply for each to standard output, exits at the end of input.
+#include "instance.h"
+
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace firtide::drill {
+namespace {
+
+constexpr size_t header_bytes = 16;
+constexpr uint32_t most_bytes = 1u << 30;
+
+class Host {
+  public:
+    const Writer& batch(Point now, uint32_t records, std::string_view body)
+    {
+        out_.clear();
+        Reader in(body);
+        for (uint32_t i = 0; i < records; ++i) event(now, in);
+        if (!in.at_end()) throw Malformed("a batch is longer than its records");
+        return out_;
+    }
+
+  private:
+    void event(Point now, Reader& in)
+    {
+        const auto code = in.get<uint8_t>();
+        if (code == 22) return ledger(in);
+        const auto name = in.get<uint16_t>();
+        if (code == 16) {
+            const auto seed = in.get<uint64_t>();
+            const auto setup = in.take(in.get<uint32_t>());
+            auto& at = instances_[name];
+            at = std::make_unique<Instance>(name, seed, setup, out_);
+            return at->begin(now);
+        }
+        const auto at = instances_.find(name);
+        if (at == instances_.end()) throw Malformed("an event for an unknown instance");
+        Instance& instance = *at->second;
+        switch (code) {
+            case 17: instances_.erase(at); return;
+            case 18: instance.demand(now, in); return;
+            case 19: instance.probed(now, in); return;
+            case 20: in.take(14); return;  // the start of a stream: nothing hangs on it yet
+            case 21: instance.wakeup(now, in); return;
+            case 23: instance.gone(now, in); return;
+            case 24: return roster(now, in, instance);
+            case 25: instance.reply(now, in); return;
+            case 26: in.take(4), in.take(in.get<uint16_t>()); return;  // neighbours are not listened to
+        }
+        throw Malformed("unknown event code " + std::to_string(code));
+    }
+
+    void ledger(Reader& in)
+    {
+        const auto number = in.get<uint32_t>();
+        const auto n = in.get<uint32_t>();
+        auto& list = ledgers_.at(number < ledgers_.size() ? number : throw Malformed("a list's number is too high"));
+        list.clear();
+        for (uint32_t i = 0; i < n; ++i) {
+            Entry e{};
+            e.upstream = in.get<uint32_t>();
+            e.zone = in.get<uint8_t>();
+            in.get<uint16_t>();  // the kind of machine
+            e.cell = in.get<uint16_t>();
+            e.state = in.get<uint8_t>();
+            e.nominal = in.get<float>();
+            e.ready_at = in.get<uint64_t>();
+            list.push_back(e);
+        }
+    }
+
+    void roster(Point now, Reader& in, Instance& instance)
+    {
+        const auto scope = in.get<uint8_t>();
+        in.get<uint32_t>();  // version
+        const auto number = in.get<uint32_t>();
+        if (scope != 3 && number >= ledgers_.size()) throw Malformed("a list's number is too high");
+        instance.roster(now, scope, scope == 3 ? ledgers_[0] : ledgers_[number]);
+    }
+
+    Writer out_;
+    std::vector<std::vector<Entry>> ledgers_{16};
+    std::map<uint16_t, std::unique_ptr<Instance>> instances_;
+};
+
+int run()
+{
+    Host host;
+    std::string body;
+    for (;;) {
+        char header[header_bytes];
+        const auto got = std::fread(header, 1, header_bytes, stdin);
+        if (got == 0) return 0;
+        if (got < header_bytes) throw Malformed("the input ends within a header");
+        Reader in({header, header_bytes});
+        const auto records = in.get<uint32_t>();
+        const auto length = in.get<uint32_t>();
+        const Point now{static_cast<int64_t>(in.get<uint64_t>())};
+        if (length > most_bytes) throw Malformed("a batch is too long");
+        body.resize(length);
+        if (std::fread(body.data(), 1, length, stdin) < length) throw Malformed("the input ends within a batch");
+        const Writer& out = host.batch(now, records, body);
+        const uint32_t head[2] = {out.records(), static_cast<uint32_t>(out.bytes().size())};
+        if (std::fwrite(head, 1, sizeof head, stdout) < sizeof head ||
+            std::fwrite(out.bytes().data(), 1, out.bytes().size(), stdout) < out.bytes().size() ||
+            std::fflush(stdout) != 0)
+            throw std::runtime_error("standard output is closed");
+    }
+}
+
+}  // namespace
+}  // namespace firtide::drill
+
+int main()
+{
+    try {
+        return firtide::drill::run();
+    } catch (const std::exception& e) {
+        std::fprintf(stderr, "firtide_drill: %s\n", e.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/balance.cpp
@@ -0,0 +1,686 @@
+// All decisions of firtide. The interface and how a host calls it: balance.h. In short: one Balancer an
+// instance; tell it what happened, with the clock; it answers through its Outlet before the call returns.
+// The mechanism and its exceptions are told in docs/design.md; the order here is: state, the rules (one gate
+// that every send passes), what is learnt from answers, the pick, the steps of an invocation, the list.
+
+#include "balance.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <random>
+#include <unordered_map>
+
+namespace firtide {
+namespace {
+
+constexpr double step = 0.1;              // one signal of the design
+constexpr double sure_step = 0.34;        // a signal of an exception, which needs no second opinion
+constexpr Span expiry = seconds(5);       // an entry holds this long after its last signal
+constexpr Span fall_every = seconds(1);   // and then lets twice as much through, each time
+constexpr double first_trickle = 0.02;    // what a full reduction lets through when it starts to fall
+constexpr Span report_age = seconds(2);   // a report's distance from the others' mean halves in about this
+constexpr size_t recent = 16;             // answers an upstream is judged by
+constexpr size_t enough = 5;              // fewer say nothing
+constexpr double judged_at = 0.8;         // the quantile of them
+constexpr double well_above = 2.5;        // times the fellows' median
+constexpr Span rate_over = seconds(4);
+constexpr double cold_spend = 0.6;        // of what a cold upstream should bear, its share of a warm one's
+constexpr double retry_share = 0.1;       // second tries, as a share of own traffic
+constexpr double most_retries = 5;        // saved up
+constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
+
+bool proves_not_run(Result r)
+{
+    return r == Result::full || r == Result::unreachable || r == Result::not_sent;
+}
+
+// Lives as long as one forward.
+struct Forward {
+    Tgt tgt = 0;
+    Point sent;
+    bool out = true;
+    bool proven_not_run = false;
+    std::function<void(Point, Result)> next;  // what to do with its result
+};
+
+// Lives from its acceptance until it is answered and nothing is out for it.
+struct Invocation {
+    const Operation* op = nullptr;
+    uint32_t operation = 0;
+    Point arrived;
+    Point leaves;  // the client's time is up
+    Point useful;  // an answer after this is worth nothing
+    bool over = true;
+    uint32_t redirects = 0;
+    std::vector<Forward> forwards;
+};
+
+struct Entry {
+    double reduction = 0;
+    Point expires;
+    bool hard = false;  // raised by full answers or paired timeouts and resets: refusal is allowed
+};
+
+// Lives as long as the list names the upstream (its past is kept when it leaves).
+struct Upstream {
+    Listing listing;
+    Entry entry;
+    std::optional<Point> unpaired;  // a timeout or reset that waits for its fellow
+    std::optional<double> load, latency_ms;
+    Point load_at;
+    double sends_since = 0;
+    uint32_t out = 0;
+    float answers[recent] = {};  // times, as multiples of the operation's usual one; negative: an error
+    size_t answered = 0;
+    double quantile = 0, errors = 0;
+    double cold_tokens = 0;
+    Point cold_at;
+};
+
+struct OperationView {
+    double usual = 0;  // seconds, a slow mean of answer times
+    double late = 0;   // seconds, a high quantile of them
+};
+
+}  // namespace
+
+// Lives as long as the instance.
+struct Balancer::State {
+    State(Settings settings, uint64_t seed, Outlet& outlet)
+        : set(std::move(settings)),
+          out(outlet),
+          chance(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 32))),
+          ops(set.operations.size()),
+          share_tokens(set.quotas.size(), 1.0)
+    {
+        chance.discard(32);
+    }
+
+    const Settings set;
+    Outlet& out;
+    std::ranlux24_base chance;
+    Point now, born;
+
+    std::vector<Invocation> invs;
+    std::vector<Upstream> ups;
+    std::vector<OperationView> ops;
+
+    std::unordered_map<uint64_t, std::function<void()>> sleeping;
+    uint64_t next_name = 0;
+
+    double mean_load = 0, median_quantile = 1, mean_errors = 0, median_latency = 0;
+    Point fellows_at{INT64_MIN / 2};
+
+    double warm_sends = 0;  // decayed over rate_over
+    Point warm_sends_at;
+
+    double retry_tokens = 1;
+
+    double pressure = 0;  // mean of answer time over latency objective
+    double limit = 1e9;   // own outstanding work
+    double outstanding = 0, most_outstanding = 0;
+    Point limit_at;
+    std::vector<double> share_tokens;
+    Point share_at;
+
+    std::vector<double> weights;
+
+    double roll() { return std::generate_canonical<double, 24>(chance); }
+
+    void later(Point at, std::function<void()> what)
+    {
+        sleeping.emplace(next_name, std::move(what));
+        out.wake(at, next_name++);
+    }
+
+    // ---- the rules: what every send, throttling reply and answer passes ----
+
+    bool is_cold(const Upstream& u) const
+    {
+        return u.listing.started && now - *u.listing.started < set.cold;
+    }
+
+    // The part of its capacity an upstream has at least, by its last start.
+    double warm_share(const Upstream& u) const
+    {
+        if (!is_cold(u)) return 1;
+        const double age = std::max(0.0, (now - *u.listing.started) / set.cold);
+        return set.cold_share + (1 - set.cold_share) * age;
+    }
+
+    double warm_rate()
+    {
+        double warm = 0;
+        for (const Upstream& u : ups) warm += u.listing.presence == Presence::ready && !is_cold(u);
+        return warm_sends / rate_over.seconds() / std::max(1.0, warm);
+    }
+
+    // Rule 4. A cold upstream gets a part of its share of what this instance sends a warm one, and never
+    // saves up more than one forward. Guards against a restarted upstream being pushed over by all at once.
+    bool cold_budget(Upstream& u)
+    {
+        if (!is_cold(u)) return true;
+        const double earned = (now - u.cold_at).seconds() * warm_rate() * warm_share(u) * cold_spend;
+        u.cold_at = now;
+        u.cold_tokens = std::min(1.0, u.cold_tokens + earned);
+        return u.cold_tokens >= 1;
+    }
+
+    bool in_group(const Invocation& inv, Tgt a, Tgt b) const
+    {
+        const auto &x = ups[a].listing, &y = ups[b].listing;
+        if (inv.op->group == Group::zone) return x.zone == y.zone;
+        if (inv.op->group == Group::cell) return x.cell == y.cell;
+        return true;
+    }
+
+    // Rule 2. What earlier forwards allow.
+    bool effect_allows(const Invocation& inv, Tgt tgt) const
+    {
+        for (const Forward& f : inv.forwards) {
+            if (f.proven_not_run) continue;
+            if (f.out && !set.may_overlap) return false;
+            if (inv.op->repeat == Repeat::idempotent) continue;
+            if (inv.op->repeat == Repeat::non_idempotent) return false;
+            if (!in_group(inv, f.tgt, tgt) || now - f.sent >= inv.op->window) return false;
+        }
+        return true;
+    }
+
+    bool may_throttle(const Invocation& inv) const
+    {
+        for (const Forward& f : inv.forwards) {
+            if (f.proven_not_run || inv.op->repeat == Repeat::idempotent) continue;
+            if (inv.op->repeat == Repeat::non_idempotent || inv.op->group != Group::all) return false;
+        }
+        return true;
+    }
+
+    bool may_send(const Invocation& inv, Tgt tgt)
+    {
+        Upstream& u = ups[tgt];
+        return !inv.over && now < inv.leaves && inv.forwards.size() < set.max_forwards &&
+               u.listing.presence == Presence::ready && effect_allows(inv, tgt) && cold_budget(u);
+    }
+
+    // The gate: nothing is forwarded but here.
+    bool send(Inv id, Tgt tgt, Span at_most, std::function<void(Point, Result)> next)
+    {
+        Invocation& inv = invs[id];
+        if (!may_send(inv, tgt)) return false;
+        Upstream& u = ups[tgt];
+        if (is_cold(u)) {
+            u.cold_tokens -= 1;
+        } else {
+            decay_warm_sends();
+            warm_sends += 1;
+        }
+        ++u.out;
+        ++u.sends_since;
+        most_outstanding = std::max(most_outstanding, ++outstanding);
+        inv.forwards.push_back({.tgt = tgt, .sent = now, .next = std::move(next)});
+        out.forward(id, tgt, std::min(at_most, inv.leaves - now));
+        return true;
+    }
+
+    // Rule 1: an invocation is finished here or by its first success, once.
+    void finish(Inv id, bool throttled, Span come_back = {})
+    {
+        Invocation& inv = invs[id];
+        if (inv.over) return;
+        if (throttled && may_throttle(inv))
+            out.throttle(id, std::min(come_back, set.max_come_back));
+        else
+            out.error(id);
+        close(id);
+    }
+
+    void close(Inv id)
+    {
+        Invocation& inv = invs[id];
+        inv.over = true;
+        for (uint32_t i = 0; i < inv.forwards.size(); ++i)
+            if (inv.forwards[i].out && set.may_cancel) out.cancel(id, i);
+        release(id);
+    }
+
+    void release(Inv id)
+    {
+        Invocation& inv = invs[id];
+        if (!inv.over) return;
+        for (const Forward& f : inv.forwards)
+            if (f.out) return;
+        out.released(id);
+    }
+
+    // ---- what is learnt from answers ----
+
+    void decay_warm_sends()
+    {
+        warm_sends *= std::exp(-((now - warm_sends_at) / rate_over));
+        warm_sends_at = now;
+    }
+
+    void raise(Upstream& u, double by, bool hard)
+    {
+        const double standing = reduction(u);
+        u.entry.hard = hard || (u.entry.hard && standing > 0);
+        u.entry.reduction = std::min(1.0, standing + by);
+        u.entry.expires = now + expiry;
+    }
+
+    // The entry now. Past its expiry what it lets through doubles each second.
+    double reduction(const Upstream& u) const
+    {
+        const Entry& e = u.entry;
+        if (e.reduction <= 0 || now < e.expires) return e.reduction;
+        const double falls = 1 + std::floor((now - e.expires) / fall_every);
+        const double through = std::max(first_trickle, 1 - e.reduction) * std::exp2(std::min(falls, 60.0));
+        return through >= 1 ? 0 : 1 - through;
+    }
+
+    static std::optional<double> load_of(const Report& r)
+    {
+        if (r.queue) return r.queue;
+        if (r.inflight) return r.inflight;
+        if (r.utilisation) return *r.utilisation / std::max(0.05, 1.05 - *r.utilisation);
+        return {};
+    }
+
+    void reported(Upstream& u, const Report& r)
+    {
+        refresh_fellows();
+        if (const auto load = load_of(r)) {
+            u.load = load;
+            u.load_at = now;
+            u.sends_since = 0;
+            if (r.queue && *r.queue > 3 + well_above * mean_load) raise(u, step, false);
+        }
+        if (r.latency_ms) {
+            u.latency_ms = r.latency_ms;
+            // Guards against an upstream slowed by something of its own: it has no queue to show at first.
+            if (median_latency > 0 && *r.latency_ms > well_above * median_latency) raise(u, step, false);
+        }
+    }
+
+    // What the others look like; often enough to follow, seldom enough to be cheap.
+    void refresh_fellows()
+    {
+        if (now - fellows_at < seconds(0.2)) return;
+        fellows_at = now;
+        std::vector<double> quantiles, latencies;
+        double load = 0, loads = 0, errors = 0, judged = 0;
+        for (const Upstream& u : ups) {
+            if (u.listing.presence != Presence::ready) continue;
+            if (u.load) load += *u.load, ++loads;
+            if (u.latency_ms) latencies.push_back(*u.latency_ms);
+            if (u.answered < enough) continue;
+            quantiles.push_back(u.quantile);
+            errors += u.errors, ++judged;
+        }
+        const auto median = [](std::vector<double>& v, double absent) {
+            if (v.size() < 3) return absent;
+            std::nth_element(v.begin(), v.begin() + v.size() / 2, v.end());
+            return v[v.size() / 2];
+        };
+        mean_load = loads > 0 ? load / loads : 0;
+        mean_errors = judged > 0 ? errors / judged : 0;
+        median_quantile = median(quantiles, 1e9);
+        median_latency = median(latencies, 0);
+    }
+
+    void judge(Upstream& u, float answer)
+    {
+        u.answers[u.answered++ % recent] = answer;
+        const size_t n = std::min(u.answered, recent);
+        float times[recent];
+        size_t timed = 0;
+        for (size_t i = 0; i < n; ++i)
+            if (u.answers[i] >= 0) times[timed++] = u.answers[i];
+        u.errors = static_cast<double>(n - timed) / static_cast<double>(n);
+        if (timed) {
+            auto* at = times + static_cast<size_t>(judged_at * static_cast<double>(timed - 1));
+            std::nth_element(times, at, times + timed);
+            u.quantile = *at;
+        }
+        if (n < enough) return;
+        // Guards against quick errors: they make an upstream look idle and draw work to it.
+        if (answer < 0 && u.errors > 0.25 + 2 * mean_errors) raise(u, sure_step, false);
+        if (answer >= 0 && u.quantile > well_above * median_quantile && answer > median_quantile)
+            raise(u, step, false);
+    }
+
+    void learn(const Invocation& inv, Upstream& u, Result result, Span took)
+    {
+        OperationView& op = ops[inv.operation];
+        const double t = took.seconds();
+        switch (result) {
+            case Result::succeeded:
+                if (op.usual <= 0) op.usual = op.late = t;
+                op.usual += 0.03 * (t - op.usual);
+                op.late *= t > op.late ? 1.095 : 0.995;
+                judge(u, static_cast<float>(t / std::max(1e-6, op.usual)));
+                break;
+            case Result::errored: judge(u, -1); break;
+            case Result::full: raise(u, step, true); break;
+            case Result::unreachable:
+                // Guards against a dead upstream: every forward to it costs a connect timeout.
+                raise(u, sure_step, false);
+                break;
+            case Result::timed_out:
+                if (op.usual > 0) judge(u, static_cast<float>(t / op.usual));
+                [[fallthrough]];
+            case Result::reset:
+                if (u.unpaired && now - *u.unpaired < expiry) raise(u, step, true);
+                u.unpaired = now;
+                break;
+            default: return;
+        }
+        if (inv.op->latency_objective > Span{} && (result == Result::succeeded || result == Result::timed_out))
+            feel(took / inv.op->latency_objective);
+    }
+
+    // ---- own outstanding work against the latency objective ----
+
+    static constexpr double spare_below = 0.3;  // mean answer time over objective: over-share work is welcome
+    static constexpr double pressed_above = 0.45;
+
+    void feel(double of_objective)
+    {
+        pressure += 0.04 * (std::min(of_objective, 3.0) - pressure);
+        if (now - limit_at < seconds(0.25)) return;
+        limit_at = now;
+        if (pressure > pressed_above)
+            limit = std::max(2.0, std::min(limit, most_outstanding) * std::max(0.8, pressed_above / pressure));
+        else if (most_outstanding > 0.7 * limit)
+            limit += std::max(1.0, 0.05 * limit);
+        most_outstanding = outstanding;
+    }
+
+    // True where the tenant has already had its part of its share from this instance.
+    bool beyond_share(uint32_t tenant)
+    {
+        if (tenant >= set.quotas.size()) return false;
+        const double gone = (now - share_at).seconds();
+        share_at = now;
+        for (size_t i = 0; i < share_tokens.size(); ++i) {
+            const double part = set.quotas[i] / std::max(1u, set.balancers);
+            share_tokens[i] = std::min(std::max(1.0, 2 * part), share_tokens[i] + gone * part);
+        }
+        if (set.quotas[tenant] <= 0) return false;
+        if (share_tokens[tenant] < 1) return true;
+        share_tokens[tenant] -= 1;
+        return false;
+    }
+
+    // Only the first tier turns work away for being busy: deeper, the work done above would be lost with it.
+    bool too_busy(bool over_share) const
+    {
+        if (set.tier > 0) return false;
+        return outstanding >= limit || (over_share && pressure > spare_below);
+    }
+
+    Span come_back() { return set.max_come_back * (0.5 + 0.5 * roll()); }
+
+    // ---- the pick ----
+
+    double expected_load(const Upstream& u) const
+    {
+        if (!u.load) return mean_load + u.out;
+        const double fresh = std::exp2(-((now - u.load_at) / report_age));
+        return mean_load + (*u.load - mean_load) * fresh + std::max(u.sends_since, double(u.out));
+    }
+
+    // Weighted random among those the rules let through; nullopt where there is none.
+    template <class Keep>
+    std::optional<Tgt> draw(const Invocation& inv, Keep keep)
+    {
+        double total = 0;
+        weights.assign(ups.size(), 0);
+        for (Tgt t = 0; t < ups.size(); ++t) {
+            const Upstream& u = ups[t];
+            if (u.listing.presence != Presence::ready || !keep(t) || !may_send(inv, t)) continue;
+            const double idle = 1 / (1 + expected_load(u) / u.listing.size);
+            total += weights[t] = u.listing.size * warm_share(u) * idle * idle;
+        }
+        double at = roll() * total;
+        std::optional<Tgt> last;
+        for (Tgt t = 0; t < ups.size(); ++t) {
+            if (weights[t] <= 0) continue;
+            last = t;
+            if ((at -= weights[t]) < 0) break;
+        }
+        return last;
+    }
+
+    static bool tried(const Invocation& inv, Tgt tgt)
+    {
+        return std::any_of(inv.forwards.begin(), inv.forwards.end(), [&](auto& f) { return f.tgt == tgt; });
+    }
+
+    // The ordinary path of the design: a draw, and diversion by the drawn server's reduction.
+    std::optional<Tgt> pick(const Invocation& inv)
+    {
+        auto tgt = draw(inv, [&](Tgt t) { return !tried(inv, t); });
+        if (!tgt) return draw(inv, [](Tgt) { return true; });
+        const double r = reduction(ups[*tgt]);
+        if (r > 0 && roll() < r) {
+            const auto less = draw(inv, [&](Tgt t) { return !tried(inv, t) && reduction(ups[t]) < r; });
+            if (less) return less;
+        }
+        return tgt;
+    }
+
+    // Refusal of the design: every ready server's entry was raised by full answers or pairs.
+    bool refused()
+    {
+        double smallest = 1;
+        bool any = false;
+        for (const Upstream& u : ups) {
+            if (u.listing.presence != Presence::ready) continue;
+            const double r = reduction(u);
+            if (r <= 0 || !u.entry.hard) return false;
+            smallest = std::min(smallest, r);
+            any = true;
+        }
+        return any && roll() < smallest;
+    }
+
+    // ---- the steps of an invocation ----
+
+    void accept(Inv id, const Ask& ask)
+    {
+        if (id >= invs.size()) invs.resize(id + 1);
+        Invocation& inv = invs[id];
+        inv.op = &set.operations[ask.operation];
+        inv.operation = ask.operation;
+        inv.arrived = now;
+        inv.leaves = now + ask.time_left;
+        inv.useful = inv.leaves;
+        if (inv.op->latency_objective > Span{} && inv.op->late_billed_value <= 0)
+            inv.useful = std::min(inv.leaves, now + inv.op->latency_objective);
+        inv.over = false;
+        inv.redirects = 0;
+        inv.forwards.clear();
+        retry_tokens = std::min(most_retries, retry_tokens + retry_share);
+        const bool over_share = beyond_share(ask.tenant);
+        if (too_busy(over_share) || refused()) return finish(id, true, come_back());
+        route(id);
+    }
+
+    void route(Inv id)
+    {
+        const auto tgt = pick(invs[id]);
+        if (!tgt) return finish(id, true, come_back());
+        const Invocation& inv = invs[id];
+        // Work that could still run is waited for to the end; work whose answer is worthless is given up.
+        const Span wait = (inv.op->repeat == Repeat::non_idempotent ? inv.leaves : inv.useful) - now;
+        if (wait <= Span{} || !send(id, *tgt, wait, [this, id](Point, Result r) { after_forward(id, r); }))
+            finish(id, true, come_back());
+    }
+
+    void after_forward(Inv id, Result result)
+    {
+        Invocation& inv = invs[id];
+        if (proves_not_run(result)) {
+            if (result == Result::not_sent || ++inv.redirects > most_redirects || now >= inv.useful)
+                return finish(id, true, come_back());
+            return route(id);
+        }
+        const double needed = ops[inv.operation].usual;
+        if (inv.op->repeat != Repeat::non_idempotent && retry_tokens >= 1 &&
+            (inv.useful - now).seconds() > needed) {
+            retry_tokens -= 1;
+            return route(id);
+        }
+        finish(id, true, come_back());
+    }
+
+    void ended(Inv id, uint32_t nth, Result result, Span took, bool over, const Report& report)
+    {
+        Invocation& inv = invs[id];
+        Forward& f = inv.forwards[nth];
+        Upstream& u = ups[f.tgt];
+        f.out = false;
+        f.proven_not_run = proves_not_run(result);
+        --u.out;
+        --outstanding;
+        learn(inv, u, result, took);
+        reported(u, report);
+        const auto next = std::move(f.next);
+        if (over && !inv.over) return close(id);
+        if (inv.over) return release(id);
+        const bool more_out = std::any_of(inv.forwards.begin(), inv.forwards.end(), [](auto& g) { return g.out; });
+        if (!more_out) next(now, result);
+    }
+
+    // ---- the list ----
+
+    void list(const Listing& l)
+    {
+        if (l.tgt >= ups.size()) ups.resize(l.tgt + 1);
+        Upstream& u = ups[l.tgt];
+        if (l.started && l.started != u.listing.started) {
+            // A new life: what the last one showed says nothing of it.
+            const auto out_now = u.out;
+            u = Upstream{};
+            u.out = out_now;
+            u.cold_at = now;
+            u.cold_tokens = roll();  // so that instances told together do not all send at once
+        }
+        u.listing = l;
+    }
+
+    void list_is(const std::vector<Listing>& all)
+    {
+        for (Upstream& u : ups) u.listing.presence = Presence::gone;
+        for (const Listing& l : all) list(l);
+    }
+
+    static constexpr double first_ask = 0.5, first_backoff = 0.5, most_backoff = 8;
+    double backoff = first_backoff;
+
+    void ask_for_list() { out.watch_list(); }
+
+    void list_answered(bool well)
+    {
+        if (!set.list_must_be_asked) return;
+        if (well) {
+            backoff = first_backoff;
+            return;
+        }
+        later(now + seconds(backoff * (0.5 + roll())), [this] { ask_for_list(); });
+        backoff = std::min(most_backoff, 2 * backoff);
+    }
+
+    void start()
+    {
+        born = warm_sends_at = limit_at = share_at = now;
+        if (set.list_must_be_asked)
+            later(now + seconds(first_ask * roll()), [this] { ask_for_list(); });
+        if (set.reports_by_probe && set.may_probe) probe_later();
+    }
+
+    void probe_later()
+    {
+        later(now + seconds(0.75 + 0.5 * roll()), [this] {
+            for (Tgt t = 0; t < ups.size(); ++t)
+                if (ups[t].listing.presence == Presence::ready) out.probe(t);
+            probe_later();
+        });
+    }
+
+    void wake(uint64_t name)
+    {
+        const auto at = sleeping.find(name);
+        if (at == sleeping.end()) return;
+        const auto what = std::move(at->second);
+        sleeping.erase(at);
+        what();
+    }
+};
+
+Balancer::Balancer(Settings settings, uint64_t seed, Outlet& outlet)
+    : state_(std::make_unique<State>(std::move(settings), seed, outlet))
+{
+}
+
+Balancer::~Balancer() = default;
+
+void Balancer::started(Point now)
+{
+    state_->now = now;
+    state_->start();
+}
+
+void Balancer::list_is(Point now, const std::vector<Listing>& all)
+{
+    state_->now = now;
+    state_->list_is(all);
+}
+
+void Balancer::list_changed(Point now, const std::vector<Listing>& changes)
+{
+    state_->now = now;
+    for (const Listing& l : changes) state_->list(l);
+}
+
+void Balancer::list_answered(Point now, bool well)
+{
+    state_->now = now;
+    state_->list_answered(well);
+}
+
+void Balancer::accept(Point now, Inv inv, const Ask& ask)
+{
+    state_->now = now;
+    state_->accept(inv, ask);
+}
+
+void Balancer::ended(Point now, Inv inv, uint32_t forward, Result result, Span took, bool over,
+                     const Report& report)
+{
+    state_->now = now;
+    state_->ended(inv, forward, result, took, over, report);
+}
+
+void Balancer::client_left(Point now, Inv inv)
+{
+    state_->now = now;
+    if (!state_->invs[inv].over) state_->close(inv);
+}
+
+void Balancer::probed(Point now, Tgt tgt, Result result, const Report& report)
+{
+    state_->now = now;
+    if (result == Result::succeeded) state_->reported(state_->ups[tgt], report);
+}
+
+void Balancer::woken(Point now, uint64_t name)
+{
+    state_->now = now;
+    state_->wake(name);
+}
+
+}  // namespace firtide
--- /dev/null
+++ b/src/balance.h
@@ -0,0 +1,81 @@
+// The interface of the decision module: calls in, an Outlet for what it decides.
+//
+// One Balancer decides for one instance. The host calls it with what happened, in order, each time with the
+// clock; the Balancer answers through the Outlet before the call returns. Invocations and upstreams are small
+// indices chosen by the host: an invocation's index may be used again after released(), an upstream's never.
+#pragma once
+
+#include "settings.h"
+#include "time.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace firtide {
+
+using Inv = uint32_t;
+using Tgt = uint32_t;
+
+enum class Result { succeeded, errored, full, timed_out, unreachable, reset, cancelled, not_sent };
+enum class Presence { gone, ready, draining };
+
+struct Listing {
+    Tgt tgt = 0;
+    Presence presence = Presence::gone;
+    uint32_t zone = 0;
+    uint32_t cell = 0;
+    double size = 1;
+    std::optional<Point> started;  // absent: long ago
+};
+
+struct Report {
+    std::optional<double> queue;
+    std::optional<double> inflight;
+    std::optional<double> utilisation;
+    std::optional<double> latency_ms;
+    std::optional<double> errors;
+};
+
+struct Ask {
+    uint32_t operation = 0;
+    uint32_t tenant = 0;
+    Span time_left;
+};
+
+class Outlet {
+  public:
+    virtual ~Outlet() = default;
+    virtual void forward(Inv inv, Tgt tgt, Span limit) = 0;
+    virtual void throttle(Inv inv, Span come_back) = 0;
+    virtual void error(Inv inv) = 0;
+    virtual void cancel(Inv inv, uint32_t forward) = 0;
+    virtual void released(Inv inv) = 0;
+    virtual void wake(Point at, uint64_t name) = 0;
+    virtual void probe(Tgt tgt) = 0;
+    virtual void watch_list() = 0;
+};
+
+class Balancer {
+  public:
+    Balancer(Settings settings, uint64_t seed, Outlet& outlet);
+    ~Balancer();
+
+    void started(Point now);
+    void list_is(Point now, const std::vector<Listing>& all);
+    void list_changed(Point now, const std::vector<Listing>& changes);
+    void list_answered(Point now, bool well);
+    void accept(Point now, Inv inv, const Ask& ask);
+    void ended(Point now, Inv inv, uint32_t forward, Result result, Span took, bool over, const Report& report);
+    void client_left(Point now, Inv inv);
+    void probed(Point now, Tgt tgt, Result result, const Report& report);
+    void woken(Point now, uint64_t name);
+
+  private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+}  // namespace firtide
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,41 @@
+// What the decision module is told at its start. Decoded once by whoever hosts it; only what it reads is here.
+#pragma once
+
+#include "time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace firtide {
+
+enum class Repeat { idempotent, deduplicated, non_idempotent };
+enum class Group { all, zone, cell };
+
+struct Operation {
+    Repeat repeat = Repeat::non_idempotent;
+    Group group = Group::cell;
+    Span window;             // deduplicated: how long a repeat is recognised
+    Span latency_objective;  // zero: none
+    double late_billed_value = 0;
+};
+
+struct Settings {
+    std::vector<Operation> operations;
+    std::vector<double> quotas;  // a tenant's share in invocations a second, over all balancers; zero: none
+    uint32_t balancers = 1;
+    uint32_t tier = 0;
+    bool reports_by_probe = false;
+    bool list_must_be_asked = false;
+    bool may_cancel = false;
+    bool may_overlap = false;
+    bool may_probe = false;
+    uint32_t max_forwards = 1;
+    Span max_come_back;  // zero: clients are not told
+    Span ask_within = seconds(10);
+    double cold_share = 0.1;
+    Span cold = seconds(30);
+    double fall_multiple = 2;
+    Span fall = seconds(1);
+};
+
+}  // namespace firtide
--- /dev/null
+++ b/tests/upstreams.cpp
@@ -0,0 +1,52 @@
+// Rules 3 and 4, and the list.
+#include "trace.h"
+
+using namespace firtide;
+
+int main()
+{
+    auto settings = Stage::settings(Stage::op(Repeat::idempotent));
+    Stage s(settings);
+    s.list(3);
+    s.say("a draining or gone upstream gets nothing from the moment it is told");
+    Stage::print("before", s.many(60));
+    s.change(0, Presence::draining);
+    s.change(1, Presence::gone);
+    Stage::print("after", s.many(60));
+    s.say("all draining: throttled at once");
+    s.change(2, Presence::draining);
+    s.accept(0);
+
+    Stage c(settings);
+    c.say("a cold upstream gets a part of its share, growing as it warms");
+    c.list(4);
+    c.many(400);
+    c.change(3, Presence::ready, c.now);
+    Stage::print("first second", c.many(100));
+    c.wait(seconds(15));
+    Stage::print("half warm", c.many(100));
+    c.wait(seconds(16));
+    Stage::print("warm", c.many(100));
+
+    Stage fresh(settings);
+    fresh.say("a fresh instance that knows only cold upstreams sends next to nothing");
+    fresh.balancer.list_is(fresh.now, {{0, Presence::ready, 0, 0, 1, fresh.now}});
+    Stage::print("first second", fresh.many(100));
+
+    settings.list_must_be_asked = true;
+    Stage asked(settings);
+    asked.say("a list that must be asked: asked at the start, again after each failure");
+    asked.wake();
+    asked.balancer.list_answered(asked.now, false);
+    asked.wake();
+    asked.balancer.list_answered(asked.now, true);
+    asked.wake();
+
+    settings.list_must_be_asked = false;
+    settings.reports_by_probe = true;
+    Stage probing(settings);
+    probing.say("reports come by probe alone: every ready upstream is probed");
+    probing.list(2);
+    probing.wake();
+    probing.wake();
+}
