--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -30,6 +30,10 @@
 constexpr double most_retries = 5;        // saved up
 constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
 
+constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
+constexpr double pressed_over_calm = 0.3;  // of the latency objective, above the mean answer time when calm
+constexpr double spare_over_calm = 0.1;    // less than this: work beyond a tenant's share is welcome
+
 bool proves_not_run(Result r)
 {
     return r == Result::full || r == Result::unreachable || r == Result::not_sent;
@@ -118,9 +122,10 @@
     double retry_tokens = 1;
 
     double pressure = 0;  // mean of answer time over latency objective
+    double calm = 1;      // the least it has been, forgotten slowly
+    double felt = 0, felt_n = 0;
     double limit = 1e9;   // own outstanding work
     double outstanding = 0, most_outstanding = 0;
-    Point limit_at;
     std::vector<double> share_tokens;
     Point share_at;
 
@@ -383,18 +388,20 @@
 
     // ---- own outstanding work against the latency objective ----
 
-    static constexpr double spare_below = 0.3;  // mean answer time over objective: over-share work is welcome
-    static constexpr double pressed_above = 0.45;
-
+    // Each round of answers scales the limit by how far their mean time is from where it should be. Only answers
+    // of that round count: a lagging mean would cut again and again for what an earlier cut has already mended.
     void feel(double of_objective)
     {
-        pressure += 0.04 * (std::min(of_objective, 3.0) - pressure);
-        if (now - limit_at < seconds(0.25)) return;
-        limit_at = now;
-        if (pressure > pressed_above)
-            limit = std::max(2.0, std::min(limit, most_outstanding) * std::max(0.8, pressed_above / pressure));
+        felt += std::min(of_objective, 2.0);
+        if (++felt_n < round_of) return;
+        pressure = pressure > 0 ? 0.5 * (pressure + felt / felt_n) : felt / felt_n;
+        calm = std::min(calm * 1.003, pressure);
+        felt = felt_n = 0;
+        const double aim = calm + pressed_over_calm;
+        if (pressure > aim)
+            limit = std::max(2.0, std::min(limit, most_outstanding) * std::max(0.75, aim / pressure));
         else if (most_outstanding > 0.7 * limit)
-            limit += std::max(1.0, 0.05 * limit);
+            limit *= std::min(1.3, aim / pressure);
         most_outstanding = outstanding;
     }
 
@@ -418,7 +425,7 @@
     bool too_busy(bool over_share) const
     {
         if (set.tier > 0) return false;
-        return outstanding >= limit || (over_share && pressure > spare_below);
+        return outstanding >= limit || (over_share && pressure > calm + spare_over_calm);
     }
 
     Span come_back() { return set.max_come_back * (0.5 + 0.5 * roll()); }
@@ -596,7 +603,7 @@
 
     void start()
     {
-        born = warm_sends_at = limit_at = share_at = now;
+        born = warm_sends_at = share_at = now;
         if (set.list_must_be_asked)
             later(now + seconds(first_ask * roll()), [this] { ask_for_list(); });
         if (set.reports_by_probe && set.may_probe) probe_later();
