--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -31,8 +31,8 @@
 constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
-constexpr double pressed_over_calm = 0.3;  // of the latency objective, above the mean answer time when calm
-constexpr double spare_over_calm = 0.1;    // less than this: work beyond a tenant's share is welcome
+constexpr double pressed_over_calm = 0.12;  // of the latency objective, above the mean answer time when calm
+constexpr double spare_over_calm = 0.03;    // less than this: work beyond a tenant's share is welcome
 
 bool proves_not_run(Result r)
 {
@@ -395,7 +395,7 @@
         felt += std::min(of_objective, 2.0);
         if (++felt_n < round_of) return;
         pressure = pressure > 0 ? 0.5 * (pressure + felt / felt_n) : felt / felt_n;
-        calm = std::min(calm * 1.003, pressure);
+        calm = std::min(calm * 1.0005, pressure);
         felt = felt_n = 0;
         const double aim = calm + pressed_over_calm;
         if (pressure > aim)
@@ -448,8 +448,8 @@
         for (Tgt t = 0; t < ups.size(); ++t) {
             const Upstream& u = ups[t];
             if (u.listing.presence != Presence::ready || !keep(t) || !may_send(inv, t)) continue;
-            const double idle = 1 / (1 + expected_load(u) / u.listing.size);
-            total += weights[t] = u.listing.size * warm_share(u) * idle * idle;
+            const double idle = u.listing.size / (u.listing.size + expected_load(u));
+            total += weights[t] = u.listing.size * warm_share(u) * std::pow(idle, 4);
         }
         double at = roll() * total;
         std::optional<Tgt> last;
