--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -31,8 +31,8 @@
 constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
-constexpr double pressed_over_calm = 0.12;  // of the latency objective, above the mean answer time when calm
-constexpr double spare_over_calm = 0.03;    // less than this: work beyond a tenant's share is welcome
+constexpr double pressed_over_calm = 0.15;  // of the latency objective, above the mean answer time when calm
+constexpr double spare_over_calm = 0.05;    // less than this: work beyond a tenant's share is welcome
 
 bool proves_not_run(Result r)
 {
@@ -98,6 +98,8 @@
           ops(set.operations.size()),
           share_tokens(set.quotas.size(), 1.0)
     {
+        for (const Operation& op : set.operations)
+            slowest_objective = std::max(slowest_objective, op.latency_objective);
         chance.discard(32);
     }
 
@@ -121,8 +123,9 @@
 
     double retry_tokens = 1;
 
+    Span slowest_objective;
     double pressure = 0;  // mean of answer time over latency objective
-    double calm = 1;      // the least it has been, forgotten slowly
+    double calm = 0;      // a low quantile of its rounds
     double felt = 0, felt_n = 0;
     double limit = 1e9;   // own outstanding work
     double outstanding = 0, most_outstanding = 0;
@@ -388,6 +391,14 @@
 
     // ---- own outstanding work against the latency objective ----
 
+    // About two for each upstream from all instances together: less would leave them idle.
+    double least_limit() const
+    {
+        const auto ready = std::count_if(ups.begin(), ups.end(),
+                                         [](auto& u) { return u.listing.presence == Presence::ready; });
+        return std::max(1.0, 2.0 * static_cast<double>(ready) / std::max(1u, set.balancers));
+    }
+
     // Each round of answers scales the limit by how far their mean time is from where it should be. Only answers
     // of that round count: a lagging mean would cut again and again for what an earlier cut has already mended.
     void feel(double of_objective)
@@ -395,11 +406,15 @@
         felt += std::min(of_objective, 2.0);
         if (++felt_n < round_of) return;
         pressure = pressure > 0 ? 0.5 * (pressure + felt / felt_n) : felt / felt_n;
-        calm = std::min(calm * 1.0005, pressure);
+        const double mean = felt / felt_n;
         felt = felt_n = 0;
+        // The first answers are the quick ones and would make all that follow look slow.
+        if (now - born < slowest_objective) return;
+        if (calm <= 0) calm = mean;
+        calm *= mean < calm ? 0.96 : 1.01;
         const double aim = calm + pressed_over_calm;
         if (pressure > aim)
-            limit = std::max(2.0, std::min(limit, most_outstanding) * std::max(0.75, aim / pressure));
+            limit = std::max(least_limit(), std::min(limit, most_outstanding) * std::max(0.75, aim / pressure));
         else if (most_outstanding > 0.7 * limit)
             limit *= std::min(1.3, aim / pressure);
         most_outstanding = outstanding;
