--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -31,8 +31,8 @@
 constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
-constexpr double pressed_over_calm = 0.15;  // of the latency objective, above the mean answer time when calm
-constexpr double spare_over_calm = 0.05;    // less than this: work beyond a tenant's share is welcome
+constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
+constexpr double spare = 0.04;   // below this, work beyond a tenant's share is welcome
 
 bool proves_not_run(Result r)
 {
@@ -124,9 +124,9 @@
     double retry_tokens = 1;
 
     Span slowest_objective;
-    double pressure = 0;  // mean of answer time over latency objective
-    double calm = 0;      // a low quantile of its rounds
-    double felt = 0, felt_n = 0;
+    double pressure = 0, slow_pressure = 0;  // mean of answer time over latency objective
+    double calm = 0;                         // what it is with next to no load
+    double felt = 0, felt_n = 0, first_felt = 0, first_n = 0;
     double limit = 1e9;   // own outstanding work
     double outstanding = 0, most_outstanding = 0;
     std::vector<double> share_tokens;
@@ -386,7 +386,7 @@
             default: return;
         }
         if (inv.op->latency_objective > Span{} && (result == Result::succeeded || result == Result::timed_out))
-            feel(took / inv.op->latency_objective);
+            feel(inv, took / inv.op->latency_objective);
     }
 
     // ---- own outstanding work against the latency objective ----
@@ -401,18 +401,24 @@
 
     // Each round of answers scales the limit by how far their mean time is from where it should be. Only answers
     // of that round count: a lagging mean would cut again and again for what an earlier cut has already mended.
-    void feel(double of_objective)
+    void feel(const Invocation& inv, double of_objective)
     {
-        felt += std::min(of_objective, 2.0);
+        of_objective = std::min(of_objective, 2.0);
+        const Span since_start = inv.arrived - born;
+        // Those accepted right after the start meet the least load; all of them count, the quick come first.
+        if (since_start < inv.op->latency_objective * 0.5) first_felt += of_objective, ++first_n;
+        felt += of_objective;
         if (++felt_n < round_of) return;
-        pressure = pressure > 0 ? 0.5 * (pressure + felt / felt_n) : felt / felt_n;
         const double mean = felt / felt_n;
         felt = felt_n = 0;
-        // The first answers are the quick ones and would make all that follow look slow.
-        if (now - born < slowest_objective) return;
-        if (calm <= 0) calm = mean;
-        calm *= mean < calm ? 0.96 : 1.01;
-        const double aim = calm + pressed_over_calm;
+        pressure = pressure > 0 ? 0.5 * (pressure + mean) : mean;
+        slow_pressure = slow_pressure > 0 ? slow_pressure + 0.1 * (mean - slow_pressure) : mean;
+        if (now - born < slowest_objective * 1.5) {
+            calm = first_felt / std::max(1.0, first_n);
+            return;
+        }
+        calm = slow_pressure < calm ? slow_pressure : calm + 0.0003 * (slow_pressure - calm);
+        const double aim = calm + pressed * (1 - calm);
         if (pressure > aim)
             limit = std::max(least_limit(), std::min(limit, most_outstanding) * std::max(0.75, aim / pressure));
         else if (most_outstanding > 0.7 * limit)
@@ -440,7 +446,7 @@
     bool too_busy(bool over_share) const
     {
         if (set.tier > 0) return false;
-        return outstanding >= limit || (over_share && pressure > calm + spare_over_calm);
+        return outstanding >= limit || (over_share && pressure > calm + spare * (1 - calm));
     }
 
     Span come_back() { return set.max_come_back * (0.5 + 0.5 * roll()); }
