--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -32,7 +32,7 @@
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
-constexpr double spare = 0.04;   // below this, work beyond a tenant's share is welcome
+constexpr double spare = -0.1;   // below this, work beyond a tenant's share is welcome
 
 bool proves_not_run(Result r)
 {
