--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -16,8 +16,8 @@
 
 constexpr double step = 0.1;              // one signal of the design
 constexpr double sure_step = 0.34;        // a signal of an exception, which needs no second opinion
-constexpr Span expiry = seconds(5);       // an entry holds this long after its last signal
-constexpr Span fall_every = seconds(1);   // and then lets twice as much through, each time
+constexpr Span expiry = seconds(1.5);      // an entry holds this long after its last signal
+constexpr Span fall_every = seconds(0.5); // and then lets twice as much through, each time
 constexpr double first_trickle = 0.02;    // what a full reduction lets through when it starts to fall
 constexpr Span report_age = seconds(2);   // a report's distance from the others' mean halves in about this
 constexpr size_t recent = 16;             // answers an upstream is judged by
