--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -31,9 +31,12 @@
 constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
-constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
+constexpr double pressed = 0.12;  // of the way from the calm answer time to the latency objective: the aim
 constexpr double spare = -0.1;   // below this, work beyond a tenant's share is welcome
 
+constexpr double most_waiting = 1;  // invocations waiting for room, as a part of the limit
+constexpr double longest_wait = 0.2;  // of the time to the latency objective
+
 bool proves_not_run(Result r)
 {
     return r == Result::full || r == Result::unreachable || r == Result::not_sent;
@@ -56,6 +59,7 @@
     Point leaves;  // the client's time is up
     Point useful;  // an answer after this is worth nothing
     bool over = true;
+    bool waiting = false;
     uint32_t redirects = 0;
     std::vector<Forward> forwards;
 };
@@ -127,7 +131,8 @@
     double pressure = 0, slow_pressure = 0;  // mean of answer time over latency objective
     double calm = 0;                         // what it is with next to no load
     double felt = 0, felt_n = 0, first_felt = 0, first_n = 0;
-    double limit = 1e9;   // own outstanding work
+    double limit = 1e9;       // own outstanding work
+    std::deque<Inv> waiting;  // for room under it
     double outstanding = 0, most_outstanding = 0;
     std::vector<double> share_tokens;
     Point share_at;
@@ -248,6 +253,8 @@
     {
         Invocation& inv = invs[id];
         inv.over = true;
+        if (inv.waiting) waiting.erase(std::find(waiting.begin(), waiting.end(), id));
+        inv.waiting = false;
         for (uint32_t i = 0; i < inv.forwards.size(); ++i)
             if (inv.forwards[i].out && set.may_cancel) out.cancel(id, i);
         release(id);
@@ -533,8 +540,26 @@
         inv.forwards.clear();
         retry_tokens = std::min(most_retries, retry_tokens + retry_share);
         const bool over_share = beyond_share(ask.tenant);
-        if (too_busy(over_share) || refused()) return finish(id, true, come_back());
-        route(id);
+        if (refused()) return finish(id, true, come_back());
+        if (!too_busy(over_share)) return route(id);
+        // A short wait bridges a burst; longer, it would be turned away late in place of at once.
+        if (over_share || static_cast<double>(waiting.size()) >= most_waiting * limit)
+            return finish(id, true, come_back());
+        inv.waiting = true;
+        waiting.push_back(id);
+        later(std::min(inv.leaves, now + (inv.useful - now) * longest_wait), [this, id, arrived = now] {
+            if (invs[id].waiting && invs[id].arrived == arrived) finish(id, true, come_back());
+        });
+    }
+
+    void serve_waiting()
+    {
+        while (!waiting.empty() && outstanding < limit) {
+            const Inv id = waiting.front();
+            waiting.pop_front();
+            invs[id].waiting = false;
+            route(id);
+        }
     }
 
     void route(Inv id)
@@ -577,10 +602,13 @@
         learn(inv, u, result, took);
         reported(u, report);
         const auto next = std::move(f.next);
-        if (over && !inv.over) return close(id);
-        if (inv.over) return release(id);
-        const bool more_out = std::any_of(inv.forwards.begin(), inv.forwards.end(), [](auto& g) { return g.out; });
-        if (!more_out) next(now, result);
+        if (over && !inv.over)
+            close(id);
+        else if (inv.over)
+            release(id);
+        else if (std::none_of(inv.forwards.begin(), inv.forwards.end(), [](auto& g) { return g.out; }))
+            next(now, result);
+        serve_waiting();
     }
 
     // ---- the list ----
