Count the change of own outstanding since a report; eighth power in the pick

Sends since a report are netted of those answered; a queue report counts all own outstanding beside it.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -31,12 +31,9 @@
 constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
-constexpr double pressed = 0.12;  // of the way from the calm answer time to the latency objective: the aim
+constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
 constexpr double spare = -0.1;   // below this, work beyond a tenant's share is welcome
 
-constexpr double most_waiting = 1;  // invocations waiting for room, as a part of the limit
-constexpr double longest_wait = 0.2;  // of the time to the latency objective
-
 bool proves_not_run(Result r)
 {
     return r == Result::full || r == Result::unreachable || r == Result::not_sent;
@@ -59,7 +56,6 @@
     Point leaves;  // the client's time is up
     Point useful;  // an answer after this is worth nothing
     bool over = true;
-    bool waiting = false;
     uint32_t redirects = 0;
     std::vector<Forward> forwards;
 };
@@ -76,9 +72,9 @@
     Entry entry;
     std::optional<Point> unpaired;  // a timeout or reset that waits for its fellow
     std::optional<double> load, latency_ms;
+    bool load_counts_own = false;
     Point load_at;
-    double sends_since = 0;
-    uint32_t out = 0;
+    uint32_t out = 0, out_at_report = 0;
     float answers[recent] = {};  // times, as multiples of the operation's usual one; negative: an error
     size_t answered = 0;
     double quantile = 0, errors = 0;
@@ -131,8 +127,7 @@
     double pressure = 0, slow_pressure = 0;  // mean of answer time over latency objective
     double calm = 0;                         // what it is with next to no load
     double felt = 0, felt_n = 0, first_felt = 0, first_n = 0;
-    double limit = 1e9;       // own outstanding work
-    std::deque<Inv> waiting;  // for room under it
+    double limit = 1e9;   // own outstanding work
     double outstanding = 0, most_outstanding = 0;
     std::vector<double> share_tokens;
     Point share_at;
@@ -230,7 +225,6 @@
             warm_sends += 1;
         }
         ++u.out;
-        ++u.sends_since;
         most_outstanding = std::max(most_outstanding, ++outstanding);
         inv.forwards.push_back({.tgt = tgt, .sent = now, .next = std::move(next)});
         out.forward(id, tgt, std::min(at_most, inv.leaves - now));
@@ -253,8 +247,6 @@
     {
         Invocation& inv = invs[id];
         inv.over = true;
-        if (inv.waiting) waiting.erase(std::find(waiting.begin(), waiting.end(), id));
-        inv.waiting = false;
         for (uint32_t i = 0; i < inv.forwards.size(); ++i)
             if (inv.forwards[i].out && set.may_cancel) out.cancel(id, i);
         release(id);
@@ -308,8 +300,9 @@
         refresh_fellows();
         if (const auto load = load_of(r)) {
             u.load = load;
+            u.load_counts_own = !r.queue;
             u.load_at = now;
-            u.sends_since = 0;
+            u.out_at_report = u.out;
             if (r.queue && *r.queue > 3 + well_above * mean_load) raise(u, step, false);
         }
         if (r.latency_ms) {
@@ -460,11 +453,14 @@
 
     // ---- the pick ----
 
+    // The last report, drifting to the others' mean with age, and own sends out since less those answered.
     double expected_load(const Upstream& u) const
     {
-        if (!u.load) return mean_load + u.out;
+        const double own = u.out;
+        if (!u.load) return mean_load + own;
         const double fresh = std::exp2(-((now - u.load_at) / report_age));
-        return mean_load + (*u.load - mean_load) * fresh + std::max(u.sends_since, double(u.out));
+        const double report = mean_load + (*u.load - mean_load) * fresh;
+        return std::max(own, report + (u.load_counts_own ? own - u.out_at_report : own));
     }
 
     // Weighted random among those the rules let through; nullopt where there is none.
@@ -477,7 +473,7 @@
             const Upstream& u = ups[t];
             if (u.listing.presence != Presence::ready || !keep(t) || !may_send(inv, t)) continue;
             const double idle = u.listing.size / (u.listing.size + expected_load(u));
-            total += weights[t] = u.listing.size * warm_share(u) * std::pow(idle, 4);
+            total += weights[t] = u.listing.size * warm_share(u) * std::pow(idle, 8);
         }
         double at = roll() * total;
         std::optional<Tgt> last;
@@ -540,26 +536,8 @@
         inv.forwards.clear();
         retry_tokens = std::min(most_retries, retry_tokens + retry_share);
         const bool over_share = beyond_share(ask.tenant);
-        if (refused()) return finish(id, true, come_back());
-        if (!too_busy(over_share)) return route(id);
-        // A short wait bridges a burst; longer, it would be turned away late in place of at once.
-        if (over_share || static_cast<double>(waiting.size()) >= most_waiting * limit)
-            return finish(id, true, come_back());
-        inv.waiting = true;
-        waiting.push_back(id);
-        later(std::min(inv.leaves, now + (inv.useful - now) * longest_wait), [this, id, arrived = now] {
-            if (invs[id].waiting && invs[id].arrived == arrived) finish(id, true, come_back());
-        });
-    }
-
-    void serve_waiting()
-    {
-        while (!waiting.empty() && outstanding < limit) {
-            const Inv id = waiting.front();
-            waiting.pop_front();
-            invs[id].waiting = false;
-            route(id);
-        }
+        if (too_busy(over_share) || refused()) return finish(id, true, come_back());
+        route(id);
     }
 
     void route(Inv id)
@@ -602,13 +580,10 @@
         learn(inv, u, result, took);
         reported(u, report);
         const auto next = std::move(f.next);
-        if (over && !inv.over)
-            close(id);
-        else if (inv.over)
-            release(id);
-        else if (std::none_of(inv.forwards.begin(), inv.forwards.end(), [](auto& g) { return g.out; }))
-            next(now, result);
-        serve_waiting();
+        if (over && !inv.over) return close(id);
+        if (inv.over) return release(id);
+        const bool more_out = std::any_of(inv.forwards.begin(), inv.forwards.end(), [](auto& g) { return g.out; });
+        if (!more_out) next(now, result);
     }
 
     // ---- the list ----
