--- a/drill/instance.cpp
+++ b/drill/instance.cpp
@@ -162,6 +162,11 @@
     act(87).put(upstreams_[tgt]);
 }
 
+void Instance::close_idle(Tgt tgt)
+{
+    act(86).put(upstreams_[tgt]);
+}
+
 void Instance::watch_list()
 {
     act(85).put(uint8_t{1});
--- a/drill/instance.h
+++ b/drill/instance.h
@@ -45,6 +45,7 @@
     void released(Inv inv) override;
     void wake(Point at, uint64_t name) override;
     void probe(Tgt tgt) override;
+    void close_idle(Tgt tgt) override;
     void watch_list() override;
 
     Writer& act(uint8_t code) { return out_.record(code).put(name_); }
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -24,6 +24,7 @@
 constexpr size_t enough = 5;              // fewer say nothing
 constexpr double judged_at = 0.8;         // the quantile of them
 constexpr double well_above = 2.5;        // times the fellows' median
+constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
 constexpr Span rate_over = seconds(4);
 constexpr double cold_spend = 0.6;        // of what a cold upstream should bear, its share of a warm one's
 constexpr double retry_share = 0.1;       // second tries, as a share of own traffic
@@ -45,6 +46,7 @@
     Point sent;
     bool out = true;
     bool proven_not_run = false;
+    bool rested = false;  // sent to an upstream that nothing was out to for longer than an answer takes
     std::function<void(Point, Result)> next;  // what to do with its result
 };
 
@@ -78,6 +80,7 @@
     float answers[recent] = {};  // times, as multiples of the operation's usual one; negative: an error
     size_t answered = 0;
     double quantile = 0, errors = 0;
+    Point last_end;
     double cold_tokens = 0;
     Point cold_at;
 };
@@ -123,6 +126,9 @@
 
     double retry_tokens = 1;
 
+    double hung_rested = 0, hung_busy = 0;  // shares of forwards never answered
+    Point distrust_idle_until{INT64_MIN / 2};
+
     Span slowest_objective;
     double pressure = 0, slow_pressure = 0;  // mean of answer time over latency objective
     double calm = 0;                         // what it is with next to no load
@@ -224,9 +230,11 @@
             decay_warm_sends();
             warm_sends += 1;
         }
+        const bool rested = u.out == 0 && (now - u.last_end).seconds() > ops[inv.operation].usual;
+        if (rested && now < distrust_idle_until) out.close_idle(tgt);
         ++u.out;
         most_outstanding = std::max(most_outstanding, ++outstanding);
-        inv.forwards.push_back({.tgt = tgt, .sent = now, .next = std::move(next)});
+        inv.forwards.push_back({.tgt = tgt, .sent = now, .rested = rested, .next = std::move(next)});
         out.forward(id, tgt, std::min(at_most, inv.leaves - now));
         return true;
     }
@@ -359,6 +367,15 @@
             raise(u, step, false);
     }
 
+    // Guards against idle connections that died without a word: what is sent on one is never answered, whatever
+    // the upstream. It shows where forwards after a rest hang and others to the same upstreams do not.
+    void watch_idle(bool rested, bool hung)
+    {
+        double& share = rested ? hung_rested : hung_busy;
+        share += 0.1 * (hung - share);
+        if (hung_rested > 0.2 && hung_rested > 3 * hung_busy) distrust_idle_until = now + distrust_for;
+    }
+
     void learn(const Invocation& inv, Upstream& u, Result result, Span took)
     {
         OperationView& op = ops[inv.operation];
@@ -577,6 +594,9 @@
         f.proven_not_run = proves_not_run(result);
         --u.out;
         --outstanding;
+        u.last_end = now;
+        if (result == Result::succeeded || result == Result::timed_out)
+            watch_idle(f.rested, result == Result::timed_out);
         learn(inv, u, result, took);
         reported(u, report);
         const auto next = std::move(f.next);
--- a/src/balance.h
+++ b/src/balance.h
@@ -55,6 +55,7 @@
     virtual void released(Inv inv) = 0;
     virtual void wake(Point at, uint64_t name) = 0;
     virtual void probe(Tgt tgt) = 0;
+    virtual void close_idle(Tgt tgt) = 0;  // connections
     virtual void watch_list() = 0;
 };
 
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -84,7 +84,7 @@
     Point now{1'000'000'000};
     Tgt last_tgt = 0;
     bool quiet = false;
-    int throttled = 0;
+    int throttled = 0, closed = 0;
     Balancer balancer;
 
   private:
@@ -113,6 +113,7 @@
     }
     void wake(Point at, uint64_t name) override { timers[name] = at; }
     void probe(Tgt tgt) override { line("probe u%u\n", tgt); }
+    void close_idle(Tgt tgt) override { ++closed, line("close idle connections of u%u\n", tgt); }
     void watch_list() override { line("watch the list\n"); }
 
     std::map<Inv, uint32_t> sent;
