--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -29,6 +29,7 @@
 constexpr double cold_spend = 0.6;        // of what a cold upstream should bear, its share of a warm one's
 constexpr double retry_share = 0.1;       // second tries, as a share of own traffic
 constexpr double most_retries = 5;        // saved up
+constexpr double far_too_late = 6;       // times the high quantile of answer times
 constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
@@ -562,8 +563,12 @@
         const auto tgt = pick(invs[id]);
         if (!tgt) return finish(id, true, come_back());
         const Invocation& inv = invs[id];
-        // Work that could still run is waited for to the end; work whose answer is worthless is given up.
-        const Span wait = (inv.op->repeat == Repeat::non_idempotent ? inv.leaves : inv.useful) - now;
+        // Work that could still run is waited for to the end; work whose answer is worthless is given up. What
+        // may be repeated is not left with an upstream that takes far longer than is usual.
+        Span wait = (inv.op->repeat == Repeat::non_idempotent ? inv.leaves : inv.useful) - now;
+        const double late = ops[inv.operation].late;
+        if (inv.op->repeat != Repeat::non_idempotent && retry_tokens >= 1 && late > 0)
+            wait = std::min(wait, seconds(far_too_late * late));
         if (wait <= Span{} || !send(id, *tgt, wait, [this, id](Point, Result r) { after_forward(id, r); }))
             finish(id, true, come_back());
     }
