--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -29,7 +29,7 @@
 constexpr double cold_spend = 0.6;        // of what a cold upstream should bear, its share of a warm one's
 constexpr double retry_share = 0.1;       // second tries, as a share of own traffic
 constexpr double most_retries = 5;        // saved up
-constexpr double far_too_late = 6;       // times the high quantile of answer times
+constexpr double far_too_late = 3;       // times the high quantile of answer times
 constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
@@ -219,6 +219,11 @@
                u.listing.presence == Presence::ready && effect_allows(inv, tgt) && cold_budget(u);
     }
 
+    bool rested(const Invocation& inv, const Upstream& u) const
+    {
+        return u.out == 0 && (now - u.last_end).seconds() > ops[inv.operation].usual;
+    }
+
     // The gate: nothing is forwarded but here.
     bool send(Inv id, Tgt tgt, Span at_most, std::function<void(Point, Result)> next)
     {
@@ -231,11 +236,11 @@
             decay_warm_sends();
             warm_sends += 1;
         }
-        const bool rested = u.out == 0 && (now - u.last_end).seconds() > ops[inv.operation].usual;
-        if (rested && now < distrust_idle_until) out.close_idle(tgt);
+        const bool rests = rested(inv, u);
+        if (rests && now < distrust_idle_until) out.close_idle(tgt);
         ++u.out;
         most_outstanding = std::max(most_outstanding, ++outstanding);
-        inv.forwards.push_back({.tgt = tgt, .sent = now, .rested = rested, .next = std::move(next)});
+        inv.forwards.push_back({.tgt = tgt, .sent = now, .rested = rests, .next = std::move(next)});
         out.forward(id, tgt, std::min(at_most, inv.leaves - now));
         return true;
     }
@@ -564,11 +569,11 @@
         if (!tgt) return finish(id, true, come_back());
         const Invocation& inv = invs[id];
         // Work that could still run is waited for to the end; work whose answer is worthless is given up. What
-        // may be repeated is not left with an upstream that takes far longer than is usual.
+        // may be repeated is not left on a connection that may have died idle.
         Span wait = (inv.op->repeat == Repeat::non_idempotent ? inv.leaves : inv.useful) - now;
         const double late = ops[inv.operation].late;
-        if (inv.op->repeat != Repeat::non_idempotent && retry_tokens >= 1 && late > 0)
-            wait = std::min(wait, seconds(far_too_late * late));
+        if (inv.op->repeat != Repeat::non_idempotent && hung_rested > 0.05 && rested(inv, ups[*tgt]))
+            wait = std::min(wait, seconds(far_too_late * std::max(late, 1e-3)));
         if (wait <= Span{} || !send(id, *tgt, wait, [this, id](Point, Result r) { after_forward(id, r); }))
             finish(id, true, come_back());
     }
