--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -29,11 +29,11 @@
 constexpr double cold_spend = 0.6;        // of what a cold upstream should bear, its share of a warm one's
 constexpr double retry_share = 0.1;       // second tries, as a share of own traffic
 constexpr double most_retries = 5;        // saved up
-constexpr double far_too_late = 3;       // times the high quantile of answer times
 constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
+constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;   // below this, work beyond a tenant's share is welcome
 
 bool proves_not_run(Result r)
@@ -219,11 +219,6 @@
                u.listing.presence == Presence::ready && effect_allows(inv, tgt) && cold_budget(u);
     }
 
-    bool rested(const Invocation& inv, const Upstream& u) const
-    {
-        return u.out == 0 && (now - u.last_end).seconds() > ops[inv.operation].usual;
-    }
-
     // The gate: nothing is forwarded but here.
     bool send(Inv id, Tgt tgt, Span at_most, std::function<void(Point, Result)> next)
     {
@@ -236,11 +231,11 @@
             decay_warm_sends();
             warm_sends += 1;
         }
-        const bool rests = rested(inv, u);
-        if (rests && now < distrust_idle_until) out.close_idle(tgt);
+        const bool rested = u.out == 0 && (now - u.last_end).seconds() > ops[inv.operation].usual;
+        if (rested && now < distrust_idle_until) out.close_idle(tgt);
         ++u.out;
         most_outstanding = std::max(most_outstanding, ++outstanding);
-        inv.forwards.push_back({.tgt = tgt, .sent = now, .rested = rests, .next = std::move(next)});
+        inv.forwards.push_back({.tgt = tgt, .sent = now, .rested = rested, .next = std::move(next)});
         out.forward(id, tgt, std::min(at_most, inv.leaves - now));
         return true;
     }
@@ -441,7 +436,7 @@
             return;
         }
         calm = slow_pressure < calm ? slow_pressure : calm + 0.0003 * (slow_pressure - calm);
-        const double aim = calm + pressed * (1 - calm);
+        const double aim = std::min(calm * most_over_calm, calm + pressed * (1 - calm));
         if (pressure > aim)
             limit = std::max(least_limit(), std::min(limit, most_outstanding) * std::max(0.75, aim / pressure));
         else if (most_outstanding > 0.7 * limit)
@@ -568,12 +563,8 @@
         const auto tgt = pick(invs[id]);
         if (!tgt) return finish(id, true, come_back());
         const Invocation& inv = invs[id];
-        // Work that could still run is waited for to the end; work whose answer is worthless is given up. What
-        // may be repeated is not left on a connection that may have died idle.
-        Span wait = (inv.op->repeat == Repeat::non_idempotent ? inv.leaves : inv.useful) - now;
-        const double late = ops[inv.operation].late;
-        if (inv.op->repeat != Repeat::non_idempotent && hung_rested > 0.05 && rested(inv, ups[*tgt]))
-            wait = std::min(wait, seconds(far_too_late * std::max(late, 1e-3)));
+        // Work that could still run is waited for to the end; work whose answer is worthless is given up.
+        const Span wait = (inv.op->repeat == Repeat::non_idempotent ? inv.leaves : inv.useful) - now;
         if (wait <= Span{} || !send(id, *tgt, wait, [this, id](Point, Result r) { after_forward(id, r); }))
             finish(id, true, come_back());
     }
