--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -27,12 +27,15 @@
 constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
 constexpr Span rate_over = seconds(4);
 constexpr double cold_spend = 0.6;        // of what a cold upstream should bear, its share of a warm one's
+constexpr uint32_t most_strikes = 4;     // each doubles the time an entry holds
 constexpr double retry_share = 0.1;       // second tries, as a share of own traffic
 constexpr double most_retries = 5;        // saved up
+constexpr double far_too_late = 2;       // times the high quantile of answer times
 constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
+constexpr double least_of_good = 0.5;    // the least limit, as a part of what went well
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;   // below this, work beyond a tenant's share is welcome
 
@@ -82,6 +85,8 @@
     size_t answered = 0;
     double quantile = 0, errors = 0;
     Point last_end;
+    Point waiting_since;  // the later of its last answer and the first send still out
+    uint32_t strikes = 0; // signals against it since its last success
     double cold_tokens = 0;
     Point cold_at;
 };
@@ -126,6 +131,7 @@
     Point warm_sends_at;
 
     double retry_tokens = 1;
+    double late_any = 0;  // seconds, a high quantile of all answer times
 
     double hung_rested = 0, hung_busy = 0;  // shares of forwards never answered
     Point distrust_idle_until{INT64_MIN / 2};
@@ -134,7 +140,8 @@
     double pressure = 0, slow_pressure = 0;  // mean of answer time over latency objective
     double calm = 0;                         // what it is with next to no load
     double felt = 0, felt_n = 0, first_felt = 0, first_n = 0;
-    double limit = 1e9;   // own outstanding work
+    double limit = 1e9;           // own outstanding work
+    double good_outstanding = 0;  // the most of it while the aim was met, forgotten slowly
     double outstanding = 0, most_outstanding = 0;
     std::vector<double> share_tokens;
     Point share_at;
@@ -233,7 +240,7 @@
         }
         const bool rested = u.out == 0 && (now - u.last_end).seconds() > ops[inv.operation].usual;
         if (rested && now < distrust_idle_until) out.close_idle(tgt);
-        ++u.out;
+        if (u.out++ == 0) u.waiting_since = now;
         most_outstanding = std::max(most_outstanding, ++outstanding);
         inv.forwards.push_back({.tgt = tgt, .sent = now, .rested = rested, .next = std::move(next)});
         out.forward(id, tgt, std::min(at_most, inv.leaves - now));
@@ -280,14 +287,23 @@
 
     void raise(Upstream& u, double by, bool hard)
     {
-        const double standing = reduction(u);
+        const double standing = entry_reduction(u);
         u.entry.hard = hard || (u.entry.hard && standing > 0);
         u.entry.reduction = std::min(1.0, standing + by);
-        u.entry.expires = now + expiry;
+        u.entry.expires = now + expiry * std::exp2(std::min(u.strikes, most_strikes));
     }
 
-    // The entry now. Past its expiry what it lets through doubles each second.
-    double reduction(const Upstream& u) const
+    // Guards against an upstream that takes work and stands still: long before its forwards time out it is seen
+    // by their age, the sooner the more of them wait.
+    bool stalled(const Upstream& u) const
+    {
+        return u.out > 0 && late_any > 0 && (now - u.waiting_since).seconds() > late_any * (1 + 2.0 / u.out);
+    }
+
+    double reduction(const Upstream& u) const { return stalled(u) ? 1 : entry_reduction(u); }
+
+    // The entry now. Past its expiry what it lets through doubles with each step.
+    double entry_reduction(const Upstream& u) const
     {
         const Entry& e = u.entry;
         if (e.reduction <= 0 || now < e.expires) return e.reduction;
@@ -377,7 +393,7 @@
         if (hung_rested > 0.2 && hung_rested > 3 * hung_busy) distrust_idle_until = now + distrust_for;
     }
 
-    void learn(const Invocation& inv, Upstream& u, Result result, Span took)
+    void learn(const Invocation& inv, Upstream& u, Result result, Span took, bool stuck)
     {
         OperationView& op = ops[inv.operation];
         const double t = took.seconds();
@@ -386,15 +402,21 @@
                 if (op.usual <= 0) op.usual = op.late = t;
                 op.usual += 0.03 * (t - op.usual);
                 op.late *= t > op.late ? 1.095 : 0.995;
+                late_any = late_any <= 0 ? t : late_any * (t > late_any ? 1.095 : 0.995);
+                u.strikes = 0;
                 judge(u, static_cast<float>(t / std::max(1e-6, op.usual)));
                 break;
             case Result::errored: judge(u, -1); break;
             case Result::full: raise(u, step, true); break;
             case Result::unreachable:
                 // Guards against a dead upstream: every forward to it costs a connect timeout.
+                ++u.strikes;
                 raise(u, sure_step, false);
                 break;
             case Result::timed_out:
+            case Result::cancelled:
+                if (stuck) ++u.strikes, raise(u, sure_step, false);
+                if (result == Result::cancelled) return;
                 if (op.usual > 0) judge(u, static_cast<float>(t / op.usual));
                 [[fallthrough]];
             case Result::reset:
@@ -403,18 +425,22 @@
                 break;
             default: return;
         }
+        if (stuck) return;  // its own trouble, not load
         if (inv.op->latency_objective > Span{} && (result == Result::succeeded || result == Result::timed_out))
             feel(inv, took / inv.op->latency_objective);
     }
 
     // ---- own outstanding work against the latency objective ----
 
-    // About two for each upstream from all instances together: less would leave them idle.
+    // About two for each upstream from all instances together: less would leave them idle. Nor less than half of
+    // what went well: where that does not bring the answer time down, load is not what keeps it up. Guards against
+    // calls that hang in the tier below cutting the limit to nothing.
     double least_limit() const
     {
         const auto ready = std::count_if(ups.begin(), ups.end(),
                                          [](auto& u) { return u.listing.presence == Presence::ready; });
-        return std::max(1.0, 2.0 * static_cast<double>(ready) / std::max(1u, set.balancers));
+        const double two_each = 2.0 * static_cast<double>(ready) / std::max(1u, set.balancers);
+        return std::max({1.0, two_each, least_of_good * good_outstanding});
     }
 
     // Each round of answers scales the limit by how far their mean time is from where it should be. Only answers
@@ -437,6 +463,7 @@
         }
         calm = slow_pressure < calm ? slow_pressure : calm + 0.0003 * (slow_pressure - calm);
         const double aim = std::min(calm * most_over_calm, calm + pressed * (1 - calm));
+        if (pressure <= aim) good_outstanding = std::max(0.98 * good_outstanding, most_outstanding);
         if (pressure > aim)
             limit = std::max(least_limit(), std::min(limit, most_outstanding) * std::max(0.75, aim / pressure));
         else if (most_outstanding > 0.7 * limit)
@@ -464,7 +491,10 @@
     bool too_busy(bool over_share) const
     {
         if (set.tier > 0) return false;
-        return outstanding >= limit || (over_share && pressure > calm + spare * (1 - calm));
+        double moving = outstanding;
+        for (const Upstream& u : ups)
+            if (stalled(u)) moving -= u.out;
+        return moving >= limit || (over_share && pressure > calm + spare * (1 - calm));
     }
 
     Span come_back() { return set.max_come_back * (0.5 + 0.5 * roll()); }
@@ -528,7 +558,7 @@
         bool any = false;
         for (const Upstream& u : ups) {
             if (u.listing.presence != Presence::ready) continue;
-            const double r = reduction(u);
+            const double r = entry_reduction(u);
             if (r <= 0 || !u.entry.hard) return false;
             smallest = std::min(smallest, r);
             any = true;
@@ -566,7 +596,21 @@
         // Work that could still run is waited for to the end; work whose answer is worthless is given up.
         const Span wait = (inv.op->repeat == Repeat::non_idempotent ? inv.leaves : inv.useful) - now;
         if (wait <= Span{} || !send(id, *tgt, wait, [this, id](Point, Result r) { after_forward(id, r); }))
-            finish(id, true, come_back());
+            return finish(id, true, come_back());
+        if (inv.op->repeat != Repeat::non_idempotent && set.may_cancel && late_any > 0)
+            look_again(id, static_cast<uint32_t>(inv.forwards.size()) - 1, now);
+    }
+
+    // What may be repeated is called off from an upstream that stands still; the result sends it elsewhere.
+    void look_again(Inv id, uint32_t nth, Point sent)
+    {
+        later(now + seconds(far_too_late * late_any), [this, id, nth, sent] {
+            const Invocation& inv = invs[id];
+            if (inv.over || nth >= inv.forwards.size()) return;
+            const Forward& f = inv.forwards[nth];
+            if (!f.out || f.sent != sent || !stalled(ups[f.tgt])) return;
+            if (retry_tokens >= 1 && (inv.useful - now).seconds() > ops[inv.operation].usual) out.cancel(id, nth);
+        });
     }
 
     void after_forward(Inv id, Result result)
@@ -593,12 +637,14 @@
         Upstream& u = ups[f.tgt];
         f.out = false;
         f.proven_not_run = proves_not_run(result);
+        const bool stuck = stalled(u);
         --u.out;
         --outstanding;
+        if (result == Result::succeeded || result == Result::errored || result == Result::full) u.waiting_since = now;
         u.last_end = now;
         if (result == Result::succeeded || result == Result::timed_out)
             watch_idle(f.rested, result == Result::timed_out);
-        learn(inv, u, result, took);
+        learn(inv, u, result, took, stuck);
         reported(u, report);
         const auto next = std::move(f.next);
         if (over && !inv.over) return close(id);
