--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -30,7 +30,6 @@
 constexpr uint32_t most_strikes = 4;     // each doubles the time an entry holds
 constexpr double retry_share = 0.1;       // second tries, as a share of own traffic
 constexpr double most_retries = 5;        // saved up
-constexpr double far_too_late = 2;       // times the high quantile of answer times
 constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
@@ -414,9 +413,6 @@
                 raise(u, sure_step, false);
                 break;
             case Result::timed_out:
-            case Result::cancelled:
-                if (stuck) ++u.strikes, raise(u, sure_step, false);
-                if (result == Result::cancelled) return;
                 if (op.usual > 0) judge(u, static_cast<float>(t / op.usual));
                 [[fallthrough]];
             case Result::reset:
@@ -596,21 +592,7 @@
         // Work that could still run is waited for to the end; work whose answer is worthless is given up.
         const Span wait = (inv.op->repeat == Repeat::non_idempotent ? inv.leaves : inv.useful) - now;
         if (wait <= Span{} || !send(id, *tgt, wait, [this, id](Point, Result r) { after_forward(id, r); }))
-            return finish(id, true, come_back());
-        if (inv.op->repeat != Repeat::non_idempotent && set.may_cancel && late_any > 0)
-            look_again(id, static_cast<uint32_t>(inv.forwards.size()) - 1, now);
-    }
-
-    // What may be repeated is called off from an upstream that stands still; the result sends it elsewhere.
-    void look_again(Inv id, uint32_t nth, Point sent)
-    {
-        later(now + seconds(far_too_late * late_any), [this, id, nth, sent] {
-            const Invocation& inv = invs[id];
-            if (inv.over || nth >= inv.forwards.size()) return;
-            const Forward& f = inv.forwards[nth];
-            if (!f.out || f.sent != sent || !stalled(ups[f.tgt])) return;
-            if (retry_tokens >= 1 && (inv.useful - now).seconds() > ops[inv.operation].usual) out.cancel(id, nth);
-        });
+            finish(id, true, come_back());
     }
 
     void after_forward(Inv id, Result result)
