--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -139,6 +139,8 @@
     double pressure = 0, slow_pressure = 0;  // mean of answer time over latency objective
     double calm = 0;                         // what it is with next to no load
     double felt = 0, felt_n = 0, first_felt = 0, first_n = 0;
+    double rate = 0, best_rate = 0;
+    Point round_at;
     double limit = 1e9;           // own outstanding work
     double good_outstanding = 0;  // the most of it while the aim was met, forgotten slowly
     double outstanding = 0, most_outstanding = 0;
@@ -450,6 +452,9 @@
         felt += of_objective;
         if (++felt_n < round_of) return;
         const double mean = felt / felt_n;
+        rate += 0.1 * (felt_n / std::max(1e-3, (now - round_at).seconds()) - rate);
+        best_rate = std::max(0.998 * best_rate, rate);
+        round_at = now;
         felt = felt_n = 0;
         pressure = pressure > 0 ? 0.5 * (pressure + mean) : mean;
         slow_pressure = slow_pressure > 0 ? slow_pressure + 0.1 * (mean - slow_pressure) : mean;
@@ -458,6 +463,7 @@
             return;
         }
         calm = slow_pressure < calm ? slow_pressure : calm + 0.0003 * (slow_pressure - calm);
+        if (pressure > calm * most_over_calm) calm *= rate > 0.9 * best_rate ? 0.99 : 1.01;
         const double aim = std::min(calm * most_over_calm, calm + pressed * (1 - calm));
         if (pressure <= aim) good_outstanding = std::max(0.98 * good_outstanding, most_outstanding);
         if (pressure > aim)
