--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -17,6 +17,7 @@
 constexpr double step = 0.1;              // one signal of the design
 constexpr double sure_step = 0.34;        // a signal of an exception, which needs no second opinion
 constexpr Span expiry = seconds(1.5);      // an entry holds this long after its last signal
+constexpr Span divert_expiry = seconds(5);  // the same for signals that only divert
 constexpr Span fall_every = seconds(0.5); // and then lets twice as much through, each time
 constexpr double first_trickle = 0.02;    // what a full reduction lets through when it starts to fall
 constexpr Span report_age = seconds(2);   // a report's distance from the others' mean halves in about this
@@ -27,7 +28,6 @@
 constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
 constexpr Span rate_over = seconds(4);
 constexpr double cold_spend = 0.6;        // of what a cold upstream should bear, its share of a warm one's
-constexpr uint32_t most_strikes = 4;     // each doubles the time an entry holds
 constexpr double retry_share = 0.1;       // second tries, as a share of own traffic
 constexpr double most_retries = 5;        // saved up
 constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
@@ -85,7 +85,7 @@
     double quantile = 0, errors = 0;
     Point last_end;
     Point waiting_since;  // the later of its last answer and the first send still out
-    uint32_t strikes = 0; // signals against it since its last success
+
     double cold_tokens = 0;
     Point cold_at;
 };
@@ -139,8 +139,6 @@
     double pressure = 0, slow_pressure = 0;  // mean of answer time over latency objective
     double calm = 0;                         // what it is with next to no load
     double felt = 0, felt_n = 0, first_felt = 0, first_n = 0;
-    double rate = 0, best_rate = 0;
-    Point round_at;
     double limit = 1e9;           // own outstanding work
     double good_outstanding = 0;  // the most of it while the aim was met, forgotten slowly
     double outstanding = 0, most_outstanding = 0;
@@ -291,7 +289,7 @@
         const double standing = entry_reduction(u);
         u.entry.hard = hard || (u.entry.hard && standing > 0);
         u.entry.reduction = std::min(1.0, standing + by);
-        u.entry.expires = now + expiry * std::exp2(std::min(u.strikes, most_strikes));
+        u.entry.expires = std::max(u.entry.expires, now + (hard ? expiry : divert_expiry));
     }
 
     // Guards against an upstream that takes work and stands still: long before its forwards time out it is seen
@@ -404,14 +402,12 @@
                 op.usual += 0.03 * (t - op.usual);
                 op.late *= t > op.late ? 1.095 : 0.995;
                 late_any = late_any <= 0 ? t : late_any * (t > late_any ? 1.095 : 0.995);
-                u.strikes = 0;
                 judge(u, static_cast<float>(t / std::max(1e-6, op.usual)));
                 break;
             case Result::errored: judge(u, -1); break;
             case Result::full: raise(u, step, true); break;
             case Result::unreachable:
                 // Guards against a dead upstream: every forward to it costs a connect timeout.
-                ++u.strikes;
                 raise(u, sure_step, false);
                 break;
             case Result::timed_out:
@@ -452,9 +448,6 @@
         felt += of_objective;
         if (++felt_n < round_of) return;
         const double mean = felt / felt_n;
-        rate += 0.1 * (felt_n / std::max(1e-3, (now - round_at).seconds()) - rate);
-        best_rate = std::max(0.998 * best_rate, rate);
-        round_at = now;
         felt = felt_n = 0;
         pressure = pressure > 0 ? 0.5 * (pressure + mean) : mean;
         slow_pressure = slow_pressure > 0 ? slow_pressure + 0.1 * (mean - slow_pressure) : mean;
@@ -463,7 +456,6 @@
             return;
         }
         calm = slow_pressure < calm ? slow_pressure : calm + 0.0003 * (slow_pressure - calm);
-        if (pressure > calm * most_over_calm) calm *= rate > 0.9 * best_rate ? 0.99 : 1.01;
         const double aim = std::min(calm * most_over_calm, calm + pressed * (1 - calm));
         if (pressure <= aim) good_outstanding = std::max(0.98 * good_outstanding, most_outstanding);
         if (pressure > aim)
