--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -34,8 +34,8 @@
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
-constexpr double least_of_good = 0.5;    // the least limit, as a part of what went well
-constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
+constexpr double least_of_good = 0.35;   // the least limit, as a part of what went well
+constexpr double most_over_calm = 1.25; // and never more than this many times the calm answer time
 constexpr double spare = -0.1;   // below this, work beyond a tenant's share is welcome
 
 bool proves_not_run(Result r)
