--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -34,8 +34,8 @@
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
-constexpr double least_of_good = 0.35;   // the least limit, as a part of what went well
-constexpr double most_over_calm = 1.25; // and never more than this many times the calm answer time
+constexpr double least_of_good = 0.5;    // the least limit, as a part of what went well
+constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;   // below this, work beyond a tenant's share is welcome
 
 bool proves_not_run(Result r)
@@ -451,11 +451,10 @@
         felt = felt_n = 0;
         pressure = pressure > 0 ? 0.5 * (pressure + mean) : mean;
         slow_pressure = slow_pressure > 0 ? slow_pressure + 0.1 * (mean - slow_pressure) : mean;
-        if (now - born < slowest_objective * 1.5) {
+        if (now - born < slowest_objective * 1.5)
             calm = first_felt / std::max(1.0, first_n);
-            return;
-        }
-        calm = slow_pressure < calm ? slow_pressure : calm + 0.0003 * (slow_pressure - calm);
+        else
+            calm = slow_pressure < calm ? slow_pressure : calm + 0.0003 * (slow_pressure - calm);
         const double aim = std::min(calm * most_over_calm, calm + pressed * (1 - calm));
         if (pressure <= aim) good_outstanding = std::max(0.98 * good_outstanding, most_outstanding);
         if (pressure > aim)
