Size shares by the part of the traffic that comes here; shrink them under pressure

Watching it: calm is learnt as 0.64 from a start that is already overloaded, and the floor on the limit keeps it there.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -34,6 +34,7 @@
 
 constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
+constexpr double typical_use = 1.25;   // a middling tenant's share over what it uses of it
 constexpr double least_of_good = 0.5;    // the least limit, as a part of what went well
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;   // below this, work beyond a tenant's share is welcome
@@ -90,6 +91,13 @@
     Point cold_at;
 };
 
+struct Tenant {
+    double quota = 0;
+    double tokens = 1;
+    Point at;
+    double came = 0, rate = 0;  // invocations
+};
+
 struct OperationView {
     double usual = 0;  // seconds, a slow mean of answer times
     double late = 0;   // seconds, a high quantile of them
@@ -104,8 +112,10 @@
           out(outlet),
           chance(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 32))),
           ops(set.operations.size()),
-          share_tokens(set.quotas.size(), 1.0)
+          own_part(1.0 / std::max(1u, set.balancers))
     {
+        tenants.resize(set.quotas.size());
+        for (size_t i = 0; i < tenants.size(); ++i) tenants[i].quota = set.quotas[i];
         for (const Operation& op : set.operations)
             slowest_objective = std::max(slowest_objective, op.latency_objective);
         chance.discard(32);
@@ -142,7 +152,8 @@
     double limit = 1e9;           // own outstanding work
     double good_outstanding = 0;  // the most of it while the aim was met, forgotten slowly
     double outstanding = 0, most_outstanding = 0;
-    std::vector<double> share_tokens;
+    std::vector<Tenant> tenants;
+    double own_part;
     Point share_at;
 
     std::vector<double> weights;
@@ -437,6 +448,9 @@
         return std::max({1.0, two_each, least_of_good * good_outstanding});
     }
 
+    // The mean answer time that is still well, over the latency objective.
+    double aim() const { return std::min(calm * most_over_calm, calm + pressed * (1 - calm)); }
+
     // Each round of answers scales the limit by how far their mean time is from where it should be. Only answers
     // of that round count: a lagging mean would cut again and again for what an earlier cut has already mended.
     void feel(const Invocation& inv, double of_objective)
@@ -455,29 +469,46 @@
             calm = first_felt / std::max(1.0, first_n);
         else
             calm = slow_pressure < calm ? slow_pressure : calm + 0.0003 * (slow_pressure - calm);
-        const double aim = std::min(calm * most_over_calm, calm + pressed * (1 - calm));
-        if (pressure <= aim) good_outstanding = std::max(0.98 * good_outstanding, most_outstanding);
-        if (pressure > aim)
-            limit = std::max(least_limit(), std::min(limit, most_outstanding) * std::max(0.75, aim / pressure));
+        if (pressure <= aim()) good_outstanding = std::max(0.98 * good_outstanding, most_outstanding);
+        if (pressure > aim())
+            limit = std::max(least_limit(), std::min(limit, most_outstanding) * std::max(0.75, aim() / pressure));
         else if (most_outstanding > 0.7 * limit)
-            limit *= std::min(1.3, aim / pressure);
+            limit *= std::min(1.3, aim() / pressure);
         most_outstanding = outstanding;
     }
 
-    // True where the tenant has already had its part of its share from this instance.
-    bool beyond_share(uint32_t tenant)
+    // How much of the whole traffic comes to this instance, never less than an even part. Guards against fronts
+    // that give one instance more than its even part: what is inside a share there would be taken as beyond it.
+    void weigh_own_part()
     {
-        if (tenant >= set.quotas.size()) return false;
         const double gone = (now - share_at).seconds();
+        if (gone < 1) return;
         share_at = now;
-        for (size_t i = 0; i < share_tokens.size(); ++i) {
-            const double part = set.quotas[i] / std::max(1u, set.balancers);
-            share_tokens[i] = std::min(std::max(1.0, 2 * part), share_tokens[i] + gone * part);
+        std::vector<double> used;
+        for (Tenant& t : tenants) {
+            t.rate += (t.rate > 0 ? 0.3 : 1) * (t.came / gone - t.rate);
+            t.came = 0;
+            if (t.quota > 0) used.push_back(t.rate / t.quota);
         }
-        if (set.quotas[tenant] <= 0) return false;
-        if (share_tokens[tenant] < 1) return true;
-        share_tokens[tenant] -= 1;
-        return false;
+        const double even = 1.0 / std::max(1u, set.balancers);
+        own_part = even;
+        if (used.size() < 3) return;
+        std::nth_element(used.begin(), used.begin() + used.size() / 2, used.end());
+        const double seen = std::clamp(used[used.size() / 2] * typical_use, even, 1.4 * even);
+        if (pressure <= aim()) own_part += 0.2 * (seen - own_part);
+    }
+
+    // True where the tenant has already had what this instance may give of its share.
+    bool beyond_share(uint32_t tenant)
+    {
+        if (tenant >= tenants.size() || tenants[tenant].quota <= 0) return false;
+        weigh_own_part();
+        Tenant& t = tenants[tenant];
+        ++t.came;
+        const double part = t.quota * own_part * (pressure > aim() ? aim() / pressure : 1);
+        t.tokens = std::min(std::max(1.0, 2 * part), t.tokens + (now - t.at).seconds() * part);
+        t.at = now;
+        return t.tokens < 1;
     }
 
     // Only the first tier turns work away for being busy: deeper, the work done above would be lost with it.
@@ -578,6 +609,7 @@
         retry_tokens = std::min(most_retries, retry_tokens + retry_share);
         const bool over_share = beyond_share(ask.tenant);
         if (too_busy(over_share) || refused()) return finish(id, true, come_back());
+        if (!over_share && ask.tenant < tenants.size()) tenants[ask.tenant].tokens -= 1;
         route(id);
     }
 
