--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -469,7 +469,13 @@
             calm = first_felt / std::max(1.0, first_n);
         else
             calm = slow_pressure < calm ? slow_pressure : calm + 0.0003 * (slow_pressure - calm);
-        if (pressure <= aim()) good_outstanding = std::max(0.98 * good_outstanding, most_outstanding);
+        // Guards against a start under overload, from which calm is learnt too high: under lasting pressure both it
+        // and what counts as good give way, until a limit at its floor shows that this brings no more.
+        good_outstanding *= 0.99;
+        if (pressure <= aim())
+            good_outstanding = std::max(good_outstanding, most_outstanding);
+        else
+            calm *= limit > least_limit() ? 0.997 : 1.003;
         if (pressure > aim())
             limit = std::max(least_limit(), std::min(limit, most_outstanding) * std::max(0.75, aim() / pressure));
         else if (most_outstanding > 0.7 * limit)
