--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -62,6 +62,7 @@
     Point leaves;  // the client's time is up
     Point useful;  // an answer after this is worth nothing
     bool over = true;
+    bool early = false;  // accepted while little was out
     uint32_t redirects = 0;
     std::vector<Forward> forwards;
 };
@@ -440,14 +441,15 @@
     // About two for each upstream from all instances together: less would leave them idle. Nor less than half of
     // what went well: where that does not bring the answer time down, load is not what keeps it up. Guards against
     // calls that hang in the tier below cutting the limit to nothing.
-    double least_limit() const
+    double two_each() const
     {
         const auto ready = std::count_if(ups.begin(), ups.end(),
                                          [](auto& u) { return u.listing.presence == Presence::ready; });
-        const double two_each = 2.0 * static_cast<double>(ready) / std::max(1u, set.balancers);
-        return std::max({1.0, two_each, least_of_good * good_outstanding});
+        return 2.0 * static_cast<double>(ready) / std::max(1u, set.balancers);
     }
 
+    double least_limit() const { return std::max({1.0, two_each(), least_of_good * good_outstanding}); }
+
     // The mean answer time that is still well, over the latency objective.
     double aim() const { return std::min(calm * most_over_calm, calm + pressed * (1 - calm)); }
 
@@ -458,7 +460,7 @@
         of_objective = std::min(of_objective, 2.0);
         const Span since_start = inv.arrived - born;
         // Those accepted right after the start meet the least load; all of them count, the quick come first.
-        if (since_start < inv.op->latency_objective * 0.5) first_felt += of_objective, ++first_n;
+        if (inv.early || since_start < inv.op->latency_objective * 0.25) first_felt += of_objective, ++first_n;
         felt += of_objective;
         if (++felt_n < round_of) return;
         const double mean = felt / felt_n;
@@ -610,6 +612,7 @@
         if (inv.op->latency_objective > Span{} && inv.op->late_billed_value <= 0)
             inv.useful = std::min(inv.leaves, now + inv.op->latency_objective);
         inv.over = false;
+        inv.early = outstanding < two_each();
         inv.redirects = 0;
         inv.forwards.clear();
         retry_tokens = std::min(most_retries, retry_tokens + retry_share);
