--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -308,7 +308,7 @@
     // by their age, the sooner the more of them wait.
     bool stalled(const Upstream& u) const
     {
-        return u.out > 0 && late_any > 0 && (now - u.waiting_since).seconds() > late_any * (1 + 2.0 / u.out);
+        return u.out > 0 && late_any > 0 && (now - u.waiting_since).seconds() > late_any * (0.3 + 2.2 / u.out);
     }
 
     double reduction(const Upstream& u) const { return stalled(u) ? 1 : entry_reduction(u); }
@@ -420,7 +420,7 @@
             case Result::full: raise(u, step, true); break;
             case Result::unreachable:
                 // Guards against a dead upstream: every forward to it costs a connect timeout.
-                raise(u, sure_step, false);
+                raise(u, 2 * sure_step, false);
                 break;
             case Result::timed_out:
                 if (op.usual > 0) judge(u, static_cast<float>(t / op.usual));
