--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -308,7 +308,7 @@
     // by their age, the sooner the more of them wait.
     bool stalled(const Upstream& u) const
     {
-        return u.out > 0 && late_any > 0 && (now - u.waiting_since).seconds() > late_any * (0.3 + 2.2 / u.out);
+        return u.out > 0 && late_any > 0 && (now - u.waiting_since).seconds() > late_any * (1 + 2.0 / u.out);
     }
 
     double reduction(const Upstream& u) const { return stalled(u) ? 1 : entry_reduction(u); }
@@ -420,7 +420,7 @@
             case Result::full: raise(u, step, true); break;
             case Result::unreachable:
                 // Guards against a dead upstream: every forward to it costs a connect timeout.
-                raise(u, 2 * sure_step, false);
+                raise(u, sure_step, false);
                 break;
             case Result::timed_out:
                 if (op.usual > 0) judge(u, static_cast<float>(t / op.usual));
@@ -529,7 +529,7 @@
         return moving >= limit || (over_share && pressure > calm + spare * (1 - calm));
     }
 
-    Span come_back() { return set.max_come_back * (0.5 + 0.5 * roll()); }
+    Span come_back(bool over_share = false) { return set.max_come_back * (over_share ? 1 : 0.1 + 0.2 * roll()); }
 
     // ---- the pick ----
 
@@ -617,7 +617,7 @@
         inv.forwards.clear();
         retry_tokens = std::min(most_retries, retry_tokens + retry_share);
         const bool over_share = beyond_share(ask.tenant);
-        if (too_busy(over_share) || refused()) return finish(id, true, come_back());
+        if (too_busy(over_share) || refused()) return finish(id, true, come_back(over_share));
         if (!over_share && ask.tenant < tenants.size()) tenants[ask.tenant].tokens -= 1;
         route(id);
     }
