--- a/drill/decode_settings.cpp
+++ b/drill/decode_settings.cpp
@@ -1,15 +1,17 @@
 #include "decode_settings.h"
 
-#include "frames.h"
-
 #include <algorithm>
 #include <charconv>
 #include <functional>
 #include <map>
 #include <string>
 
-namespace firtide::drill {
-namespace {
+#include "frames.h"
+
+namespace firtide::drill
+{
+namespace
+{
 
 constexpr size_t most_items = 4096;
 
@@ -29,7 +31,8 @@
     return values;
 }
 
-class Decoder {
+class Decoder
+{
   public:
     explicit Decoder(std::string_view text) : values_(split(text)) {}
 
@@ -55,7 +58,10 @@
         return {static_cast<int64_t>(number(key, static_cast<double>(absent.us)))};
     }
 
-    bool flag(const std::string& key) const { return choice<bool>(key, {{"true", true}, {"false", false}}, false); }
+    bool flag(const std::string& key) const
+    {
+        return choice<bool>(key, {{"true", true}, {"false", false}}, false);
+    }
 
     template <class T>
     T choice(const std::string& key, const std::map<std::string_view, T>& known, T absent) const
--- a/drill/decode_settings.h
+++ b/drill/decode_settings.h
@@ -1,13 +1,14 @@
 // The settings text of the wire, decoded into what the module reads and how load reports are laid out.
 #pragma once
 
-#include "../src/balance.h"
-
 #include <optional>
 #include <string_view>
 #include <vector>
 
-namespace firtide::drill {
+#include "src/balance.h"
+
+namespace firtide::drill
+{
 
 using ReportField = std::optional<double> Report::*;  // null: a figure nobody reads
 
--- a/drill/frames.h
+++ b/drill/frames.h
@@ -8,13 +8,15 @@
 #include <string_view>
 #include <type_traits>
 
-namespace firtide::drill {
+namespace firtide::drill
+{
 
 struct Malformed : std::runtime_error {
     using std::runtime_error::runtime_error;
 };
 
-class Reader {
+class Reader
+{
   public:
     explicit Reader(std::string_view bytes) : rest_(bytes) {}
 
@@ -41,7 +43,8 @@
     std::string_view rest_;
 };
 
-class Writer {
+class Writer
+{
   public:
     void clear()
     {
--- a/drill/instance.cpp
+++ b/drill/instance.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <cmath>
 
-namespace firtide::drill {
-namespace {
+namespace firtide::drill
+{
+namespace
+{
 
 Result result_of(uint16_t code)
 {
--- a/drill/instance.h
+++ b/drill/instance.h
@@ -1,15 +1,17 @@
-// One instance of the module behind the wire: ids to small indices, events into calls, decisions into actions.
+// One instance of the module behind the wire: ids to small indices, events into calls, decisions into
+// actions.
 #pragma once
 
-#include "decode_settings.h"
-#include "frames.h"
-
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
-namespace firtide::drill {
+#include "decode_settings.h"
+#include "frames.h"
+
+namespace firtide::drill
+{
 
 struct Entry {
     uint32_t upstream;
@@ -20,7 +22,8 @@
     uint64_t ready_at;
 };
 
-class Instance : private Outlet {
+class Instance : private Outlet
+{
   public:
     Instance(uint16_t name, uint64_t seed, std::string_view setup, Writer& out);
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -11,33 +11,36 @@
 #include <random>
 #include <unordered_map>
 
-namespace firtide {
-namespace {
+namespace firtide
+{
+namespace
+{
 
-constexpr double step = 0.1;              // one signal of the design
-constexpr double sure_step = 0.34;        // a signal of an exception, which needs no second opinion
-constexpr Span expiry = seconds(1.5);      // an entry holds this long after its last signal
+constexpr double step = 0.1;                // one signal of the design
+constexpr double sure_step = 0.34;          // a signal of an exception, which needs no second opinion
+constexpr Span expiry = seconds(1.5);       // an entry holds this long after its last signal
 constexpr Span divert_expiry = seconds(5);  // the same for signals that only divert
-constexpr Span fall_every = seconds(0.5); // and then lets twice as much through, each time
-constexpr double first_trickle = 0.02;    // what a full reduction lets through when it starts to fall
-constexpr Span report_age = seconds(2);   // a report's distance from the others' mean halves in about this
-constexpr size_t recent = 16;             // answers an upstream is judged by
-constexpr size_t enough = 5;              // fewer say nothing
-constexpr double judged_at = 0.8;         // the quantile of them
-constexpr double well_above = 2.5;        // times the fellows' median
+constexpr Span fall_every = seconds(0.5);   // and then lets twice as much through, each time
+constexpr double first_trickle = 0.02;      // what a full reduction lets through when it starts to fall
+constexpr Span report_age = seconds(2);     // a report's distance from the others' mean halves in about this
+constexpr size_t recent = 16;               // answers an upstream is judged by
+constexpr size_t enough = 5;                // fewer say nothing
+constexpr double judged_at = 0.8;           // the quantile of them
+constexpr double well_above = 2.5;          // times the fellows' median
 constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
 constexpr Span rate_over = seconds(4);
-constexpr double cold_spend = 0.6;        // of what a cold upstream should bear, its share of a warm one's
-constexpr double retry_share = 0.1;       // second tries, as a share of own traffic
-constexpr double most_retries = 5;        // saved up
-constexpr uint32_t most_redirects = 3;    // after answers that prove nothing ran
+constexpr double cold_spend = 0.2;            // of the multiple that would push a cold upstream over
+constexpr Span first_backoff = seconds(0.5);  // of asking for the list
+constexpr double retry_share = 0.1;           // second tries, as a share of own traffic
+constexpr double most_retries = 5;            // saved up
+constexpr uint32_t most_redirects = 3;        // after answers that prove nothing ran
 
-constexpr double round_of = 12;           // answers between two looks at the limit of outstanding work
+constexpr double round_of = 12;  // answers between two looks at the limit of outstanding work
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
-constexpr double typical_use = 1.25;   // a middling tenant's share over what it uses of it
-constexpr double least_of_good = 0.5;    // the least limit, as a part of what went well
+constexpr double typical_use = 1.25;    // a middling tenant's share over what it uses of it
+constexpr double least_of_good = 0.5;   // the least limit, as a part of what went well
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
-constexpr double spare = -0.1;   // below this, work beyond a tenant's share is welcome
+constexpr double spare = -0.1;          // below this, work beyond a tenant's share is welcome
 
 bool proves_not_run(Result r)
 {
@@ -92,6 +95,19 @@
     Point cold_at;
 };
 
+// Events a second over the recent past; low until it has seen some of it.
+class Rate
+{
+  public:
+    void count(Point now) { sum_ = decayed(now) + 1, at_ = now; }
+    double rate(Point now) const { return decayed(now) / rate_over.seconds(); }
+
+  private:
+    double decayed(Point now) const { return sum_ > 0 ? sum_ * std::exp(-((now - at_) / rate_over)) : 0; }
+    double sum_ = 0;
+    Point at_;
+};
+
 struct Tenant {
     double quota = 0;
     double tokens = 1;
@@ -137,8 +153,7 @@
     double mean_load = 0, median_quantile = 1, mean_errors = 0, median_latency = 0;
     Point fellows_at{INT64_MIN / 2};
 
-    double warm_sends = 0;  // decayed over rate_over
-    Point warm_sends_at;
+    Rate warm_sends, asked;
 
     double retry_tokens = 1;
     double late_any = 0;  // seconds, a high quantile of all answer times
@@ -169,10 +184,7 @@
 
     // ---- the rules: what every send, throttling reply and answer passes ----
 
-    bool is_cold(const Upstream& u) const
-    {
-        return u.listing.started && now - *u.listing.started < set.cold;
-    }
+    bool is_cold(const Upstream& u) const { return u.listing.started && now - *u.listing.started < set.cold; }
 
     // The part of its capacity an upstream has at least, by its last start.
     double warm_share(const Upstream& u) const
@@ -182,21 +194,28 @@
         return set.cold_share + (1 - set.cold_share) * age;
     }
 
-    double warm_rate()
+    // What this instance sends a warm upstream a second; where there is none, what it is asked for, shared
+    // out.
+    double warm_rate() const
     {
-        double warm = 0;
-        for (const Upstream& u : ups) warm += u.listing.presence == Presence::ready && !is_cold(u);
-        return warm_sends / rate_over.seconds() / std::max(1.0, warm);
+        double warm = 0, ready = 0;
+        for (const Upstream& u : ups) {
+            if (u.listing.presence != Presence::ready) continue;
+            ++ready;
+            warm += !is_cold(u);
+        }
+        return warm > 0 ? warm_sends.rate(now) / warm : asked.rate(now) / std::max(1.0, ready);
     }
 
-    // Rule 4. A cold upstream gets a part of its share of what this instance sends a warm one, and never
-    // saves up more than one forward. Guards against a restarted upstream being pushed over by all at once.
+    // Rule 4. A cold upstream gets a part of what its share of a warm one's work would allow in every window.
+    // Guards against a restarted upstream being pushed over by all instances at once.
     bool cold_budget(Upstream& u)
     {
         if (!is_cold(u)) return true;
-        const double earned = (now - u.cold_at).seconds() * warm_rate() * warm_share(u) * cold_spend;
+        const double a_second = warm_rate() * warm_share(u) * set.fall_multiple * cold_spend;
+        u.cold_tokens += (now - u.cold_at).seconds() * a_second;
+        u.cold_tokens = std::min(u.cold_tokens, std::max(1.0, a_second * set.fall.seconds()));
         u.cold_at = now;
-        u.cold_tokens = std::min(1.0, u.cold_tokens + earned);
         return u.cold_tokens >= 1;
     }
 
@@ -246,8 +265,7 @@
         if (is_cold(u)) {
             u.cold_tokens -= 1;
         } else {
-            decay_warm_sends();
-            warm_sends += 1;
+            warm_sends.count(now);
         }
         const bool rested = u.out == 0 && (now - u.last_end).seconds() > ops[inv.operation].usual;
         if (rested && now < distrust_idle_until) out.close_idle(tgt);
@@ -290,12 +308,6 @@
 
     // ---- what is learnt from answers ----
 
-    void decay_warm_sends()
-    {
-        warm_sends *= std::exp(-((now - warm_sends_at) / rate_over));
-        warm_sends_at = now;
-    }
-
     void raise(Upstream& u, double by, bool hard)
     {
         const double standing = entry_reduction(u);
@@ -304,8 +316,8 @@
         u.entry.expires = std::max(u.entry.expires, now + (hard ? expiry : divert_expiry));
     }
 
-    // Guards against an upstream that takes work and stands still: long before its forwards time out it is seen
-    // by their age, the sooner the more of them wait.
+    // Guards against an upstream that takes work and stands still: long before its forwards time out it is
+    // seen by their age, the sooner the more of them wait.
     bool stalled(const Upstream& u) const
     {
         return u.out > 0 && late_any > 0 && (now - u.waiting_since).seconds() > late_any * (1 + 2.0 / u.out);
@@ -395,8 +407,9 @@
             raise(u, step, false);
     }
 
-    // Guards against idle connections that died without a word: what is sent on one is never answered, whatever
-    // the upstream. It shows where forwards after a rest hang and others to the same upstreams do not.
+    // Guards against idle connections that died without a word: what is sent on one is never answered,
+    // whatever the upstream. It shows where forwards after a rest hang and others to the same upstreams do
+    // not.
     void watch_idle(bool rested, bool hung)
     {
         double& share = rested ? hung_rested : hung_busy;
@@ -432,15 +445,16 @@
             default: return;
         }
         if (stuck) return;  // its own trouble, not load
-        if (inv.op->latency_objective > Span{} && (result == Result::succeeded || result == Result::timed_out))
+        if (inv.op->latency_objective > Span{} &&
+            (result == Result::succeeded || result == Result::timed_out))
             feel(inv, took / inv.op->latency_objective);
     }
 
     // ---- own outstanding work against the latency objective ----
 
-    // About two for each upstream from all instances together: less would leave them idle. Nor less than half of
-    // what went well: where that does not bring the answer time down, load is not what keeps it up. Guards against
-    // calls that hang in the tier below cutting the limit to nothing.
+    // About two for each upstream from all instances together: less would leave them idle. Nor less than half
+    // of what went well: where that does not bring the answer time down, load is not what keeps it up. Guards
+    // against calls that hang in the tier below cutting the limit to nothing.
     double two_each() const
     {
         const auto ready = std::count_if(ups.begin(), ups.end(),
@@ -453,14 +467,16 @@
     // The mean answer time that is still well, over the latency objective.
     double aim() const { return std::min(calm * most_over_calm, calm + pressed * (1 - calm)); }
 
-    // Each round of answers scales the limit by how far their mean time is from where it should be. Only answers
-    // of that round count: a lagging mean would cut again and again for what an earlier cut has already mended.
+    // Each round of answers scales the limit by how far their mean time is from where it should be. Only
+    // answers of that round count: a lagging mean would cut again and again for what an earlier cut has
+    // already mended.
     void feel(const Invocation& inv, double of_objective)
     {
         of_objective = std::min(of_objective, 2.0);
         const Span since_start = inv.arrived - born;
         // Those accepted right after the start meet the least load; all of them count, the quick come first.
-        if (inv.early || since_start < inv.op->latency_objective * 0.25) first_felt += of_objective, ++first_n;
+        if (inv.early || since_start < inv.op->latency_objective * 0.25)
+            first_felt += of_objective, ++first_n;
         felt += of_objective;
         if (++felt_n < round_of) return;
         const double mean = felt / felt_n;
@@ -471,22 +487,25 @@
             calm = first_felt / std::max(1.0, first_n);
         else
             calm = slow_pressure < calm ? slow_pressure : calm + 0.0003 * (slow_pressure - calm);
-        // Guards against a start under overload, from which calm is learnt too high: under lasting pressure both it
-        // and what counts as good give way, until a limit at its floor shows that this brings no more.
+        // Guards against a start under overload, from which calm is learnt too high: under lasting pressure
+        // both it and what counts as good give way, until a limit at its floor shows that this brings no
+        // more.
         good_outstanding *= 0.99;
         if (pressure <= aim())
             good_outstanding = std::max(good_outstanding, most_outstanding);
         else
             calm *= limit > least_limit() ? 0.997 : 1.003;
         if (pressure > aim())
-            limit = std::max(least_limit(), std::min(limit, most_outstanding) * std::max(0.75, aim() / pressure));
+            limit =
+                std::max(least_limit(), std::min(limit, most_outstanding) * std::max(0.75, aim() / pressure));
         else if (most_outstanding > 0.7 * limit)
             limit *= std::min(1.3, aim() / pressure);
         most_outstanding = outstanding;
     }
 
-    // How much of the whole traffic comes to this instance, never less than an even part. Guards against fronts
-    // that give one instance more than its even part: what is inside a share there would be taken as beyond it.
+    // How much of the whole traffic comes to this instance, never less than an even part. Guards against
+    // fronts that give one instance more than its even part: what is inside a share there would be taken as
+    // beyond it.
     void weigh_own_part()
     {
         const double gone = (now - share_at).seconds();
@@ -529,7 +548,7 @@
         return moving >= limit || (over_share && pressure > calm + spare * (1 - calm));
     }
 
-    Span come_back(bool over_share = false) { return set.max_come_back * (over_share ? 1 : 0.1 + 0.2 * roll()); }
+    Span come_back() { return set.max_come_back * (0.5 + 0.5 * roll()); }
 
     // ---- the pick ----
 
@@ -615,9 +634,10 @@
         inv.early = outstanding < two_each();
         inv.redirects = 0;
         inv.forwards.clear();
+        asked.count(now);
         retry_tokens = std::min(most_retries, retry_tokens + retry_share);
         const bool over_share = beyond_share(ask.tenant);
-        if (too_busy(over_share) || refused()) return finish(id, true, come_back(over_share));
+        if (too_busy(over_share) || refused()) return finish(id, true, come_back());
         if (!over_share && ask.tenant < tenants.size()) tenants[ask.tenant].tokens -= 1;
         route(id);
     }
@@ -660,7 +680,8 @@
         const bool stuck = stalled(u);
         --u.out;
         --outstanding;
-        if (result == Result::succeeded || result == Result::errored || result == Result::full) u.waiting_since = now;
+        if (result == Result::succeeded || result == Result::errored || result == Result::full)
+            u.waiting_since = now;
         u.last_end = now;
         if (result == Result::succeeded || result == Result::timed_out)
             watch_idle(f.rested, result == Result::timed_out);
@@ -669,7 +690,8 @@
         const auto next = std::move(f.next);
         if (over && !inv.over) return close(id);
         if (inv.over) return release(id);
-        const bool more_out = std::any_of(inv.forwards.begin(), inv.forwards.end(), [](auto& g) { return g.out; });
+        const bool more_out =
+            std::any_of(inv.forwards.begin(), inv.forwards.end(), [](auto& g) { return g.out; });
         if (!more_out) next(now, result);
     }
 
@@ -696,10 +718,7 @@
         for (const Listing& l : all) list(l);
     }
 
-    static constexpr double first_ask = 0.5, first_backoff = 0.5, most_backoff = 8;
-    double backoff = first_backoff;
-
-    void ask_for_list() { out.watch_list(); }
+    Span backoff = first_backoff;
 
     void list_answered(bool well)
     {
@@ -708,15 +727,14 @@
             backoff = first_backoff;
             return;
         }
-        later(now + seconds(backoff * (0.5 + roll())), [this] { ask_for_list(); });
-        backoff = std::min(most_backoff, 2 * backoff);
+        later(now + backoff * (0.5 + roll()), [this] { out.watch_list(); });
+        backoff = std::min(set.ask_within * 0.5, backoff * 2);
     }
 
     void start()
     {
-        born = warm_sends_at = share_at = now;
-        if (set.list_must_be_asked)
-            later(now + seconds(first_ask * roll()), [this] { ask_for_list(); });
+        born = share_at = now;
+        if (set.list_must_be_asked) later(now + first_backoff * roll(), [this] { out.watch_list(); });
         if (set.reports_by_probe && set.may_probe) probe_later();
     }
 
--- a/src/balance.h
+++ b/src/balance.h
@@ -5,16 +5,17 @@
 // indices chosen by the host: an invocation's index may be used again after released(), an upstream's never.
 #pragma once
 
-#include "settings.h"
-#include "time.h"
-
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
 
-namespace firtide {
+#include "settings.h"
+#include "time.h"
+
+namespace firtide
+{
 
 using Inv = uint32_t;
 using Tgt = uint32_t;
@@ -45,7 +46,8 @@
     Span time_left;
 };
 
-class Outlet {
+class Outlet
+{
   public:
     virtual ~Outlet() = default;
     virtual void forward(Inv inv, Tgt tgt, Span limit) = 0;
@@ -59,7 +61,8 @@
     virtual void watch_list() = 0;
 };
 
-class Balancer {
+class Balancer
+{
   public:
     Balancer(Settings settings, uint64_t seed, Outlet& outlet);
     ~Balancer();
@@ -69,7 +72,8 @@
     void list_changed(Point now, const std::vector<Listing>& changes);
     void list_answered(Point now, bool well);
     void accept(Point now, Inv inv, const Ask& ask);
-    void ended(Point now, Inv inv, uint32_t forward, Result result, Span took, bool over, const Report& report);
+    void ended(Point now, Inv inv, uint32_t forward, Result result, Span took, bool over,
+               const Report& report);
     void client_left(Point now, Inv inv);
     void probed(Point now, Tgt tgt, Result result, const Report& report);
     void woken(Point now, uint64_t name);
--- a/src/settings.h
+++ b/src/settings.h
@@ -1,12 +1,14 @@
-// What the decision module is told at its start. Decoded once by whoever hosts it; only what it reads is here.
+// What the decision module is told at its start. Decoded once by whoever hosts it; only what it reads is
+// here.
 #pragma once
 
-#include "time.h"
-
 #include <cstdint>
 #include <vector>
 
-namespace firtide {
+#include "time.h"
+
+namespace firtide
+{
 
 enum class Repeat { idempotent, deduplicated, non_idempotent };
 enum class Group { all, zone, cell };
--- a/src/time.h
+++ b/src/time.h
@@ -4,7 +4,8 @@
 #include <compare>
 #include <cstdint>
 
-namespace firtide {
+namespace firtide
+{
 
 struct Span {
     int64_t us = 0;
--- /dev/null
+++ b/tests/pressure.cpp
@@ -0,0 +1,75 @@
+// Work turned away for being busy, tenants beyond their share, upstreams that stand still.
+#include "trace.h"
+
+using namespace firtide;
+
+// Asks for n invocations at once, answers those that were let in after `took`; returns how many were not.
+static int burst(Stage& s, int n, Span took, uint32_t tenant = 0)
+{
+    std::vector<Inv> in;
+    s.quiet = true;
+    for (int i = 0; i < n; ++i) {
+        s.last_tgt = ~0u;
+        s.accept(static_cast<Inv>(i), seconds(2), tenant);
+        if (s.last_tgt != ~0u) in.push_back(static_cast<Inv>(i));
+    }
+    s.wait(took);
+    for (const Inv inv : in) s.end(inv, Result::succeeded, took);
+    s.quiet = false;
+    return n - static_cast<int>(in.size());
+}
+
+static void busy(uint32_t tier)
+{
+    auto settings = Stage::settings(Stage::op(Repeat::idempotent));
+    settings.tier = tier;
+    Stage s(settings);
+    s.list(4);
+    s.say(tier ? "a deeper tier never does: the work above would be lost"
+               : "answers near the objective: 40 at once");
+    for (int i = 0; i < 30; ++i) burst(s, 4, seconds(0.2));
+    std::printf("not let in:");
+    for (int i = 0; i < 6; ++i) std::printf(" %d", burst(s, 40, seconds(0.9)));
+    std::printf("\nonce they are quick again:");
+    for (int i = 0; i < 16; ++i) std::printf(" %d", burst(s, 40, seconds(0.15)));
+    std::printf("\n");
+}
+
+int main()
+{
+    busy(0);
+    busy(1);
+
+    auto settings = Stage::settings(Stage::op(Repeat::idempotent));
+    settings.quotas = {20, 20, 20};
+    Stage t(settings);
+    t.list(4);
+    t.say("one tenant asks for five times its share, two for half of theirs");
+    int away[3] = {};
+    for (int i = 0; i < 100; ++i) {
+        away[0] += burst(t, 10, seconds(0.05), 0);
+        for (const uint32_t tenant : {1u, 2u}) away[tenant] += burst(t, 1, seconds(0.025), tenant);
+    }
+    std::printf("not let in: %d of 1000, %d of 100, %d of 100\n", away[0], away[1], away[2]);
+
+    Stage s(Stage::settings(Stage::op(Repeat::idempotent)));
+    s.list(3);
+    s.many(60);
+    s.say("three wait at u0 for longer than is usual: the rest goes elsewhere until it answers");
+    s.quiet = true;
+    Inv inv = 0;
+    std::vector<Inv> stuck;
+    while (stuck.size() < 3) {
+        s.accept(inv);
+        if (s.last_tgt == 0)
+            stuck.push_back(inv);
+        else
+            s.end(inv, Result::succeeded);
+        ++inv;
+    }
+    s.wait(seconds(0.6));
+    Stage::print("while it stands still", s.many(60));
+    s.quiet = true;
+    for (const Inv i : stuck) s.end(i, Result::succeeded, seconds(0.7));
+    Stage::print("after", s.many(60));
+}
--- a/tests/upstreams.cpp
+++ b/tests/upstreams.cpp
@@ -32,6 +32,8 @@
     fresh.say("a fresh instance that knows only cold upstreams sends next to nothing");
     fresh.balancer.list_is(fresh.now, {{0, Presence::ready, 0, 0, 1, fresh.now}});
     Stage::print("first second", fresh.many(100));
+    for (int i = 0; i < 9; ++i) fresh.many(100);
+    Stage::print("eleventh second", fresh.many(100));
 
     settings.list_must_be_asked = true;
     Stage asked(settings);
