--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -355,8 +355,6 @@
         }
         if (r.latency_ms) {
             u.latency_ms = r.latency_ms;
-            // Guards against an upstream slowed by something of its own: it has no queue to show at first.
-            if (median_latency > 0 && *r.latency_ms > well_above * median_latency) raise(u, step, false);
         }
     }
 
@@ -403,7 +401,11 @@
         if (n < enough) return;
         // Guards against quick errors: they make an upstream look idle and draw work to it.
         if (answer < 0 && u.errors > 0.25 + 2 * mean_errors) raise(u, sure_step, false);
-        if (answer >= 0 && u.quantile > well_above * median_quantile && answer > median_quantile)
+        // Guards against an upstream slowed by something of its own. Long work alone makes answers slow by chance;
+        // where service times are reported, they must say the same.
+        const bool reported_well = u.latency_ms && *u.latency_ms <= well_above * median_latency;
+        if (answer >= 0 && u.quantile > well_above * median_quantile && !reported_well &&
+            answer > median_quantile)
             raise(u, step, false);
     }
 
