--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -497,10 +497,10 @@
             good_outstanding = std::max(good_outstanding, most_outstanding);
         else
             calm *= limit > least_limit() ? 0.997 : 1.003;
-        if (pressure > aim())
+        if (pressure > aim() && mean > aim())
             limit =
                 std::max(least_limit(), std::min(limit, most_outstanding) * std::max(0.75, aim() / pressure));
-        else if (most_outstanding > 0.7 * limit)
+        else if (pressure <= aim() && most_outstanding > 0.7 * limit)
             limit *= std::min(1.3, aim() / pressure);
         most_outstanding = outstanding;
     }
