--- a/drill/decode_settings.cpp
+++ b/drill/decode_settings.cpp
@@ -127,6 +127,8 @@
         s.quotas.push_back(in.number("projects." + std::to_string(i) + ".quota_per_s", 0));
     s.balancers = static_cast<uint32_t>(in.number("balancers", s.balancers));
     s.tier = static_cast<uint32_t>(in.number("tier", s.tier));
+    s.zone = static_cast<uint32_t>(in.number("zone", s.zone));
+    s.crossing_costs = in.number("prices.cross_zone", 0) > 0;
     s.reports_by_probe = in.text("telemetry.source") == "pull";
     s.list_must_be_asked = in.text("registry_mode") == "subscribe";
     s.may_cancel = in.flag("policy_limits.cancel");
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -28,6 +28,7 @@
 constexpr double judged_at = 0.8;           // the quantile of them
 constexpr double well_above = 2.5;          // times the fellows' median
 constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
+constexpr double own_zone_favour = 4;  // in the pick
 constexpr Span rate_over = seconds(4);
 constexpr double cold_spend = 0.3;            // of the multiple that would push a cold upstream over
 constexpr Span first_backoff = seconds(0.5);  // of asking for the list
@@ -564,6 +565,12 @@
         return std::max(own, report + (u.load_counts_own ? own - u.out_at_report : own));
     }
 
+    // Where crossing zones has a price, as much more is drawn for the own zone as a little more load there undoes.
+    double nearness(const Upstream& u) const
+    {
+        return set.crossing_costs && u.listing.zone == set.zone ? own_zone_favour : 1;
+    }
+
     // Weighted random among those the rules let through; nullopt where there is none.
     template <class Keep>
     std::optional<Tgt> draw(const Invocation& inv, Keep keep)
@@ -574,7 +581,7 @@
             const Upstream& u = ups[t];
             if (u.listing.presence != Presence::ready || !keep(t) || !may_send(inv, t)) continue;
             const double idle = u.listing.size / (u.listing.size + expected_load(u));
-            total += weights[t] = u.listing.size * warm_share(u) * std::pow(idle, 8);
+            total += weights[t] = u.listing.size * warm_share(u) * std::pow(idle, 8) * nearness(u);
         }
         double at = roll() * total;
         std::optional<Tgt> last;
--- a/src/settings.h
+++ b/src/settings.h
@@ -26,6 +26,8 @@
     std::vector<double> quotas;  // a tenant's share in invocations a second, over all balancers; zero: none
     uint32_t balancers = 1;
     uint32_t tier = 0;
+    uint32_t zone = 0;
+    bool crossing_costs = false;  // forwards to other zones have a price
     bool reports_by_probe = false;
     bool list_must_be_asked = false;
     bool may_cancel = false;
