--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -28,7 +28,7 @@
 constexpr double judged_at = 0.8;           // the quantile of them
 constexpr double well_above = 2.5;          // times the fellows' median
 constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
-constexpr double own_zone_favour = 20; // in the pick
+constexpr double own_zone_favour = 20;      // in the pick
 constexpr Span rate_over = seconds(4);
 constexpr double cold_spend = 0.3;            // of the multiple that would push a cold upstream over
 constexpr Span first_backoff = seconds(0.5);  // of asking for the list
@@ -402,8 +402,8 @@
         if (n < enough) return;
         // Guards against quick errors: they make an upstream look idle and draw work to it.
         if (answer < 0 && u.errors > 0.25 + 2 * mean_errors) raise(u, sure_step, false);
-        // Guards against an upstream slowed by something of its own. Long work alone makes answers slow by chance;
-        // where service times are reported, they must say the same.
+        // Guards against an upstream slowed by something of its own. Long work alone makes answers slow by
+        // chance; where service times are reported, they must say the same.
         const bool reported_well = u.latency_ms && *u.latency_ms <= well_above * median_latency;
         if (answer >= 0 && u.quantile > well_above * median_quantile && !reported_well &&
             answer > median_quantile)
@@ -445,6 +445,14 @@
                 if (u.unpaired && now - *u.unpaired < expiry) raise(u, step, true);
                 u.unpaired = now;
                 break;
+            case Result::cancelled:
+                // Guards against a slow upstream deep in the chain: its callers give up first, so that all
+                // that is ever seen of it is work called off.
+                if (op.usual > 0 && t > op.late) {
+                    judge(u, static_cast<float>(t / op.usual));
+                    raise(u, 2 * sure_step, false);
+                }
+                return;
             default: return;
         }
         if (stuck) return;  // its own trouble, not load
@@ -565,7 +573,8 @@
         return std::max(own, report + (u.load_counts_own ? own - u.out_at_report : own));
     }
 
-    // Where crossing zones has a price, as much more is drawn for the own zone as a little more load there undoes.
+    // Where crossing zones has a price, as much more is drawn for the own zone as a little more load there
+    // undoes.
     double nearness(const Upstream& u) const
     {
         return set.crossing_costs && u.listing.zone == set.zone ? own_zone_favour : 1;
