A mean answer time under a fifth of the objective is never pressed

Cause: a ratchet. Throttling made answers quicker, quicker answers lowered calm, and the limit crept down for a minute (calm 0.15 to 0.10, half throttled at 110 ms).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -39,6 +39,7 @@
 constexpr double round_of = 12;  // answers between two looks at the limit of outstanding work
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
 constexpr double typical_use = 1.25;    // a middling tenant's share over what it uses of it
+constexpr double never_pressed = 0.2;  // of the latency objective: a mean answer time under it is well
 constexpr double least_of_good = 0.5;   // the least limit, as a part of what went well
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;          // below this, work beyond a tenant's share is welcome
@@ -476,7 +477,11 @@
     double least_limit() const { return std::max({1.0, two_each(), least_of_good * good_outstanding}); }
 
     // The mean answer time that is still well, over the latency objective.
-    double aim() const { return std::min(calm * most_over_calm, calm + pressed * (1 - calm)); }
+    // Guards against a ratchet: throttling makes answers quicker, and quicker answers would lower what is calm.
+    double aim() const
+    {
+        return std::max(never_pressed, std::min(calm * most_over_calm, calm + pressed * (1 - calm)));
+    }
 
     // Each round of answers scales the limit by how far their mean time is from where it should be. Only
     // answers of that round count: a lagging mean would cut again and again for what an earlier cut has
