--- a/tests/pressure.cpp
+++ b/tests/pressure.cpp
@@ -40,6 +40,14 @@
     busy(0);
     busy(1);
 
+    Stage r(Stage::settings(Stage::op(Repeat::idempotent)));
+    r.list(4);
+    r.say("answers go from a tenth of the objective to not quite two: nobody is turned away, then or later");
+    int refused = 0;
+    for (int i = 0; i < 30; ++i) refused += burst(r, 12, seconds(0.1));
+    for (int i = 0; i < 300; ++i) refused += burst(r, 12, seconds(i % 2 ? 0.18 : 0.15));
+    std::printf("not let in: %d\n", refused);
+
     auto settings = Stage::settings(Stage::op(Repeat::idempotent));
     settings.quotas = {20, 20, 20};
     Stage t(settings);
