--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <random>
 #include <unordered_map>
 
@@ -27,6 +26,7 @@
 constexpr size_t enough = 5;                // fewer say nothing
 constexpr double judged_at = 0.8;           // the quantile of them
 constexpr double well_above = 1.8;          // times the fellows' median
+constexpr double long_queue = 3;            // and this many more, where the mean is next to none
 constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
 constexpr double own_zone_favour = 20;      // in the pick
 constexpr Span rate_over = seconds(4);
@@ -39,7 +39,7 @@
 constexpr double round_of = 12;  // answers between two looks at the limit of outstanding work
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
 constexpr double typical_use = 1.25;    // a middling tenant's share over what it uses of it
-constexpr double never_pressed = 0.2;  // of the latency objective: a mean answer time under it is well
+constexpr double never_pressed = 0.2;   // of the latency objective: a mean answer time under it is well
 constexpr double least_of_good = 0.5;   // the least limit, as a part of what went well
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;          // below this, work beyond a tenant's share is welcome
@@ -353,7 +353,7 @@
             u.load_counts_own = !r.queue;
             u.load_at = now;
             u.out_at_report = u.out;
-            if (r.queue && *r.queue > 3 + well_above * mean_load) raise(u, step, false);
+            if (r.queue && *r.queue > long_queue + well_above * mean_load) raise(u, step, false);
         }
         if (r.latency_ms) {
             u.latency_ms = r.latency_ms;
@@ -477,7 +477,8 @@
     double least_limit() const { return std::max({1.0, two_each(), least_of_good * good_outstanding}); }
 
     // The mean answer time that is still well, over the latency objective.
-    // Guards against a ratchet: throttling makes answers quicker, and quicker answers would lower what is calm.
+    // Guards against a ratchet: throttling makes answers quicker, and quicker answers would lower what is
+    // calm.
     double aim() const
     {
         return std::max(never_pressed, std::min(calm * most_over_calm, calm + pressed * (1 - calm)));
