The limit never passes 1.25 times what went well

Cause: an instance that was never pressed had no limit, so the first burst choked every gateway. Now at most 1.25 times the greatest mean that went well, and six an upstream before anything is known.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -43,6 +43,8 @@
 constexpr double typical_use = 1.25;    // a middling tenant's share over what it uses of it
 constexpr double never_pressed = 0.2;   // of the latency objective: a mean answer time under it is well
 constexpr double least_of_good = 0.5;   // the least limit, as a part of what went well
+constexpr double untried = 3;           // times two for each upstream: the limit until more went well
+constexpr double over_good = 1.25;         // the greatest limit, times what went well
 constexpr double usual_calm = 0.25;     // of the latency objective, until more is known
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;          // below this, work beyond a tenant's share is welcome
@@ -486,6 +488,9 @@
         return 2.0 * static_cast<double>(ready) / std::max(1u, set.balancers);
     }
 
+    // Guards against a burst that finds no limit at all, since nothing was pressed before it.
+    double most_limit() const { return std::max(untried * two_each(), over_good * good_outstanding); }
+
     double least_limit() const { return std::max(two_each(), least_of_good * good_outstanding); }
 
     // The mean answer time that is still well, over the latency objective.
@@ -531,6 +536,7 @@
             limit = std::max(least_limit(), std::min(limit, mean_out) * std::max(0.75, aim() / pressure));
         else if (pressure <= aim() && mean_out > 0.7 * limit)
             limit *= std::min(1.3, aim() / pressure);
+        limit = std::min(limit, most_limit());
     }
 
     // How much of the whole traffic comes to this instance, never less than an even part. Guards against
@@ -576,7 +582,8 @@
         for (const Upstream& u : ups)
             if (stalled(u)) moving -= u.out;
         // The limit is on the mean; own work swings about it by its root.
-        return moving + roll() >= limit + std::sqrt(limit) ||
+        const double most = std::min(limit, most_limit());
+        return moving + roll() >= most + std::sqrt(most) ||
                (over_share && pressure > calm + spare * (1 - calm));
     }
 
