Spread the few in use evenly; last answer times weigh in the draw

Cause: random choices of a few left some upstreams with half as many instances as others, and slow or choked servers that report no queue kept their share until an entry caught up.

--- a/drill/decode_settings.cpp
+++ b/drill/decode_settings.cpp
@@ -126,6 +126,7 @@
     for (size_t i = 0; i < in.count("projects"); ++i)
         s.quotas.push_back(in.number("projects." + std::to_string(i) + ".quota_per_s", 0));
     s.balancers = static_cast<uint32_t>(in.number("balancers", s.balancers));
+    s.self = static_cast<uint32_t>(in.number("self_index", s.self));
     s.tier = static_cast<uint32_t>(in.number("tier", s.tier));
     s.zone = static_cast<uint32_t>(in.number("zone", s.zone));
     s.crossing_costs = in.number("prices.cross_zone", 0) > 0;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -22,13 +22,15 @@
 constexpr Span fall_every = seconds(0.5);   // and then lets twice as much through, each time
 constexpr double first_trickle = 0.02;      // what a full reduction lets through when it starts to fall
 constexpr Span report_age = seconds(2);     // a report's distance from the others' mean halves in about this
+constexpr Span slowness_age = seconds(8);
+constexpr double slow_power = 4;
 constexpr size_t recent = 16;               // answers an upstream is judged by
 constexpr size_t enough = 5;                // fewer say nothing
 constexpr double judged_at = 0.8;           // the quantile of them
 constexpr double well_above = 1.8;          // times the fellows' median
 constexpr double long_queue = 3;            // and this many more, where the mean is next to none
 constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
-constexpr size_t least_width = 10;          // upstreams used at the least, in the own zone and beyond it
+constexpr size_t least_width = 8;           // upstreams used at the least, in the own zone and beyond it
 constexpr double meet_within = 1;           // seconds
 constexpr double own_zone_favour = 20;      // in the pick
 constexpr Span rate_over = seconds(4);
@@ -44,7 +46,7 @@
 constexpr double never_pressed = 0.2;   // of the latency objective: a mean answer time under it is well
 constexpr double least_of_good = 0.5;   // the least limit, as a part of what went well
 constexpr double untried = 3;           // times two for each upstream: the limit until more went well
-constexpr double over_good = 1.25;         // the greatest limit, times what went well
+constexpr double over_good = 1.25;      // the greatest limit, times what went well
 constexpr double usual_calm = 0.25;     // of the latency objective, until more is known
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;          // below this, work beyond a tenant's share is welcome
@@ -97,6 +99,8 @@
     float answers[recent] = {};  // times, as multiples of the operation's usual one; negative: an error
     size_t answered = 0;
     double quantile = 0, errors = 0;
+    double slowness = 1;  // mean of the last answers
+    Point slowness_at;
     Point last_end;
     Point waiting_since;  // the later of its last answer and the first send still out
 
@@ -399,6 +403,8 @@
     void judge(Upstream& u, float answer)
     {
         u.answers[u.answered++ % recent] = answer;
+        if (answer >= 0)
+            u.slowness = slowness(u) + 0.25 * (std::min(answer, 5.0f) - slowness(u)), u.slowness_at = now;
         const size_t n = std::min(u.answered, recent);
         float times[recent];
         size_t timed = 0;
@@ -601,6 +607,12 @@
         return std::max(own, report + (u.load_counts_own ? own - u.out_at_report : own));
     }
 
+    // Guards against slow servers that report no load: what their last answers took, forgotten slowly.
+    double slowness(const Upstream& u) const
+    {
+        return 1 + (u.slowness - 1) * std::exp2(-((now - u.slowness_at) / slowness_age));
+    }
+
     // Where crossing zones has a price, as much more is drawn for the own zone as a little more load there
     // undoes.
     double nearness(const Upstream& u) const
@@ -621,11 +633,16 @@
         weights.clear();
         for (const auto* order : {&near, &far}) {
             size_t wanted = width();
-            for (const Tgt t : *order) {
+            const double turn = set.self * 0.6180339887498949;  // spreads any run of numbers evenly
+            const auto first =
+                static_cast<size_t>((turn - std::floor(turn)) * static_cast<double>(order->size()));
+            for (size_t n = 0; n < order->size(); ++n) {
+                const Tgt t = (*order)[(first + n) % order->size()];
                 const Upstream& u = ups[t];
                 if (u.listing.presence != Presence::ready || !keep(t) || !may_send(inv, t)) continue;
                 const double idle = u.listing.size / (u.listing.size + expected_load(u));
-                const double weight = u.listing.size * warm_share(u) * std::pow(idle, 8) * nearness(u);
+                const double weight = u.listing.size * warm_share(u) * std::pow(idle, 8) * nearness(u) /
+                                      std::pow(slowness(u), slow_power);
                 total += weight;
                 weights.emplace_back(t, weight);
                 if (reduction(u) < 0.5 && --wanted == 0) break;
@@ -770,7 +787,10 @@
         if (u.known) return;
         u.known = true;
         auto& order = set.crossing_costs && l.zone != set.zone ? far : near;
-        order.insert(order.begin() + static_cast<ptrdiff_t>(roll() * (order.size() + 1.0)), l.tgt);
+        const auto place = [this](Tgt t) { return ups[t].listing.id * 0x9e3779b97f4a7c15u; };
+        order.insert(std::upper_bound(order.begin(), order.end(), l.tgt,
+                                      [&](Tgt a, Tgt b) { return place(a) < place(b); }),
+                     l.tgt);
     }
 
     void list_is(const std::vector<Listing>& all)
--- a/src/balance.h
+++ b/src/balance.h
@@ -25,6 +25,7 @@
 
 struct Listing {
     Tgt tgt = 0;
+    uint64_t id = 0;  // the same at every instance
     Presence presence = Presence::gone;
     uint32_t zone = 0;
     uint32_t cell = 0;
--- a/src/settings.h
+++ b/src/settings.h
@@ -25,6 +25,7 @@
     std::vector<Operation> operations;
     std::vector<double> quotas;  // a tenant's share in invocations a second, over all balancers; zero: none
     uint32_t balancers = 1;
+    uint32_t self = 0;  // the number of this one among them
     uint32_t tier = 0;
     uint32_t zone = 0;
     bool crossing_costs = false;  // forwards to other zones have a price
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -38,12 +38,12 @@
     void list(uint32_t n)
     {
         std::vector<Listing> all;
-        for (Tgt t = 0; t < n; ++t) all.push_back({t, Presence::ready, t % 2, t / 2, 1, {}});
+        for (Tgt t = 0; t < n; ++t) all.push_back({t, t, Presence::ready, t % 2, t / 2, 1, {}});
         balancer.list_is(now, all);
     }
     void change(Tgt t, Presence presence, std::optional<Point> started = {})
     {
-        balancer.list_changed(now, {{t, presence, t % 2, t / 2, 1, started}});
+        balancer.list_changed(now, {{t, t, presence, t % 2, t / 2, 1, started}});
     }
     void accept(Inv inv, Span left = seconds(2), uint32_t tenant = 0)
     {
--- a/tests/upstreams.cpp
+++ b/tests/upstreams.cpp
@@ -30,7 +30,7 @@
 
     Stage fresh(settings);
     fresh.say("a fresh instance that knows only cold upstreams sends next to nothing");
-    fresh.balancer.list_is(fresh.now, {{0, Presence::ready, 0, 0, 1, fresh.now}});
+    fresh.balancer.list_is(fresh.now, {{0, 0, Presence::ready, 0, 0, 1, fresh.now}});
     Stage::print("first second", fresh.many(100));
     for (int i = 0; i < 9; ++i) fresh.many(100);
     Stage::print("eleventh second", fresh.many(100));
