--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -353,7 +353,7 @@
     static std::optional<double> load_of(const Report& r)
     {
         const double busy = r.utilisation ? *r.utilisation / std::max(0.05, 1.05 - *r.utilisation) : 0;
-        if (r.queue) return *r.queue + busy;
+        if (r.queue) return *r.queue;
         if (r.inflight) return r.inflight;
         if (r.utilisation) return busy;
         return {};
