The limit binds the mean that the last ten asks met

Cause: a limit on what is out at one moment needs room for chance, and that room, full at every one of hundreds of instances in a burst, was twice what the servers bear. Now both hold: the mean over the last ten asks stays under the limit, and no moment passes it by more than twice its root.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -47,6 +47,7 @@
 constexpr double least_of_good = 0.5;   // the least limit, as a part of what went well
 constexpr double untried = 3;           // times two for each upstream: the limit until more went well
 constexpr double over_good = 1.25;      // the greatest limit, times what went well
+constexpr double smooth = 10;
 constexpr double usual_calm = 0.25;     // of the latency objective, until more is known
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;          // below this, work beyond a tenant's share is welcome
@@ -181,6 +182,7 @@
     double limit = 1e9;           // mean own outstanding work
     double good_outstanding = 0;  // the most it was while the aim was met, forgotten slowly
     double outstanding = 0;
+    double around = 0;
     double met = 0, met_n = 0;  // own outstanding work as asks met it since the last look
     std::vector<Tenant> tenants;
     double own_part;
@@ -457,7 +459,7 @@
                 return feel(inv, 1);
             case Result::unreachable:
                 // Guards against a dead upstream: every forward to it costs a connect timeout.
-                raise(u, sure_step, false);
+                raise(u, 2 * sure_step, false);
                 break;
             case Result::timed_out:
                 if (op.usual > 0) judge(u, static_cast<float>(t / op.usual));
@@ -589,8 +591,7 @@
             if (stalled(u)) moving -= u.out;
         // The limit is on the mean; own work swings about it by its root.
         const double most = std::min(limit, most_limit());
-        return moving + roll() >= most + std::sqrt(most) ||
-               (over_share && pressure > calm + spare * (1 - calm));
+        return (moving + roll() >= most && around >= most) || moving + roll() >= most + 2 * std::sqrt(most) || (over_share && pressure > calm + spare * (1 - calm));
     }
 
     Span come_back() { return set.max_come_back * (0.5 + 0.5 * roll()); }
@@ -707,6 +708,7 @@
         inv.forwards.clear();
         asked.count(now);
         met += outstanding, ++met_n;
+        around += (outstanding - around) / smooth;
         retry_tokens = std::min(most_retries, retry_tokens + retry_share);
         const bool over_share = beyond_share(ask.tenant);
         if (too_busy(over_share) || refused()) return finish(id, true, come_back());
