Forwards reset after a rest count like hung ones

So connections are cut when idle. Resets now count in the comparison of rested and busy forwards, and forwards sent on a fresh connection no longer count as rested.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -172,7 +172,7 @@
     double retry_tokens = 1;
     double late_any = 0;  // seconds, a high quantile of all answer times
 
-    double hung_rested = 0, hung_busy = 0;  // shares of forwards never answered
+    double broke_rested = 0, broke_busy = 0;  // shares of forwards never answered
     Point distrust_idle_until{INT64_MIN / 2};
 
     Span slowest_objective;
@@ -284,8 +284,11 @@
         } else {
             warm_sends.count(now);
         }
-        const bool rested = u.out == 0 && (now - u.last_end).seconds() > ops[inv.operation].usual;
-        if (rested && now < distrust_idle_until) out.close_idle(tgt);
+        bool rested = u.out == 0 && (now - u.last_end).seconds() > ops[inv.operation].usual;
+        if (rested && now < distrust_idle_until) {
+            out.close_idle(tgt);
+            rested = false;
+        }
         if (u.out++ == 0) u.waiting_since = now;
         ++outstanding;
         inv.forwards.push_back({.tgt = tgt, .sent = now, .rested = rested, .next = std::move(next)});
@@ -429,14 +432,14 @@
             raise(u, step, false);
     }
 
-    // Guards against idle connections that died without a word: what is sent on one is never answered,
-    // whatever the upstream. It shows where forwards after a rest hang and others to the same upstreams do
+    // Guards against idle connections that died without a word: what is sent on one is never answered, or
+    // reset at once, whatever the upstream. It shows where forwards after a rest hang and others to the same upstreams do
     // not.
-    void watch_idle(bool rested, bool hung)
+    void watch_idle(bool rested, bool broke)
     {
-        double& share = rested ? hung_rested : hung_busy;
-        share += 0.1 * (hung - share);
-        if (hung_rested > 0.2 && hung_rested > 3 * hung_busy) distrust_idle_until = now + distrust_for;
+        double& share = rested ? broke_rested : broke_busy;
+        share += 0.1 * (broke - share);
+        if (broke_rested > 0.2 && broke_rested > 3 * broke_busy) distrust_idle_until = now + distrust_for;
     }
 
     void learn(const Invocation& inv, Upstream& u, Result result, Span took, bool stuck)
@@ -757,8 +760,8 @@
         if (result == Result::succeeded || result == Result::errored || result == Result::full)
             u.waiting_since = now;
         u.last_end = now;
-        if (result == Result::succeeded || result == Result::timed_out)
-            watch_idle(f.rested, result == Result::timed_out);
+        const bool broke = result == Result::timed_out || result == Result::reset;
+        if (result == Result::succeeded || broke) watch_idle(f.rested, broke);
         learn(inv, u, result, took, stuck);
         reported(u, report);
         const auto next = std::move(f.next);
