--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -46,7 +46,8 @@
 constexpr double never_pressed = 0.2;   // of the latency objective: a mean answer time under it is well
 constexpr double least_of_good = 0.5;   // the least limit, as a part of what went well
 constexpr double untried = 3;           // times two for each upstream: the limit until more went well
-constexpr double over_good = 1.25;      // the greatest limit, times what went well
+constexpr double over_good = 1.15;      // the greatest limit, times what went well
+constexpr double for_chance = 0.35;     // and this much more
 constexpr double smooth = 10;
 constexpr double usual_calm = 0.2;     // of the latency objective, until more is known
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
@@ -500,7 +501,7 @@
     }
 
     // Guards against a burst that finds no limit at all, since nothing was pressed before it.
-    double most_limit() const { return std::max(untried * two_each(), over_good * good_outstanding); }
+    double most_limit() const { return std::max(untried * two_each(), over_good * good_outstanding + for_chance); }
 
     double least_limit() const { return std::max(two_each(), least_of_good * good_outstanding); }
 
