--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -33,6 +33,7 @@
 constexpr size_t least_width = 8;           // upstreams used at the least, in the own zone and beyond it
 constexpr double meet_within = 1;           // seconds
 constexpr double own_zone_favour = 20;      // in the pick
+constexpr Span lately = seconds(10);  // an upstream sent to since then is in use
 constexpr Span rate_over = seconds(4);
 constexpr double cold_spend = 0.3;            // of the multiple that would push a cold upstream over
 constexpr Span first_backoff = seconds(0.5);  // of asking for the list
@@ -103,7 +104,7 @@
     double quantile = 0, errors = 0;
     double slowness = 1;  // mean of the last answers
     Point slowness_at;
-    Point last_end;
+    Point last_end{INT64_MIN / 2};
     Point waiting_since;  // the later of its last answer and the first send still out
 
     double cold_tokens = 0;
@@ -212,15 +213,15 @@
         return set.cold_share + (1 - set.cold_share) * age;
     }
 
-    // What this instance sends a warm upstream a second; where there is none, what it is asked for, shared
-    // out.
+    // What this instance sends a warm upstream that it uses a second; where there is none, what it is asked
+    // for, shared out over all.
     double warm_rate() const
     {
         double warm = 0, ready = 0;
         for (const Upstream& u : ups) {
             if (u.listing.presence != Presence::ready) continue;
             ++ready;
-            warm += !is_cold(u);
+            warm += !is_cold(u) && (u.out > 0 || now - u.last_end < lately);
         }
         return warm > 0 ? warm_sends.rate(now) / warm : asked.rate(now) / std::max(1.0, ready);
     }
