--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -21,7 +21,7 @@
 constexpr Span divert_expiry = seconds(5);  // the same for signals that only divert
 constexpr Span fall_every = seconds(0.5);   // and then lets twice as much through, each time
 constexpr double first_trickle = 0.02;      // what a full reduction lets through when it starts to fall
-constexpr Span report_age = seconds(0.5);  // a report's distance from the others' mean halves in about this
+constexpr Span report_age = seconds(0.5);   // a report's distance from the others' mean halves in about this
 constexpr Span slowness_age = seconds(8);
 constexpr double slow_power = 4;
 constexpr size_t recent = 16;               // answers an upstream is judged by
@@ -33,9 +33,9 @@
 constexpr size_t least_width = 8;           // upstreams used at the least, in the own zone and beyond it
 constexpr double meet_within = 1;           // seconds
 constexpr double own_zone_favour = 20;      // in the pick
-constexpr Span lately = seconds(10);  // an upstream sent to since then is in use
+constexpr Span lately = seconds(10);        // an upstream sent to since then is in use
 constexpr Span rate_over = seconds(4);
-constexpr double cold_spend = 0.45;            // of the multiple that would push a cold upstream over
+constexpr double cold_spend = 0.45;           // of the multiple that would push a cold upstream over
 constexpr Span first_backoff = seconds(0.5);  // of asking for the list
 constexpr double retry_share = 0.1;           // second tries, as a share of own traffic
 constexpr double most_retries = 5;            // saved up
@@ -43,14 +43,14 @@
 
 constexpr double round_of = 12;  // answers between two looks at the limit of outstanding work
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
-constexpr double typical_use = 1.25;    // a middling tenant's share over what it uses of it
-constexpr double never_pressed = 0.2;   // of the latency objective: a mean answer time under it is well
-constexpr double least_of_good = 0.5;   // the least limit, as a part of what went well
-constexpr double untried = 3;           // times two for each upstream: the limit until more went well
-constexpr double over_good = 1.15;      // the greatest limit, times what went well
-constexpr double for_chance = 0.35;     // and this much more
+constexpr double typical_use = 1.25;   // a middling tenant's share over what it uses of it
+constexpr double never_pressed = 0.2;  // of the latency objective: a mean answer time under it is well
+constexpr double least_of_good = 0.5;  // the least limit, as a part of what went well
+constexpr double untried = 3;          // times two for each upstream: the limit until more went well
+constexpr double over_good = 1.15;     // the greatest limit, times what went well
+constexpr double for_chance = 0.35;    // and this much more
 constexpr double smooth = 10;
-constexpr double usual_calm = 0.2;     // of the latency objective, until more is known
+constexpr double usual_calm = 0.2;      // of the latency objective, until more is known
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;          // below this, work beyond a tenant's share is welcome
 constexpr double saved_up = 4;  // invocations that a tenant under its share may save, where its part is thin
@@ -435,8 +435,8 @@
     }
 
     // Guards against idle connections that died without a word: what is sent on one is never answered, or
-    // reset at once, whatever the upstream. It shows where forwards after a rest hang and others to the same upstreams do
-    // not.
+    // reset at once, whatever the upstream. It shows where forwards after a rest hang and others to the same
+    // upstreams do not.
     void watch_idle(bool rested, bool broke)
     {
         double& share = rested ? broke_rested : broke_busy;
@@ -502,7 +502,10 @@
     }
 
     // Guards against a burst that finds no limit at all, since nothing was pressed before it.
-    double most_limit() const { return std::max(untried * two_each(), over_good * good_outstanding + for_chance); }
+    double most_limit() const
+    {
+        return std::max(untried * two_each(), over_good * good_outstanding + for_chance);
+    }
 
     double least_limit() const { return std::max(two_each(), least_of_good * good_outstanding); }
 
@@ -596,7 +599,8 @@
             if (stalled(u)) moving -= u.out;
         // The limit is on the mean; own work swings about it by its root.
         const double most = std::min(limit, most_limit());
-        return (moving + roll() >= most && around >= most) || moving + roll() >= most + 2 * std::sqrt(most) || (over_share && pressure > calm + spare * (1 - calm));
+        return (moving + roll() >= most && around >= most) || moving + roll() >= most + 2 * std::sqrt(most) ||
+               (over_share && pressure > calm + spare * (1 - calm));
     }
 
     Span come_back() { return set.max_come_back * (0.5 + 0.5 * roll()); }
--- a/tests/connections.cpp
+++ b/tests/connections.cpp
@@ -3,7 +3,7 @@
 
 using namespace firtide;
 
-static void play(const char* what, bool only_rested)
+static void play(const char* what, bool only_rested, Result broke = Result::timed_out)
 {
     auto settings = Stage::settings(Stage::op(Repeat::deduplicated));
     settings.may_overlap = false;
@@ -14,11 +14,11 @@
     s.closed = 0;
     for (int round = 0; round < 6; ++round) {
         s.wait(seconds(3));
-        s.many(6, Result::timed_out);
+        s.many(6, broke);
         if (only_rested)
             s.many(60, Result::succeeded, ~0u, seconds(0.001));
         else
-            s.many(60, Result::timed_out, ~0u, seconds(0.001));
+            s.many(60, broke, ~0u, seconds(0.001));
     }
     std::printf("idle connections %s\n", s.closed ? "closed before use" : "left alone");
 }
@@ -26,5 +26,6 @@
 int main()
 {
     play("forwards after a rest hang, others do not", true);
+    play("forwards after a rest are reset, others are not", true, Result::reset);
     play("all hang alike: not the connections", false);
 }
--- /dev/null
+++ b/tests/size.cpp
@@ -0,0 +1,138 @@
+// One of hundreds of instances: little own traffic, many upstreams.
+#include "trace.h"
+
+using namespace firtide;
+
+static Settings one_of(uint32_t balancers, uint32_t self = 0)
+{
+    auto settings = Stage::settings(Stage::op(Repeat::idempotent));
+    settings.balancers = balancers;
+    settings.self = self;
+    return settings;
+}
+
+// Asks `each` times every half second, answers whatever is out after `took`; returns how many were not let
+// in.
+static int steady(Stage& s, int rounds, int each, Span took, uint32_t tenant = 0,
+                  Result result = Result::succeeded)
+{
+    int away = 0;
+    s.quiet = true;
+    for (int i = 0; i < rounds; ++i) {
+        std::vector<Inv> in;
+        for (Inv inv = 0; inv < static_cast<Inv>(each); ++inv) {
+            s.last_tgt = ~0u;
+            s.accept(inv, seconds(2), tenant);
+            if (s.last_tgt == ~0u)
+                ++away;
+            else
+                in.push_back(inv);
+        }
+        s.wait(took);
+        for (const Inv inv : in) {
+            s.end(inv, result, took);
+            while (s.is_out(inv)) s.end(inv, result, seconds(0));
+        }
+        s.wait(seconds(0.5) - took);
+    }
+    s.quiet = false;
+    return away;
+}
+
+// One invocation, each forward answered at once as `how` says; returns the first upstream, or ~0u.
+template <class How>
+static Tgt one(Stage& s, How how)
+{
+    s.quiet = true;
+    s.last_tgt = ~0u;
+    s.accept(0);
+    const Tgt first = s.last_tgt;
+    while (s.is_out(0)) {
+        const auto [result, took] = how(s.last_tgt);
+        s.end(0, result, seconds(took));
+    }
+    s.quiet = false;
+    return first;
+}
+
+int main()
+{
+    std::map<Tgt, int> all;
+    for (uint32_t self = 0; self < 40; ++self) {
+        Stage s(one_of(40, self));
+        s.list(100);
+        const auto got = s.many(40, Result::succeeded, ~0u, seconds(0.5));
+        if (self == 0) s.say("one instance of 40 uses few of 100 upstreams"), Stage::print("used", got);
+        for (const auto& [t, n] : got) all[t] += n > 0;
+    }
+    int least = 40, most = 0;
+    for (const auto& [t, n] : all) least = std::min(least, n), most = std::max(most, n);
+    std::printf("all 40 together use %zu, each shared by %d to %d instances\n", all.size(), least, most);
+
+    Stage d(one_of(40));
+    d.list(100);
+    d.say("those of the few that cannot be reached are replaced by the next in the order");
+    int failed = 0;
+    std::map<Tgt, int> got;
+    for (int i = 0; i < 120; ++i) {
+        d.wait(seconds(0.25));
+        const Tgt first = one(d, [&](Tgt at) {
+            failed += at % 3 == 0;
+            return std::pair(at % 3 == 0 ? Result::unreachable : Result::succeeded, 0.1);
+        });
+        if (i >= 60) ++got[first];
+    }
+    Stage::print("a third cannot be reached", got);
+    std::printf("failed connects: %d in 120 invocations\n", failed);
+
+    Stage c(one_of(400));
+    c.list(60);
+    c.say("two invocations a second, quick answers: nobody is turned away for a calm that was never learnt");
+    std::printf("not let in: %d of 120\n", steady(c, 120, 1, seconds(0.28)));
+    c.say("a sudden burst finds a limit, though nothing was pressed before");
+    std::printf("not let in: %d of 40 at once\n", steady(c, 1, 40, seconds(0.28)));
+
+    Stage f(one_of(400));
+    f.list(60);
+    f.say("full answers cut the limit, however quick the others are");
+    steady(f, 40, 2, seconds(0.1));
+    const int before = steady(f, 10, 2, seconds(0.1));
+    steady(f, 12, 2, seconds(0.01), 0, Result::full);
+    std::printf("not let in: %d of 20 before, %d of 20 after\n", before, steady(f, 10, 2, seconds(0.1)));
+
+    auto settings = one_of(400);
+    settings.quotas = {400, 400, 400};
+    Stage t(settings);
+    t.list(60);
+    t.say("parts of one invocation a second: one tenant asks for four times its own, one for half");
+    const int over = steady(t, 100, 2, seconds(0.28), 0);
+    Stage u(settings);
+    u.list(60);
+    int under = 0;
+    for (int i = 0; i < 50; ++i)
+        under += steady(u, 1, 1, seconds(0.28), 1), u.wait(seconds(0.5 + 0.25 * (i % 5)));
+    std::printf("not let in: %d of 200, %d of 50\n", over, under);
+
+    Stage w(one_of(400));
+    w.list(60);
+    w.say("one of the few answers four times as slowly as its fellows and reports nothing");
+    const Tgt slow = one(w, [](Tgt) { return std::pair(Result::succeeded, 0.1); });
+    int slow_got = 0;
+    for (int i = 0; i < 120; ++i) {
+        w.wait(seconds(0.25));
+        slow_got +=
+            one(w, [&](Tgt at) { return std::pair(Result::succeeded, at == slow ? 0.4 : 0.1); }) == slow;
+    }
+    std::printf("it got %d of 120\n", slow_got);
+
+    Stage r(one_of(400));
+    r.list(60);
+    r.say("one of the few restarts: within its budget it gets work while it warms up");
+    const auto quick = [](Tgt) { return std::pair(Result::succeeded, 0.1); };
+    Tgt again = 0;
+    for (int i = 0; i < 80; ++i) r.wait(seconds(0.1)), again = one(r, quick);
+    r.change(again, Presence::ready, r.now);
+    int cold = 0;
+    for (int i = 0; i < 240; ++i) r.wait(seconds(0.1)), cold += one(r, quick) == again;
+    std::printf("it got %d of 240 in 24 s\n", cold);
+}
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -54,6 +54,7 @@
         const auto nth = sent[inv]++;
         balancer.ended(now, inv, nth, result, took, result == Result::succeeded, report);
     }
+    bool is_out(Inv inv) const { return sent.count(inv) > 0; }
     void leave(Inv inv) { balancer.client_left(now, inv); }
     void wake()
     {
