--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -24,6 +24,7 @@
 constexpr Span report_age = seconds(0.5);   // a report's distance from the others' mean halves in about this
 constexpr Span slowness_age = seconds(8);
 constexpr double slow_power = 4;
+constexpr double tells_load = 0.25;         // a mean of reported loads that says something
 constexpr size_t recent = 16;               // answers an upstream is judged by
 constexpr size_t enough = 5;                // fewer say nothing
 constexpr double judged_at = 0.8;           // the quantile of them
@@ -617,7 +618,8 @@
         return std::max(own, report + (u.load_counts_own ? own - u.out_at_report : own));
     }
 
-    // Guards against slow servers that report no load: what their last answers took, forgotten slowly.
+    // Guards against slow servers that report no load: what their last answers took, forgotten slowly. Where
+    // load is reported it says the same sooner, and long work does not blur it.
     double slowness(const Upstream& u) const
     {
         return 1 + (u.slowness - 1) * std::exp2(-((now - u.slowness_at) / slowness_age));
@@ -652,7 +654,7 @@
                 if (u.listing.presence != Presence::ready || !keep(t) || !may_send(inv, t)) continue;
                 const double idle = u.listing.size / (u.listing.size + expected_load(u));
                 const double weight = u.listing.size * warm_share(u) * std::pow(idle, 8) * nearness(u) /
-                                      std::pow(slowness(u), slow_power);
+                                      (mean_load < tells_load ? std::pow(slowness(u), slow_power) : 1);
                 total += weight;
                 weights.emplace_back(t, weight);
                 if (reduction(u) < 0.5 && --wanted == 0) break;
