--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -22,8 +22,8 @@
 constexpr Span fall_every = seconds(0.5);   // and then lets twice as much through, each time
 constexpr double first_trickle = 0.02;      // what a full reduction lets through when it starts to fall
 constexpr Span report_age = seconds(0.5);   // a report's distance from the others' mean halves in about this
-constexpr Span slowness_age = seconds(8);
-constexpr double slow_power = 4;
+constexpr Span slowness_age = seconds(8);   // what last answers took is half forgotten in this
+constexpr double slow_power = 4;            // of it, in the draw
 constexpr double tells_load = 0.25;         // a mean of reported loads that says something
 constexpr size_t recent = 16;               // answers an upstream is judged by
 constexpr size_t enough = 5;                // fewer say nothing
@@ -32,7 +32,7 @@
 constexpr double long_queue = 3;            // and this many more, where the mean is next to none
 constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
 constexpr size_t least_width = 8;           // upstreams used at the least, in the own zone and beyond it
-constexpr double meet_within = 1;           // seconds
+constexpr double meet_within = 1;           // seconds, in which own traffic meets each of them
 constexpr double own_zone_favour = 20;      // in the pick
 constexpr Span lately = seconds(10);        // an upstream sent to since then is in use
 constexpr Span rate_over = seconds(4);
@@ -44,13 +44,13 @@
 
 constexpr double round_of = 12;  // answers between two looks at the limit of outstanding work
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
-constexpr double typical_use = 1.25;   // a middling tenant's share over what it uses of it
-constexpr double never_pressed = 0.2;  // of the latency objective: a mean answer time under it is well
-constexpr double least_of_good = 0.5;  // the least limit, as a part of what went well
-constexpr double untried = 3;          // times two for each upstream: the limit until more went well
-constexpr double over_good = 1.15;     // the greatest limit, times what went well
-constexpr double for_chance = 0.35;    // and this much more
-constexpr double smooth = 10;
+constexpr double typical_use = 1.25;    // a middling tenant's share over what it uses of it
+constexpr double never_pressed = 0.2;   // of the latency objective: a mean answer time under it is well
+constexpr double least_of_good = 0.5;   // the least limit, as a part of what went well
+constexpr double untried = 3;           // times two for each upstream: the limit until more went well
+constexpr double over_good = 1.15;      // the greatest limit, times what went well
+constexpr double for_chance = 0.35;     // and this much more
+constexpr double smooth = 10;           // asks over which the limit binds the mean
 constexpr double usual_calm = 0.2;      // of the latency objective, until more is known
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;          // below this, work beyond a tenant's share is welcome
@@ -185,7 +185,7 @@
     double limit = 1e9;           // mean own outstanding work
     double good_outstanding = 0;  // the most it was while the aim was met, forgotten slowly
     double outstanding = 0;
-    double around = 0;
+    double around = 0;          // the mean own work out that the last asks met
     double met = 0, met_n = 0;  // own outstanding work as asks met it since the last look
     std::vector<Tenant> tenants;
     double own_part;
