--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -35,6 +35,7 @@
 constexpr double meet_within = 1;           // seconds, in which own traffic meets each of them
 constexpr double own_zone_favour = 20;      // in the pick
 constexpr Span lately = seconds(10);        // an upstream sent to since then is in use
+constexpr Span probe_every = seconds(1);    // about, where reports come by probe alone
 constexpr Span rate_over = seconds(4);
 constexpr double cold_spend = 0.45;           // of the multiple that would push a cold upstream over
 constexpr Span first_backoff = seconds(0.5);  // of asking for the list
@@ -835,9 +836,13 @@
 
     void probe_later()
     {
-        later(now + seconds(0.75 + 0.5 * roll()), [this] {
-            for (Tgt t = 0; t < ups.size(); ++t)
-                if (ups[t].listing.presence == Presence::ready) out.probe(t);
+        later(now + probe_every * (0.75 + 0.5 * roll()), [this] {
+            // Guards against hundreds of instances that probe what they do not use.
+            for (Tgt t = 0; t < ups.size(); ++t) {
+                const Upstream& u = ups[t];
+                const bool used = u.out > 0 || now - u.last_end < probe_every;
+                if (used && u.listing.presence == Presence::ready) out.probe(t);
+            }
             probe_later();
         });
     }
--- a/tests/upstreams.cpp
+++ b/tests/upstreams.cpp
@@ -47,8 +47,11 @@
     settings.list_must_be_asked = false;
     settings.reports_by_probe = true;
     Stage probing(settings);
-    probing.say("reports come by probe alone: every ready upstream is probed");
-    probing.list(2);
+    probing.say("reports come by probe alone: upstreams in use are probed, others are not");
+    probing.list(40);
+    probing.wake();
+    Stage::print("in use", probing.many(6, Result::succeeded, ~0u, seconds(0.02)));
+    probing.wake();
     probing.wake();
     probing.wake();
 }
