--- a/drill/instance.cpp
+++ b/drill/instance.cpp
@@ -31,7 +31,7 @@
 }  // namespace
 
 Instance::Instance(uint16_t name, uint64_t seed, std::string_view setup, Writer& out)
-    : name_(name), out_(out), setup_(decode_settings(setup)), balancer_(setup_.settings, seed, *this)
+    : name_(name), out_(out), setup_(decode_settings(split_lines(setup))), balancer_(setup_.settings, seed, *this)
 {
 }
 
--- a/drill/instance.h
+++ b/drill/instance.h
@@ -7,8 +7,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "decode_settings.h"
 #include "frames.h"
+#include "src/decode_settings.h"
 
 namespace firtide::drill
 {
--- a/drill/decode_settings.cpp
+++ b/src/decode_settings.cpp
@@ -3,38 +3,18 @@
 #include <algorithm>
 #include <charconv>
 #include <functional>
-#include <map>
-#include <string>
 
-#include "frames.h"
-
-namespace firtide::drill
+namespace firtide
 {
 namespace
 {
 
 constexpr size_t most_items = 4096;
 
-using Values = std::map<std::string, std::string, std::less<>>;
-
-Values split(std::string_view text)
-{
-    Values values;
-    while (!text.empty()) {
-        const auto line = text.substr(0, text.find('\n'));
-        text.remove_prefix(std::min(text.size(), line.size() + 1));
-        if (line.empty()) continue;
-        const auto eq = line.find('=');
-        if (eq == std::string_view::npos) throw Malformed("a setting without '=': " + std::string(line));
-        values.insert_or_assign(std::string(line.substr(0, eq)), std::string(line.substr(eq + 1)));
-    }
-    return values;
-}
-
 class Decoder
 {
   public:
-    explicit Decoder(std::string_view text) : values_(split(text)) {}
+    explicit Decoder(const Flat& values) : values_(values) {}
 
     std::string_view text(const std::string& key) const
     {
@@ -49,7 +29,7 @@
         double parsed = 0;
         const auto [end, failed] = std::from_chars(value.data(), value.data() + value.size(), parsed);
         if (failed != std::errc() || end != value.data() + value.size() || !(parsed >= 0 && parsed < 1e15))
-            throw Malformed("unreadable setting " + key + "=" + std::string(value));
+            throw BadSetting("unreadable setting " + key + "=" + std::string(value));
         return parsed;
     }
 
@@ -69,43 +49,62 @@
         const auto value = text(key);
         if (value.empty()) return absent;
         const auto at = known.find(value);
-        if (at == known.end()) throw Malformed("unreadable setting " + key + "=" + std::string(value));
+        if (at == known.end()) throw BadSetting("unreadable setting " + key + "=" + std::string(value));
         return at->second;
     }
 
     size_t count(const std::string& list) const
     {
         const auto n = number(list + ".count", 0);
-        if (n > most_items) throw Malformed("too many items in " + list);
+        if (n > most_items) throw BadSetting("too many items in " + list);
         return static_cast<size_t>(n);
     }
 
+    std::vector<std::string> names(const std::string& list) const
+    {
+        std::vector<std::string> all;
+        auto rest = text(list);
+        while (!rest.empty()) {
+            all.emplace_back(rest.substr(0, rest.find(',')));
+            rest.remove_prefix(std::min(rest.size(), all.back().size() + 1));
+        }
+        return all;
+    }
+
   private:
-    Values values_;
+    const Flat& values_;
 };
 
-std::vector<ReportField> report_fields(std::string_view names)
+ReportField report_field(const std::string& name)
 {
     static const std::map<std::string_view, ReportField> known = {{"depth", &Report::queue},
                                                                   {"concurrent", &Report::inflight},
                                                                   {"load_share", &Report::utilisation},
                                                                   {"mean_ms", &Report::latency_ms},
                                                                   {"err_ps", &Report::errors}};
-    std::vector<ReportField> fields;
-    while (!names.empty()) {
-        const auto name = names.substr(0, names.find(','));
-        names.remove_prefix(std::min(names.size(), name.size() + 1));
-        const auto at = known.find(name);
-        fields.push_back(at == known.end() ? nullptr : at->second);
-    }
-    return fields;
+    const auto at = known.find(name);
+    return at == known.end() ? nullptr : at->second;
 }
 
 }  // namespace
 
-Setup decode_settings(std::string_view text)
+Flat split_lines(std::string_view text)
+{
+    Flat values;
+    while (!text.empty()) {
+        const auto line = text.substr(0, text.find('\n'));
+        text.remove_prefix(std::min(text.size(), line.size() + 1));
+        if (line.empty()) continue;
+        const auto eq = line.find('=');
+        if (eq == std::string_view::npos) throw BadSetting("a setting without '=': " + std::string(line));
+        values.insert_or_assign(std::string(line.substr(0, eq)), std::string(line.substr(eq + 1)));
+    }
+    return values;
+}
+
+Setup decode_settings(const Flat& values)
 {
-    const Decoder in(text);
+    const Decoder in(values);
     Setup out;
     Settings& s = out.settings;
     for (size_t i = 0; i < in.count("operations"); ++i) {
@@ -122,9 +121,17 @@
         op.latency_objective = in.span(at + "latency_objective_us", op.latency_objective);
         op.late_billed_value = in.number(at + "late_billed_value", op.late_billed_value);
         s.operations.push_back(op);
+        out.operations.emplace_back(in.text(at + "name"));
+        out.client_timeouts.push_back(in.span(at + "client_timeout_us", seconds(10)));
+    }
+    for (size_t i = 0; i < in.count("projects"); ++i) {
+        const auto at = "projects." + std::to_string(i) + ".";
+        s.quotas.push_back(in.number(at + "quota_per_s", 0));
+        out.tenants.emplace_back(in.text(at + "name"));
     }
-    for (size_t i = 0; i < in.count("projects"); ++i)
-        s.quotas.push_back(in.number("projects." + std::to_string(i) + ".quota_per_s", 0));
+    out.zones = in.names("dcs");
+    out.connect_timeout = in.span("policy_limits.connect_timeout_us", out.connect_timeout);
+    out.idle_close = in.span("policy_limits.conn_idle_us", out.idle_close);
     s.balancers = static_cast<uint32_t>(in.number("balancers", s.balancers));
     s.self = static_cast<uint32_t>(in.number("self_index", s.self));
     s.tier = static_cast<uint32_t>(in.number("tier", s.tier));
@@ -145,8 +152,9 @@
     s.fall = in.span("contract.fall_us", s.fall);
     const auto weights = in.text("weights");
     out.sizes_listed = weights == "nominal" || weights == "rough";
-    out.report = report_fields(in.text("telemetry.fields"));
+    out.report_names = in.names("telemetry.fields");
+    for (const auto& name : out.report_names) out.report.push_back(report_field(name));
     return out;
 }
 
-}  // namespace firtide::drill
+}  // namespace firtide
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,132 @@
+#include "config.h"
+
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace firtide::net
+{
+namespace
+{
+
+using nlohmann::json;
+
+std::string scalar(const json& value)
+{
+    if (value.is_string()) return value.get<std::string>();
+    if (value.is_null()) return {};
+    return value.dump();
+}
+
+// Nested JSON into the flat keys that the settings have elsewhere.
+void flatten(const json& value, const std::string& at, Flat& into)
+{
+    const auto under = [&](const std::string& key) { return at.empty() ? key : std::string(at).append(".").append(key); };
+    if (value.is_object()) {
+        for (const auto& [key, inner] : value.items()) flatten(inner, under(key), into);
+    } else if (value.is_array() && !value.empty() && value.front().is_object()) {
+        into[under("count")] = std::to_string(value.size());
+        for (size_t i = 0; i < value.size(); ++i) flatten(value[i], under(std::to_string(i)), into);
+    } else if (value.is_array()) {
+        std::string joined;
+        for (const auto& item : value) {
+            if (!joined.empty()) joined.append(",");
+            joined.append(scalar(item));
+        }
+        into[at] = joined;
+    } else {
+        into[at] = scalar(value);
+    }
+}
+
+std::string text_at(const json& from, const char* key, const char* variable)
+{
+    const auto at = from.find(key);
+    if (at == from.end()) {
+        const char* told = variable ? std::getenv(variable) : nullptr;
+        return told ? told : "";
+    }
+    if (!at->is_string()) throw BadConfig(std::string(key) + ": a text is expected");
+    return at->get<std::string>();
+}
+
+size_t count_at(const json& limits, const char* key, size_t absent, size_t least)
+{
+    const auto at = limits.find(key);
+    if (at == limits.end()) return absent;
+    if (!at->is_number() || at->get<double>() < static_cast<double>(least) || at->get<double>() > 1e9)
+        throw BadConfig(std::string("limits.") + key + ": a number of " + std::to_string(least) +
+                        " or more is expected");
+    return at->get<size_t>();
+}
+
+uint64_t decode_seed(const std::string& text)
+{
+    uint64_t seed = 0;
+    const auto* end = text.data() + text.size();
+    const auto [at, failed] = std::from_chars(text.data(), end, seed, 16);
+    if (text.empty() || failed != std::errc() || at != end)
+        throw BadConfig("seed: a hexadecimal number of up to 16 digits is expected, not '" + text + "'");
+    return seed;
+}
+
+}  // namespace
+
+Address decode_address(const std::string& text, const std::string& key)
+{
+    const auto colon = text.rfind(':');
+    Address a;
+    if (colon != std::string::npos && colon > 0) {
+        a.host = text.substr(0, colon);
+        const auto* end = text.data() + text.size();
+        const auto [at, failed] = std::from_chars(text.data() + colon + 1, end, a.port);
+        if (failed == std::errc() && at == end && a.port > 0) return a;
+    }
+    throw BadConfig(key + ": address:port is expected, not '" + text + "'");
+}
+
+Config decode_config(const std::string& text)
+{
+    const auto in = json::parse(text, nullptr, false);
+    if (!in.is_object()) throw BadConfig("the configuration is not a JSON object");
+    Config out;
+    if (const auto name = text_at(in, "name", "NODE_NAME"); !name.empty()) out.name = name;
+    out.listen = decode_address(text_at(in, "listen", "NODE_LISTEN"), "listen");
+    out.discovery = decode_address(text_at(in, "discovery", "NODE_DISCOVERY"), "discovery");
+    out.seed = decode_seed(text_at(in, "seed", nullptr));
+    if (const auto limits = in.find("limits"); limits != in.end()) {
+        if (!limits->is_object()) throw BadConfig("limits: an object is expected");
+        out.descriptors = count_at(*limits, "sockets", out.descriptors, 64);
+        out.memory_mb = count_at(*limits, "memory_mb", out.memory_mb, 16);
+    }
+    const auto settings = in.find("settings");
+    if (settings == in.end() || !settings->is_object()) throw BadConfig("settings: an object is expected");
+    Flat flat;
+    flatten(*settings, "", flat);
+    try {
+        out.setup = decode_settings(flat);
+    } catch (const BadSetting& bad) {
+        throw BadConfig(std::string("settings: ") + bad.what());
+    }
+    if (out.setup.operations.empty()) throw BadConfig("settings.operations: at least one is expected");
+    for (size_t i = 0; i < out.setup.operations.size(); ++i)
+        if (out.setup.operations[i].empty())
+            throw BadConfig("settings.operations." + std::to_string(i) + ".name: a name is expected");
+    if (out.setup.idle_close <= Span{}) throw BadConfig("settings.policy_limits.conn_idle_us: must be over 0");
+    if (out.setup.connect_timeout <= Span{})
+        throw BadConfig("settings.policy_limits.connect_timeout_us: must be over 0");
+    if (const auto known = in.find("known"); known != in.end() && !known->is_null()) out.known = known->dump();
+    return out;
+}
+
+Config read_config(const std::string& path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    if (!file || !(text << file.rdbuf())) throw BadConfig("cannot read the configuration '" + path + "'");
+    return decode_config(text.str());
+}
+
+}  // namespace firtide::net
--- /dev/null
+++ b/src/net/config.h
@@ -0,0 +1,37 @@
+// The configuration: read, checked and given its defaults in this one place.
+#pragma once
+
+#include <string>
+
+#include "reducer.h"
+
+namespace firtide::net
+{
+
+// What is wrong, with the key at fault in the text.
+struct BadConfig : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Address {
+    std::string host;
+    uint16_t port = 0;
+};
+
+struct Config {
+    std::string name = "firtide";
+    Address listen, discovery;
+    uint64_t seed = 0;
+    size_t descriptors = 1024;
+    size_t memory_mb = 192;
+    Setup setup;
+    std::string known;  // the list as it was last had, in discovery's form; empty: none
+};
+
+// What the environment says (NODE_NAME, NODE_LISTEN, NODE_DISCOVERY) fills what the file leaves out.
+Config read_config(const std::string& path);
+Config decode_config(const std::string& text);
+
+Address decode_address(const std::string& text, const std::string& key);
+
+}  // namespace firtide::net
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,47 @@
+// Follows the list of upstreams: the whole list first, then a watch that goes on without gaps.
+#pragma once
+
+#include <event2/http.h>
+
+#include <functional>
+
+#include "config.h"
+#include "event.h"
+
+namespace firtide::net
+{
+
+struct List {
+    uint64_t version = 0;
+    ListTold told;
+};
+
+// Nullopt where the text is no list.
+std::optional<List> decode_list(const Setup& setup, const std::string& text, Point epoch);
+
+class Discovery
+{
+  public:
+    // epoch: the loop's time at Unix time zero.
+    Discovery(event_base* base, const Config& config, Point epoch, std::function<void(Event)> tell);
+
+    void ask();  // the whole list, and then watches it; asks anew after failures, where that is its own job
+
+  private:
+    void call();
+    void came(evhttp_request* request);
+    void failed(const char* why);
+
+    event_base* base_;
+    const Config& config_;
+    Point epoch_;
+    std::function<void(Event)> tell_;
+    std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> connection_;
+    Timer again_;
+    std::optional<uint64_t> version_;
+    bool asking_ = false;
+    bool well_ = true;
+    Span pause_;
+};
+
+}  // namespace firtide::net
--- /dev/null
+++ b/src/net/event.h
@@ -0,0 +1,41 @@
+// Owners for libevent's objects.
+#pragma once
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <chrono>
+#include <memory>
+
+#include "src/time.h"
+
+namespace firtide::net
+{
+
+template <auto free>
+struct Freed {
+    template <class T>
+    void operator()(T* p) const
+    {
+        free(p);
+    }
+};
+
+using Base = std::unique_ptr<event_base, Freed<event_base_free>>;
+using Timer = std::unique_ptr<event, Freed<event_free>>;
+using Stream = std::unique_ptr<bufferevent, Freed<bufferevent_free>>;
+
+inline timeval to_timeval(Span span)
+{
+    const auto us = span.us < 0 ? 0 : span.us;
+    return {static_cast<time_t>(us / 1'000'000), static_cast<suseconds_t>(us % 1'000'000)};
+}
+
+// The loop's clock never goes back.
+inline Point monotonic_now()
+{
+    using namespace std::chrono;
+    return {duration_cast<microseconds>(steady_clock::now().time_since_epoch()).count()};
+}
+
+}  // namespace firtide::net
--- /dev/null
+++ b/src/net/log.h
@@ -0,0 +1,14 @@
+// The log: lines on standard error about the program's life; nothing per invocation unless debug is asked for.
+#pragma once
+
+#include <spdlog/spdlog.h>
+
+#include <string>
+
+namespace firtide::net
+{
+
+// Levels: debug, info, warn, error. False where there is no such level.
+bool start_log(const std::string& name, const std::string& level);
+
+}  // namespace firtide::net
--- /dev/null
+++ b/src/net/reducer.cpp
@@ -0,0 +1,258 @@
+#include "reducer.h"
+
+#include <algorithm>
+
+namespace firtide::net
+{
+namespace
+{
+
+constexpr Span probe_waits = seconds(0.25);
+
+// The same at every instance, whatever the order in which upstreams are met.
+uint64_t id_of(std::string_view uid)
+{
+    uint64_t hash = 0xcbf29ce484222325u;
+    for (const unsigned char c : uid) hash = (hash ^ c) * 0x100000001b3u;
+    return hash;
+}
+
+Response plain_answer(int status, const char* text)
+{
+    Response r;
+    r.status = status;
+    r.body = text;
+    return r;
+}
+
+// What an answer proves. A 503 that does not say it was declined may have run.
+Result result_of(const Response& r)
+{
+    if (r.status == 200) return Result::succeeded;
+    if ((r.status == 503 || r.status == 504) && r.declined) return Result::full;
+    return Result::errored;
+}
+
+// What a break proves: nothing ran before the last byte was written.
+Result result_of(Broken b)
+{
+    if (b.cause == Cause::no_descriptor) return Result::not_sent;
+    if (b.progress < Progress::written) return Result::unreachable;
+    return b.cause == Cause::no_answer_in_time ? Result::timed_out : Result::reset;
+}
+
+}  // namespace
+
+Reducer::Reducer(const Setup& setup, uint64_t seed) : setup_(setup), balancer_(setup.settings, seed, *this) {}
+
+std::vector<Effect> Reducer::reduce(Point now, Event event)
+{
+    now_ = now;
+    std::visit([this](auto& e) { on(e); }, event);
+    // The module is told of a cancelled forward only now: it may not be called while it decides.
+    while (!cancelled_.empty()) {
+        const auto id = cancelled_.front();
+        cancelled_.pop_front();
+        effects_.push_back(HangUp{id});
+        ended(id, Result::cancelled, nullptr);
+    }
+    return std::move(effects_);
+}
+
+void Reducer::on(Started)
+{
+    balancer_.started(now_);
+}
+
+std::vector<Listing> Reducer::listings(const std::vector<Entry>& entries, bool all)
+{
+    std::vector<Presence> before;
+    for (Upstream& u : upstreams_) {
+        before.push_back(u.presence);
+        if (all) u.presence = Presence::gone;  // a whole list drops what it does not name
+    }
+    std::vector<Listing> listed;
+    for (const Entry& e : entries) {
+        const auto [at, fresh] = upstream_of_.try_emplace(e.uid, static_cast<Tgt>(upstreams_.size()));
+        if (fresh) upstreams_.emplace_back(), before.push_back(Presence::gone);
+        Upstream& u = upstreams_[at->second];
+        if (!u.endpoint.empty() && u.endpoint != e.endpoint) effects_.push_back(CloseIdle{at->second});
+        u.endpoint = e.endpoint;
+        u.presence = e.presence;
+        listed.push_back({at->second, id_of(e.uid), e.presence, e.zone, e.cell, 1, e.started});
+        if (setup_.sizes_listed && e.size > 0) listed.back().size = e.size;
+    }
+    for (Tgt t = 0; t < upstreams_.size(); ++t)
+        if (before[t] == Presence::ready && upstreams_[t].presence != Presence::ready)
+            effects_.push_back(CloseIdle{t});
+    listed_ = listed_ || !listed.empty();
+    return listed;
+}
+
+void Reducer::on(ListTold& told)
+{
+    const auto listed = listings(told.entries, told.all);
+    if (told.all)
+        balancer_.list_is(now_, listed);
+    else
+        balancer_.list_changed(now_, listed);
+    balancer_.list_answered(now_, true);
+}
+
+void Reducer::on(ListRemembered& told)
+{
+    balancer_.list_is(now_, listings(told.entries, true));
+}
+
+void Reducer::on(ListFailed)
+{
+    balancer_.list_answered(now_, false);
+}
+
+void Reducer::on(Arrived& arrived)
+{
+    if (free_.empty()) {
+        free_.push_back(static_cast<Inv>(invocations_.size()));
+        invocations_.emplace_back();
+    }
+    const Inv inv = free_.back();
+    free_.pop_back();
+    invocation_of_.emplace(arrived.caller, inv);
+    const Ask ask{arrived.request.operation, arrived.request.tenant, arrived.request.time_left};
+    invocations_[inv] = {arrived.caller, false, std::move(arrived.request), {}};
+    balancer_.accept(now_, inv, ask);
+}
+
+void Reducer::on(CallerLeft left)
+{
+    const auto at = invocation_of_.find(left.caller);
+    if (at == invocation_of_.end() || invocations_[at->second].over) return;
+    invocations_[at->second].over = true;
+    balancer_.client_left(now_, at->second);
+}
+
+// The last check before bytes leave. Guards against what drained, ended or ran out of time while its
+// connection was being made.
+bool Reducer::may_write(const Attempt& attempt) const
+{
+    if (upstreams_[attempt.tgt].presence != Presence::ready || now_ >= attempt.until) return false;
+    return !attempt.inv || !invocations_[*attempt.inv].over;
+}
+
+void Reducer::on(Connected connected)
+{
+    const auto at = attempts_.find(connected.attempt);
+    if (at == attempts_.end()) return;
+    const Attempt& a = at->second;
+    if (!may_write(a)) {
+        effects_.push_back(HangUp{connected.attempt});
+        return ended(connected.attempt, Result::unreachable, nullptr);
+    }
+    const auto& host = upstreams_[a.tgt].endpoint;
+    effects_.push_back(Write{connected.attempt,
+                             a.inv ? encode_request(invocations_[*a.inv].request, host, a.until - now_)
+                                   : encode_probe(host, setup_.settings.reports_by_probe)});
+}
+
+void Reducer::on(Answered& answered)
+{
+    ended(answered.attempt, result_of(answered.response), &answered.response);
+}
+
+void Reducer::on(Failed failed)
+{
+    ended(failed.attempt, result_of(failed.broken), nullptr);
+}
+
+void Reducer::ended(AttemptId id, Result result, Response* response)
+{
+    const auto at = attempts_.find(id);
+    if (at == attempts_.end()) return;  // called off before
+    const Attempt a = at->second;
+    attempts_.erase(at);
+    if (!a.inv) {
+        const bool asked = response && setup_.settings.reports_by_probe;
+        return balancer_.probed(now_, a.tgt, result, asked ? decode_report(setup_, response->body) : Report{});
+    }
+    const Report report = response ? response->report : Report{};
+    // The first success is the answer, without being asked for.
+    if (result == Result::succeeded) answer(*a.inv, std::move(*response));
+    const bool over = invocations_[*a.inv].over;
+    balancer_.ended(now_, *a.inv, a.nth, result, now_ - a.sent, over, report);
+}
+
+void Reducer::on(Woken woken)
+{
+    balancer_.woken(now_, woken.name);
+}
+
+void Reducer::on(Stopping)
+{
+    stopping_ = true;
+}
+
+// Every answer to a caller passes here; a second one never does.
+void Reducer::answer(Inv inv, Response response)
+{
+    Invocation& i = invocations_[inv];
+    if (i.over) return;
+    i.over = true;
+    effects_.push_back(Answer{i.caller, std::move(response), stopping_});
+}
+
+void Reducer::forward(Inv inv, Tgt tgt, Span limit)
+{
+    Invocation& i = invocations_[inv];
+    const auto id = next_attempt_++;
+    attempts_.emplace(id, Attempt{inv, static_cast<uint32_t>(i.attempts.size()), tgt, now_, now_ + limit});
+    i.attempts.push_back(id);
+    effects_.push_back(Dial{id, tgt, upstreams_[tgt].endpoint, limit});
+}
+
+void Reducer::throttle(Inv inv, Span come_back)
+{
+    auto r = plain_answer(503, "throttled\n");
+    if (come_back > Span{}) r.passed_on.emplace_back("Retry-After", encode_seconds(come_back));
+    answer(inv, std::move(r));
+}
+
+void Reducer::error(Inv inv)
+{
+    answer(inv, plain_answer(502, "errored\n"));
+}
+
+void Reducer::cancel(Inv inv, uint32_t forward)
+{
+    cancelled_.push_back(invocations_[inv].attempts[forward]);
+}
+
+void Reducer::released(Inv inv)
+{
+    invocation_of_.erase(invocations_[inv].caller);
+    invocations_[inv] = {};
+    free_.push_back(inv);
+}
+
+void Reducer::wake(Point at, uint64_t name)
+{
+    effects_.push_back(Wake{at, name});
+}
+
+void Reducer::probe(Tgt tgt)
+{
+    const auto id = next_attempt_++;
+    attempts_.emplace(id, Attempt{{}, 0, tgt, now_, now_ + probe_waits});
+    effects_.push_back(Dial{id, tgt, upstreams_[tgt].endpoint, probe_waits});
+}
+
+void Reducer::close_idle(Tgt tgt)
+{
+    effects_.push_back(CloseIdle{tgt});
+}
+
+void Reducer::watch_list()
+{
+    effects_.push_back(WatchList{});
+}
+
+}  // namespace firtide::net
--- /dev/null
+++ b/src/net/service.cpp
@@ -0,0 +1,148 @@
+#include "service.h"
+
+#include <csignal>
+
+#include "log.h"
+
+namespace firtide::net
+{
+namespace
+{
+
+constexpr Span accept_on = seconds(0.5);     // after SIGTERM: callers go on coming for a moment
+constexpr Span look_every = seconds(0.02);   // whether all is answered
+constexpr size_t kept_back = 64;             // descriptors for the loop, the log, discovery and the listener
+constexpr double part_of_upstreams = 0.4;    // of the others
+
+Base make_base()
+{
+    Base base(event_base_new());
+    if (!base) throw std::runtime_error("no event loop");
+    return base;
+}
+
+Point epoch()
+{
+    using namespace std::chrono;
+    const auto unix_now = duration_cast<microseconds>(system_clock::now().time_since_epoch()).count();
+    return monotonic_now() - Span{unix_now};
+}
+
+template <class F>
+struct Once {
+    F what;
+    static void run(evutil_socket_t, short, void* arg)
+    {
+        const std::unique_ptr<Once> self(static_cast<Once*>(arg));
+        self->what();
+    }
+};
+
+}  // namespace
+
+Service::Service(Config config)
+    : config_(std::move(config)),
+      epoch_(epoch()),
+      base_(make_base()),
+      reducer_(config_.setup, config_.seed),
+      upstreams_(base_.get(), config_.setup,
+                 static_cast<size_t>(static_cast<double>(config_.descriptors - kept_back / 2) * part_of_upstreams),
+                 [this](Event e) { post(std::move(e)); }),
+      discovery_(base_.get(), config_, epoch_, [this](Event e) { post(std::move(e)); }),
+      callers_(
+          base_.get(), config_, [this] { return reducer_.ready(); },
+          [this] {
+              spdlog::warn("no descriptor left: {} callers, {} upstream connections open", callers_.open(),
+                           upstreams_.open());
+              if (upstreams_.close_oldest_idle(16) == 0) callers_.close_idle();
+          },
+          [this](Event e) { post(std::move(e)); })
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    for (const int number : {SIGTERM, SIGINT}) {
+        signals_.emplace_back(evsignal_new(
+            base_.get(), number,
+            [](evutil_socket_t, short, void* self) { static_cast<Service*>(self)->stop(); }, this));
+        event_add(signals_.back().get(), nullptr);
+    }
+}
+
+Service::~Service() = default;
+
+// Events that come while effects are carried out wait for their turn.
+void Service::post(Event event)
+{
+    events_.push_back(std::move(event));
+    if (reducing_) return;
+    reducing_ = true;
+    while (!events_.empty()) {
+        Event next = std::move(events_.front());
+        events_.pop_front();
+        for (Effect& effect : reducer_.reduce(monotonic_now(), std::move(next))) carry_out(effect);
+    }
+    reducing_ = false;
+}
+
+void Service::carry_out(Effect& effect)
+{
+    if (auto* answer = std::get_if<Answer>(&effect)) return callers_.answer(*answer);
+    if (auto* dial = std::get_if<Dial>(&effect)) return upstreams_.dial(*dial);
+    if (auto* write = std::get_if<Write>(&effect)) return upstreams_.write(*write);
+    if (auto* up = std::get_if<HangUp>(&effect)) return upstreams_.hang_up(up->attempt);
+    if (auto* idle = std::get_if<CloseIdle>(&effect)) return upstreams_.close_idle(idle->tgt);
+    if (std::get_if<WatchList>(&effect)) return discovery_.ask();
+    const auto wake = std::get<Wake>(effect);
+    const auto what = [this, name = wake.name] { post(Woken{name}); };
+    const auto after = to_timeval(wake.at - monotonic_now());
+    event_base_once(base_.get(), -1, EV_TIMEOUT, Once<decltype(what)>::run, new Once<decltype(what)>{what},
+                    &after);
+}
+
+void Service::run()
+{
+    spdlog::info("serving on {}:{}, tier {}, balancer {} of {}", config_.listen.host, config_.listen.port,
+                 config_.setup.settings.tier, config_.setup.settings.self, config_.setup.settings.balancers);
+    if (!config_.known.empty()) {
+        if (auto list = decode_list(config_.setup, config_.known, epoch_))
+            post(ListRemembered{std::move(list->told.entries)});
+        else
+            spdlog::warn("known: is no list of upstreams; starting without");
+    }
+    post(Started{});
+    if (!config_.setup.settings.list_must_be_asked) discovery_.ask();
+    event_base_dispatch(base_.get());
+    spdlog::info("stopped");
+}
+
+void Service::stop()
+{
+    if (stopping_) return;
+    stopping_ = true;
+    spdlog::info("stopping: {} in flight", reducer_.in_flight());
+    post(Stopping{});
+    stop_accepting_.reset(evtimer_new(
+        base_.get(),
+        [](evutil_socket_t, short, void* arg) {
+            auto* self = static_cast<Service*>(arg);
+            self->callers_.stop_listening();
+            self->listening_ = false;
+            self->leave_if_done();
+        },
+        this));
+    const auto on = to_timeval(accept_on);
+    event_add(stop_accepting_.get(), &on);
+    look_.reset(event_new(
+        base_.get(), -1, EV_PERSIST,
+        [](evutil_socket_t, short, void* self) { static_cast<Service*>(self)->leave_if_done(); }, this));
+    const auto every = to_timeval(look_every);
+    event_add(look_.get(), &every);
+}
+
+void Service::leave_if_done()
+{
+    if (listening_) return;
+    callers_.close_idle();
+    if (reducer_.in_flight() == 0 && callers_.open() == 0) event_base_loopbreak(base_.get());
+}
+
+}  // namespace firtide::net
--- /dev/null
+++ b/src/net/service.h
@@ -0,0 +1,43 @@
+// The loop: one thread that hands events to the reducer and carries out its effects. Embed it by giving it a
+// configuration and calling run().
+#pragma once
+
+#include <deque>
+
+#include "callers.h"
+#include "discovery.h"
+#include "upstreams.h"
+
+namespace firtide::net
+{
+
+class Service
+{
+  public:
+    explicit Service(Config config);
+    ~Service();
+
+    // Serves until a SIGTERM or SIGINT has come and everything in flight is answered.
+    void run();
+
+  private:
+    void post(Event event);
+    void carry_out(Effect& effect);
+    void stop();
+    void leave_if_done();
+
+    const Config config_;
+    // The loop's time at Unix time zero, taken once: the same start of an upstream is the same point ever after.
+    const Point epoch_;
+    Base base_;
+    Reducer reducer_;
+    Upstreams upstreams_;
+    Discovery discovery_;
+    Callers callers_;
+    std::deque<Event> events_;
+    bool reducing_ = false, stopping_ = false, listening_ = true;
+    std::vector<Timer> signals_;
+    Timer stop_accepting_, look_;
+};
+
+}  // namespace firtide::net
--- /dev/null
+++ b/src/net/upstreams.cpp
@@ -0,0 +1,259 @@
+#include "upstreams.h"
+
+#include <event2/buffer.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+
+#include "log.h"
+
+namespace firtide::net
+{
+namespace
+{
+
+// An upstream closes idle connections at the settings' time; ours go clearly earlier, so that no request
+// crosses the close.
+constexpr double idle_part = 0.75;
+
+}  // namespace
+
+// Lives as long as the connection; what belongs to one request is in the attempt's part.
+struct Upstreams::Connection {
+    explicit Connection(const Setup& setup) : reader(setup) {}
+
+    Upstreams* owner = nullptr;
+    Place self;
+    Tgt tgt = 0;
+    std::string endpoint;
+    Stream stream;
+    Timer connecting_until;
+    bool connected = false;
+
+    AttemptId attempt = 0;  // 0: idle
+    Timer waits_until;
+    bool asked = false;  // the request was handed to the stream
+    Point rests_since;
+    ResponseReader reader;
+
+    // "Written" is what the kernel took.
+    Progress progress() const
+    {
+        if (!connected) return Progress::not_connected;
+        if (!asked || evbuffer_get_length(bufferevent_get_output(stream.get())) > 0)
+            return Progress::partly_written;
+        return reader.begun() ? Progress::answering : Progress::written;
+    }
+};
+
+Upstreams::Upstreams(event_base* base, const Setup& setup, size_t most_open, std::function<void(Event)> tell)
+    : base_(base), setup_(setup), most_open_(most_open), tell_(std::move(tell))
+{
+}
+
+Upstreams::~Upstreams() = default;
+
+void Upstreams::dial(const Dial& dial)
+{
+    auto& resting = idle_[dial.tgt];
+    while (!resting.empty()) {
+        const Place at = resting.back();
+        resting.pop_back();
+        if (at->endpoint != dial.endpoint) {
+            close(at);
+            continue;
+        }
+        bufferevent_set_timeouts(at->stream.get(), nullptr, nullptr);
+        serve(at, dial.attempt, dial.limit);
+        return tell_(Connected{dial.attempt});
+    }
+    if (all_.size() >= most_open_) close_oldest_idle(1);
+    if (all_.size() >= most_open_) {
+        return tell_(Failed{dial.attempt, {Progress::not_connected, Cause::no_descriptor}});
+    }
+    const Place at = connect(dial.tgt, dial.endpoint);
+    if (at == all_.end()) {
+        const bool none_left = errno == EMFILE || errno == ENFILE;
+        if (none_left) close_oldest_idle(8);
+        return tell_(
+            Failed{dial.attempt, {Progress::not_connected, none_left ? Cause::no_descriptor : Cause::refused}});
+    }
+    serve(at, dial.attempt, dial.limit);
+}
+
+Upstreams::Place Upstreams::connect(Tgt tgt, const std::string& endpoint)
+{
+    sockaddr_storage address{};
+    int length = sizeof address;
+    errno = 0;
+    if (evutil_parse_sockaddr_port(endpoint.c_str(), reinterpret_cast<sockaddr*>(&address), &length) != 0)
+        return all_.end();
+    const int fd = socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) return all_.end();
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    all_.emplace_front(setup_);
+    const Place at = all_.begin();
+    at->owner = this;
+    at->self = at;
+    at->tgt = tgt;
+    at->endpoint = endpoint;
+    at->stream.reset(bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+    bufferevent_setcb(
+        at->stream.get(),
+        [](bufferevent*, void* arg) {
+            auto* c = static_cast<Connection*>(arg);
+            c->owner->readable(c->self);
+        },
+        nullptr,
+        [](bufferevent*, short what, void* arg) {
+            auto* c = static_cast<Connection*>(arg);
+            c->owner->ended(c->self, what);
+        },
+        &*at);
+    bufferevent_enable(at->stream.get(), EV_READ | EV_WRITE);
+    at->connecting_until.reset(evtimer_new(
+        base_,
+        [](evutil_socket_t, short, void* arg) {
+            auto* c = static_cast<Connection*>(arg);
+            c->owner->fail(c->self, Cause::no_answer_in_time);
+        },
+        &*at));
+    const auto wait = to_timeval(setup_.connect_timeout);
+    event_add(at->connecting_until.get(), &wait);
+    // A refusal that is known at once comes through the callback all the same.
+    bufferevent_socket_connect(at->stream.get(), reinterpret_cast<sockaddr*>(&address), length);
+    return at;
+}
+
+void Upstreams::serve(Place at, AttemptId attempt, Span limit)
+{
+    at->attempt = attempt;
+    at->asked = false;
+    at->reader = ResponseReader(setup_);
+    of_attempt_[attempt] = at;
+    at->waits_until.reset(evtimer_new(
+        base_,
+        [](evutil_socket_t, short, void* arg) {
+            auto* c = static_cast<Connection*>(arg);
+            c->owner->fail(c->self, Cause::no_answer_in_time);
+        },
+        &*at));
+    const auto wait = to_timeval(limit);
+    event_add(at->waits_until.get(), &wait);
+}
+
+void Upstreams::write(const Write& write)
+{
+    const auto at = of_attempt_.find(write.attempt);
+    if (at == of_attempt_.end()) return;
+    at->second->asked = true;
+    bufferevent_write(at->second->stream.get(), write.bytes.data(), write.bytes.size());
+}
+
+// Gives an attempt up: what was begun on the connection can only be taken back by ending it.
+void Upstreams::hang_up(AttemptId attempt)
+{
+    const auto at = of_attempt_.find(attempt);
+    if (at == of_attempt_.end()) return;
+    const Place place = at->second;
+    if (!place->connected || place->asked) return close(place);
+    of_attempt_.erase(at);
+    rest(place);
+}
+
+void Upstreams::rest(Place at)
+{
+    at->attempt = 0;
+    at->waits_until.reset();
+    at->asked = false;
+    at->reader = ResponseReader(setup_);
+    at->rests_since = monotonic_now();
+    const auto wait = to_timeval(setup_.idle_close * idle_part);
+    bufferevent_set_timeouts(at->stream.get(), &wait, nullptr);
+    idle_[at->tgt].push_back(at);
+}
+
+void Upstreams::close_idle(Tgt tgt)
+{
+    auto& resting = idle_[tgt];
+    while (!resting.empty()) close(resting.back());
+}
+
+size_t Upstreams::close_oldest_idle(size_t count)
+{
+    std::vector<Place> resting;
+    for (Place at = all_.begin(); at != all_.end(); ++at)
+        if (at->attempt == 0) resting.push_back(at);
+    count = std::min(count, resting.size());
+    std::partial_sort(resting.begin(), resting.begin() + static_cast<ptrdiff_t>(count), resting.end(),
+                      [](Place a, Place b) { return a->rests_since < b->rests_since; });
+    for (size_t i = 0; i < count; ++i) close(resting[i]);
+    return count;
+}
+
+void Upstreams::fail(Place at, Cause cause)
+{
+    const auto attempt = at->attempt;
+    const Broken broken{at->progress(), cause};
+    close(at);
+    if (attempt) tell_(Failed{attempt, broken});
+}
+
+void Upstreams::close(Place at)
+{
+    if (at->attempt) {
+        of_attempt_.erase(at->attempt);
+    } else if (const auto resting = idle_.find(at->tgt); resting != idle_.end()) {
+        std::erase(resting->second, at);
+    }
+    all_.erase(at);
+}
+
+void Upstreams::readable(Place at)
+{
+    auto* input = bufferevent_get_input(at->stream.get());
+    const size_t size = evbuffer_get_length(input);
+    if (!at->attempt || !at->asked) {
+        if (size > 0) fail(at, Cause::malformed);  // an answer that nobody asked for
+        return;
+    }
+    const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+    const auto state = at->reader.take({bytes, size});
+    evbuffer_drain(input, size);
+    if (state == ResponseReader::State::more) return;
+    if (state == ResponseReader::State::malformed) return fail(at, Cause::malformed);
+    const auto attempt = at->attempt;
+    const bool unwritten = evbuffer_get_length(bufferevent_get_output(at->stream.get())) > 0;
+    auto response = std::move(at->reader.response());
+    const bool keep = at->reader.keeps_connection() && !unwritten;
+    of_attempt_.erase(attempt);
+    if (keep)
+        rest(at);
+    else
+        at->attempt = 0, close(at);
+    tell_(Answered{attempt, std::move(response)});
+}
+
+void Upstreams::ended(Place at, short what)
+{
+    if (what & BEV_EVENT_CONNECTED) {
+        at->connected = true;
+        at->connecting_until.reset();
+        if (at->attempt) tell_(Connected{at->attempt});
+        return;
+    }
+    if (!at->attempt) return close(at);  // idle for long enough, or ended by the upstream
+    if (!at->connected) return fail(at, Cause::refused);
+    if (at->asked && (what & BEV_EVENT_EOF) && at->reader.end() == ResponseReader::State::whole) {
+        const auto attempt = at->attempt;
+        auto response = std::move(at->reader.response());
+        close(at);
+        return tell_(Answered{attempt, std::move(response)});
+    }
+    fail(at, Cause::broken);
+}
+
+}  // namespace firtide::net
--- /dev/null
+++ b/src/net/upstreams.h
@@ -0,0 +1,49 @@
+// Connections to upstreams: made as needed, kept while they may be used again, one request at a time on each.
+// On bufferevents, not on evhttp's client: that one does not tell whether the last byte of a request had left.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <unordered_map>
+
+#include "event.h"
+#include "reducer.h"
+
+namespace firtide::net
+{
+
+class Upstreams
+{
+  public:
+    Upstreams(event_base* base, const Setup& setup, size_t most_open, std::function<void(Event)> tell);
+    ~Upstreams();
+
+    void dial(const Dial& dial);
+    void write(const Write& write);
+    void hang_up(AttemptId attempt);
+    void close_idle(Tgt tgt);
+    size_t close_oldest_idle(size_t count);  // how many there were
+    size_t open() const { return all_.size(); }
+
+  private:
+    struct Connection;
+    using Place = std::list<Connection>::iterator;
+
+    Place connect(Tgt tgt, const std::string& endpoint);
+    void serve(Place at, AttemptId attempt, Span limit);
+    void rest(Place at);
+    void fail(Place at, Cause cause);
+    void close(Place at);
+    void readable(Place at);
+    void ended(Place at, short what);
+
+    event_base* base_;
+    const Setup& setup_;
+    size_t most_open_;
+    std::function<void(Event)> tell_;
+    std::list<Connection> all_;
+    std::unordered_map<AttemptId, Place> of_attempt_;
+    std::unordered_map<Tgt, std::vector<Place>> idle_;  // the last used at the end
+};
+
+}  // namespace firtide::net
