--- a/src/decode_settings.h
+++ b/src/decode_settings.h
@@ -23,8 +23,9 @@
 
 struct Setup {
     Settings settings;
-    std::vector<std::string> report_names;  // of the figures of a load report, in the order in which they come
-    std::vector<ReportField> report;        // and where each goes
+    std::vector<std::string>
+        report_names;                 // of the figures of a load report, in the order in which they come
+    std::vector<ReportField> report;  // and where each goes
     bool sizes_listed = false;
 
     std::vector<std::string> operations, tenants, zones;  // names; a number stands for the place in these
--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -4,9 +4,12 @@
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <map>
+#include <mutex>
 
 #include "log.h"
 
@@ -15,20 +18,12 @@
 namespace
 {
 
-constexpr Span idle_for = seconds(75);      // a connection that asks nothing or takes nothing is closed
+constexpr Span idle_for = seconds(30);        // a connection that asks nothing or takes nothing is closed
 constexpr Span listen_pause = seconds(0.02);  // where no descriptor is left
 
-const char* method_name(evhttp_cmd_type type)
-{
-    switch (type) {
-        case EVHTTP_REQ_GET: return "GET";
-        case EVHTTP_REQ_POST: return "POST";
-        case EVHTTP_REQ_HEAD: return "HEAD";
-        case EVHTTP_REQ_PUT: return "PUT";
-        case EVHTTP_REQ_DELETE: return "DELETE";
-        default: return nullptr;
-    }
-}
+// The listener's error callback is given evhttp's own argument, not ours: who listens is found here.
+std::mutex listeners_lock;
+std::map<const evconnlistener*, Callers*> listeners;
 
 const char* reason_of(int status)
 {
@@ -36,7 +31,7 @@
         case 200: return "OK";
         case 400: return "Bad Request";
         case 404: return "Not Found";
-        case 405: return "Method Not Allowed";
+        case 500: return "Internal Server Error";
         case 502: return "Bad Gateway";
         case 503: return "Service Unavailable";
         default: return "Answer";
@@ -55,10 +50,11 @@
     bool reading = false;  // a request has begun to come
 };
 
-Callers::Callers(event_base* base, const Config& config, std::function<bool()> ready,
+Callers::Callers(event_base* base, const Config& config, size_t most_open, std::function<bool()> ready,
                  std::function<void()> crowded, std::function<void(Event)> tell)
     : base_(base),
       config_(config),
+      most_open_(most_open),
       ready_(std::move(ready)),
       crowded_(std::move(crowded)),
       tell_(std::move(tell)),
@@ -67,16 +63,27 @@
     evhttp_set_max_headers_size(server_.get(), most_head);
     evhttp_set_max_body_size(server_.get(), most_body);
     evhttp_set_default_content_type(server_.get(), nullptr);
+    evhttp_set_allowed_methods(server_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST);
     const auto idle = to_timeval(idle_for);
     evhttp_set_timeout_tv(server_.get(), &idle);
     evhttp_set_gencb(
         server_.get(),
-        [](evhttp_request* request, void* self) { static_cast<Callers*>(self)->take(request); }, this);
+        [](evhttp_request* request, void* arg) {
+            auto* self = static_cast<Callers*>(arg);
+            try {
+                self->take(request);
+            } catch (const std::exception& e) {
+                spdlog::error("a request could not be taken: {}", e.what());
+                self->reply(request, {500, false, {}, {}, "errored\n"}, true);
+            }
+        },
+        this);
     listen(config.listen);
 }
 
 Callers::~Callers()
 {
+    stop_listening();
     for (auto& [of, c] : connections_) evhttp_connection_set_closecb(of, nullptr, nullptr);
 }
 
@@ -101,17 +108,27 @@
             if (self->bound_) evconnlistener_enable(evhttp_bound_socket_get_listener(self->bound_));
         },
         this));
-    // Guards against spinning where no descriptor is left: libevent would try again at once, without end.
-    static thread_local Callers* self;
-    self = this;
+    const std::lock_guard hold(listeners_lock);
+    listeners[listener] = this;
     evconnlistener_set_error_cb(listener, [](evconnlistener* of, void*) {
-        evconnlistener_disable(of);
-        const auto pause = to_timeval(listen_pause);
-        event_add(self->listen_again_.get(), &pause);
-        self->crowded_();
+        Callers* self = nullptr;
+        {
+            const std::lock_guard held(listeners_lock);
+            self = listeners.at(of);
+        }
+        self->no_descriptor_left();
     });
 }
 
+// Guards against spinning: libevent would try again at once, without end.
+void Callers::no_descriptor_left()
+{
+    evconnlistener_disable(evhttp_bound_socket_get_listener(bound_));
+    const auto pause = to_timeval(listen_pause);
+    event_add(listen_again_.get(), &pause);
+    crowded_();
+}
+
 Callers::Connection& Callers::connection(evhttp_connection* of)
 {
     auto& at = connections_[of];
@@ -136,11 +153,9 @@
 void Callers::take(evhttp_request* request)
 {
     Connection& c = connection(evhttp_request_get_connection(request));
-    const char* method = method_name(evhttp_request_get_command(request));
     Request taken;
     taken.target = evhttp_request_get_uri(request);
-    if (!method) return reply(request, {405, false, {}, {}, "method not allowed\n"}, false);
-    taken.method = method;
+    taken.method = evhttp_request_get_command(request) == EVHTTP_REQ_POST ? "POST" : "GET";
     if (taken.target == "/-/ready") {
         const bool ready = ready_();
         return reply(request, {ready ? 200 : 503, false, {}, {}, ready ? "ready\n" : "not ready\n"}, !ready);
@@ -208,7 +223,7 @@
     auto* request = c.request;
     c.request = nullptr;
     c.leaving.reset();
-    reply(request, answer.response, answer.last_on_connection);
+    reply(request, answer.response, answer.last_on_connection || connections_.size() > most_open_);
 }
 
 void Callers::reply(evhttp_request* request, Response response, bool last)
@@ -227,10 +242,21 @@
     evbuffer_free(body);
 }
 
+bool Callers::someone_waits() const
+{
+    if (!bound_) return false;
+    pollfd at{evhttp_bound_socket_get_fd(bound_), POLLIN, 0};
+    return poll(&at, 1, 0) > 0;
+}
+
 void Callers::stop_listening()
 {
     if (!bound_) return;
     listen_again_.reset();
+    {
+        const std::lock_guard hold(listeners_lock);
+        listeners.erase(evhttp_bound_socket_get_listener(bound_));
+    }
     evhttp_del_accept_socket(server_.get(), bound_);
     bound_ = nullptr;
 }
@@ -238,8 +264,11 @@
 size_t Callers::close_idle()
 {
     std::vector<evhttp_connection*> idle;
-    for (const auto& [of, c] : connections_)
-        if (!c->request && !c->reading) idle.push_back(of);
+    for (const auto& [of, c] : connections_) {
+        // Guards against closing on an answer that has not left yet.
+        auto* output = bufferevent_get_output(evhttp_connection_get_bufferevent(of));
+        if (!c->request && !c->reading && evbuffer_get_length(output) == 0) idle.push_back(of);
+    }
     for (auto* of : idle) evhttp_connection_free(of);
     return idle.size();
 }
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -17,12 +17,14 @@
 class Callers
 {
   public:
-    // ready: whether `GET /-/ready` is to be answered 200. crowded: called when no descriptor is left.
-    Callers(event_base* base, const Config& config, std::function<bool()> ready, std::function<void()> crowded,
-            std::function<void(Event)> tell);
+    // Past most_open connections each answer is the last on its own. ready: whether `GET /-/ready` is to be
+    // answered 200. crowded: called when no descriptor is left.
+    Callers(event_base* base, const Config& config, size_t most_open, std::function<bool()> ready,
+            std::function<void()> crowded, std::function<void(Event)> tell);
     ~Callers();
 
     void answer(const Answer& answer);
+    bool someone_waits() const;  // to be accepted
     void stop_listening();
     size_t close_idle();  // how many connections there were
     size_t open() const { return connections_.size(); }
@@ -31,6 +33,7 @@
     struct Connection;
 
     void listen(const Address& address);
+    void no_descriptor_left();
     void take(evhttp_request* request);
     Connection& connection(evhttp_connection* of);
     void watch(Connection& c);
@@ -40,6 +43,7 @@
 
     event_base* base_;
     const Config& config_;
+    size_t most_open_;
     std::function<bool()> ready_;
     std::function<void()> crowded_;
     std::function<void(Event)> tell_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -23,7 +23,9 @@
 // Nested JSON into the flat keys that the settings have elsewhere.
 void flatten(const json& value, const std::string& at, Flat& into)
 {
-    const auto under = [&](const std::string& key) { return at.empty() ? key : std::string(at).append(".").append(key); };
+    const auto under = [&](const std::string& key) {
+        return at.empty() ? key : std::string(at).append(".").append(key);
+    };
     if (value.is_object()) {
         for (const auto& [key, inner] : value.items()) flatten(inner, under(key), into);
     } else if (value.is_array() && !value.empty() && value.front().is_object()) {
@@ -114,10 +116,12 @@
     for (size_t i = 0; i < out.setup.operations.size(); ++i)
         if (out.setup.operations[i].empty())
             throw BadConfig("settings.operations." + std::to_string(i) + ".name: a name is expected");
-    if (out.setup.idle_close <= Span{}) throw BadConfig("settings.policy_limits.conn_idle_us: must be over 0");
+    if (out.setup.idle_close <= Span{})
+        throw BadConfig("settings.policy_limits.conn_idle_us: must be over 0");
     if (out.setup.connect_timeout <= Span{})
         throw BadConfig("settings.policy_limits.connect_timeout_us: must be over 0");
-    if (const auto known = in.find("known"); known != in.end() && !known->is_null()) out.known = known->dump();
+    if (const auto known = in.find("known"); known != in.end() && !known->is_null())
+        out.known = known->dump();
     return out;
 }
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -13,8 +13,8 @@
 
 using nlohmann::json;
 
-constexpr Span watch_for = seconds(5);    // one call; short, so that a silent agent is noticed
-constexpr Span silence = seconds(1);      // more than that, and the call is given up
+constexpr Span watch_for = seconds(2);  // one call; short, so that a silent agent is soon noticed
+constexpr Span silence = seconds(0.5);  // more than that, and the call is given up
 constexpr Span first_pause = seconds(0.05);
 constexpr Span longest_pause = seconds(1);
 constexpr size_t most_list = 8 << 20;
@@ -38,12 +38,8 @@
     e.endpoint = value_or<std::string>(in, "endpoint", "");
     const auto state = value_or<std::string>(in, "state", "");
     if (e.uid.empty()) return {};
-    if (state == "ready")
-        e.presence = Presence::ready;
-    else if (state == "draining")
-        e.presence = Presence::draining;
-    else if (state != "gone")
-        return {};
+    // A state that nobody knows yet keeps work away, as draining does.
+    e.presence = state == "ready" ? Presence::ready : state == "gone" ? Presence::gone : Presence::draining;
     const auto zone = value_or<std::string>(in, "az", "");
     while (e.zone < setup.zones.size() && setup.zones[e.zone] != zone) ++e.zone;  // unknown: past all others
     e.cell = value_or<uint32_t>(in, "pod_group", 0);
@@ -99,7 +95,15 @@
         evhttp_connection_set_timeout_tv(connection_.get(), &wait);
     }
     auto* request = evhttp_request_new(
-        [](evhttp_request* got, void* self) { static_cast<Discovery*>(self)->came(got); }, this);
+        [](evhttp_request* got, void* arg) {
+            auto* self = static_cast<Discovery*>(arg);
+            try {
+                self->came(got);
+            } catch (const std::exception& e) {
+                self->failed(e.what());
+            }
+        },
+        this);
     if (!request) return failed("no memory");
     const auto host = config_.discovery.host + ":" + std::to_string(config_.discovery.port);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", host.c_str());
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -1,4 +1,5 @@
-// The log: lines on standard error about the program's life; nothing per invocation unless debug is asked for.
+// The log: lines on standard error about the program's life; nothing per invocation unless debug is asked
+// for.
 #pragma once
 
 #include <spdlog/spdlog.h>
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -53,6 +53,12 @@
     return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 0x20 && c != 0x7f; });
 }
 
+bool printable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(),
+                       [](unsigned char c) { return c == '\t' || (c >= 0x20 && c != 0x7f); });
+}
+
 }  // namespace
 
 bool same_name(std::string_view a, std::string_view b)
@@ -65,7 +71,7 @@
 bool goes_on(std::string_view header)
 {
     static constexpr std::array<std::string_view, 13> own = {
-        "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE",   "Trailer",        "Upgrade",
+        "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE",   "Trailer",    "Upgrade",
         "Expect",     "Host",       "Content-Length",   "Req-Deadline-Ms",   "Date", "Retry-After"};
     return std::none_of(own.begin(), own.end(), [&](auto name) { return same_name(name, header); });
 }
@@ -96,6 +102,8 @@
     into.operation = *operation;
     into.time_left = setup.client_timeouts[*operation];
     for (auto& [name, value] : headers) {
+        // Guards against a stray carriage return, which the next reader might take for the end of a line.
+        if (!plain(name) || !printable(value)) return Unacceptable{400, "unreadable header"};
         if (same_name(name, "Req-Id")) into.id = value;
         if (same_name(name, "Req-Owner")) into.tenant = place(setup.tenants, value).value_or(0);
         if (same_name(name, "Req-Deadline-Ms")) {
@@ -144,7 +152,8 @@
     }
     rest_.erase(0, at_);
     at_ = 0;
-    if (!ok || response_.body.size() > most_body || head_bytes_ > most_head || rest_.size() > most_head + most_body)
+    if (!ok || response_.body.size() > most_body || head_bytes_ > most_head ||
+        rest_.size() > most_head + most_body)
         return State::malformed;
     if (part_ != Part::done) return State::more;
     if (!rest_.empty()) keeps_ = false;
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -131,11 +131,13 @@
     balancer_.client_left(now_, at->second);
 }
 
-// The last check before bytes leave. Guards against what drained, ended or ran out of time while its
-// connection was being made.
+// The last check before bytes leave. Guards against an upstream that drained or moved, and an invocation that
+// ended or ran out of time, while the connection was being made.
 bool Reducer::may_write(const Attempt& attempt) const
 {
-    if (upstreams_[attempt.tgt].presence != Presence::ready || now_ >= attempt.until) return false;
+    const Upstream& u = upstreams_[attempt.tgt];
+    if (u.presence != Presence::ready || u.endpoint != attempt.endpoint || now_ >= attempt.until)
+        return false;
     return !attempt.inv || !invocations_[*attempt.inv].over;
 }
 
@@ -149,9 +151,9 @@
         return ended(connected.attempt, Result::unreachable, nullptr);
     }
     const auto& host = upstreams_[a.tgt].endpoint;
-    effects_.push_back(Write{connected.attempt,
-                             a.inv ? encode_request(invocations_[*a.inv].request, host, a.until - now_)
-                                   : encode_probe(host, setup_.settings.reports_by_probe)});
+    effects_.push_back(
+        Write{connected.attempt, a.inv ? encode_request(invocations_[*a.inv].request, host, a.until - now_)
+                                       : encode_probe(host, setup_.settings.reports_by_probe)});
 }
 
 void Reducer::on(Answered& answered)
@@ -172,7 +174,8 @@
     attempts_.erase(at);
     if (!a.inv) {
         const bool asked = response && setup_.settings.reports_by_probe;
-        return balancer_.probed(now_, a.tgt, result, asked ? decode_report(setup_, response->body) : Report{});
+        return balancer_.probed(now_, a.tgt, result,
+                                asked ? decode_report(setup_, response->body) : Report{});
     }
     const Report report = response ? response->report : Report{};
     // The first success is the answer, without being asked for.
@@ -200,13 +203,19 @@
     effects_.push_back(Answer{i.caller, std::move(response), stopping_});
 }
 
+void Reducer::dial(AttemptId id, Attempt attempt)
+{
+    effects_.push_back(Dial{id, attempt.tgt, attempt.endpoint, attempt.until - attempt.sent});
+    attempts_.emplace(id, std::move(attempt));
+}
+
 void Reducer::forward(Inv inv, Tgt tgt, Span limit)
 {
     Invocation& i = invocations_[inv];
     const auto id = next_attempt_++;
-    attempts_.emplace(id, Attempt{inv, static_cast<uint32_t>(i.attempts.size()), tgt, now_, now_ + limit});
+    const auto nth = static_cast<uint32_t>(i.attempts.size());
     i.attempts.push_back(id);
-    effects_.push_back(Dial{id, tgt, upstreams_[tgt].endpoint, limit});
+    dial(id, {inv, nth, tgt, upstreams_[tgt].endpoint, now_, now_ + limit});
 }
 
 void Reducer::throttle(Inv inv, Span come_back)
@@ -240,9 +249,7 @@
 
 void Reducer::probe(Tgt tgt)
 {
-    const auto id = next_attempt_++;
-    attempts_.emplace(id, Attempt{{}, 0, tgt, now_, now_ + probe_waits});
-    effects_.push_back(Dial{id, tgt, upstreams_[tgt].endpoint, probe_waits});
+    dial(next_attempt_++, {{}, 0, tgt, upstreams_[tgt].endpoint, now_, now_ + probe_waits});
 }
 
 void Reducer::close_idle(Tgt tgt)
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -27,7 +27,8 @@
 };
 
 // Events.
-struct Started {};
+struct Started {
+};
 struct ListTold {
     bool all = false;
     std::vector<Entry> entries;
@@ -35,7 +36,8 @@
 struct ListRemembered {  // from before this start; it may be old
     std::vector<Entry> entries;
 };
-struct ListFailed {};
+struct ListFailed {
+};
 struct Arrived {
     CallerId caller;
     Request request;
@@ -57,9 +59,10 @@
 struct Woken {
     uint64_t name;
 };
-struct Stopping {};
-using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Connected, Answered,
-                           Failed, Woken, Stopping>;
+struct Stopping {
+};
+using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Connected,
+                           Answered, Failed, Woken, Stopping>;
 
 // Effects.
 struct Answer {
@@ -87,7 +90,8 @@
     Point at;
     uint64_t name;
 };
-struct WatchList {};
+struct WatchList {
+};
 using Effect = std::variant<Answer, Dial, Write, HangUp, CloseIdle, Wake, WatchList>;
 
 class Reducer : private Outlet
@@ -114,6 +118,7 @@
         std::optional<Inv> inv;  // none: a probe
         uint32_t nth = 0;
         Tgt tgt = 0;
+        std::string endpoint;
         Point sent, until;
     };
     // Lives as long as the program; the list may name it again.
@@ -135,6 +140,7 @@
     void on(Stopping);
 
     std::vector<Listing> listings(const std::vector<Entry>& entries, bool all);
+    void dial(AttemptId id, Attempt attempt);
     bool may_write(const Attempt& attempt) const;
     void ended(AttemptId id, Result result, Response* response);
     void answer(Inv inv, Response response);
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -1,5 +1,8 @@
 #include "service.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <csignal>
 
 #include "log.h"
@@ -9,10 +12,11 @@
 namespace
 {
 
-constexpr Span accept_on = seconds(0.5);     // after SIGTERM: callers go on coming for a moment
-constexpr Span look_every = seconds(0.02);   // whether all is answered
-constexpr size_t kept_back = 64;             // descriptors for the loop, the log, discovery and the listener
-constexpr double part_of_upstreams = 0.4;    // of the others
+constexpr Span accept_on = seconds(0.5);    // after SIGTERM: callers go on coming for a moment
+constexpr Span stay_on = seconds(0.2);      // and then for requests on the connections accepted last
+constexpr Span look_every = seconds(0.02);  // whether all is answered
+constexpr size_t kept_back = 32;            // descriptors for the loop, the log, discovery and the listener
+constexpr double part_of_upstreams = 0.4;   // of the others
 
 Base make_base()
 {
@@ -28,6 +32,19 @@
     return monotonic_now() - Span{unix_now};
 }
 
+// Descriptors that callers and upstreams may have: the smaller of what the configuration and the system
+// allow.
+size_t descriptors(size_t allowed)
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, allowed);
+        setrlimit(RLIMIT_NOFILE, &limit);
+        allowed = std::min<size_t>(allowed, limit.rlim_cur);
+    }
+    return allowed > 2 * kept_back ? allowed - kept_back : allowed / 2;
+}
+
 template <class F>
 struct Once {
     F what;
@@ -43,14 +60,17 @@
 Service::Service(Config config)
     : config_(std::move(config)),
       epoch_(epoch()),
+      descriptors_(descriptors(config_.descriptors)),
       base_(make_base()),
       reducer_(config_.setup, config_.seed),
       upstreams_(base_.get(), config_.setup,
-                 static_cast<size_t>(static_cast<double>(config_.descriptors - kept_back / 2) * part_of_upstreams),
+                 static_cast<size_t>(static_cast<double>(descriptors_) * part_of_upstreams),
                  [this](Event e) { post(std::move(e)); }),
       discovery_(base_.get(), config_, epoch_, [this](Event e) { post(std::move(e)); }),
       callers_(
-          base_.get(), config_, [this] { return reducer_.ready(); },
+          base_.get(), config_,
+          static_cast<size_t>(static_cast<double>(descriptors_) * (1 - part_of_upstreams)),
+          [this] { return reducer_.ready(); },
           [this] {
               spdlog::warn("no descriptor left: {} callers, {} upstream connections open", callers_.open(),
                            upstreams_.open());
@@ -78,6 +98,9 @@
     while (!events_.empty()) {
         Event next = std::move(events_.front());
         events_.pop_front();
+        if (const auto* failed = std::get_if<Failed>(&next))
+            spdlog::debug("attempt {} failed: progress {}, cause {}", failed->attempt,
+                          static_cast<int>(failed->broken.progress), static_cast<int>(failed->broken.cause));
         for (Effect& effect : reducer_.reduce(monotonic_now(), std::move(next))) carry_out(effect);
     }
     reducing_ = false;
@@ -102,13 +125,13 @@
 {
     spdlog::info("serving on {}:{}, tier {}, balancer {} of {}", config_.listen.host, config_.listen.port,
                  config_.setup.settings.tier, config_.setup.settings.self, config_.setup.settings.balancers);
+    post(Started{});
     if (!config_.known.empty()) {
         if (auto list = decode_list(config_.setup, config_.known, epoch_))
             post(ListRemembered{std::move(list->told.entries)});
         else
             spdlog::warn("known: is no list of upstreams; starting without");
     }
-    post(Started{});
     if (!config_.setup.settings.list_must_be_asked) discovery_.ask();
     event_base_dispatch(base_.get());
     spdlog::info("stopped");
@@ -121,13 +144,7 @@
     spdlog::info("stopping: {} in flight", reducer_.in_flight());
     post(Stopping{});
     stop_accepting_.reset(evtimer_new(
-        base_.get(),
-        [](evutil_socket_t, short, void* arg) {
-            auto* self = static_cast<Service*>(arg);
-            self->callers_.stop_listening();
-            self->listening_ = false;
-            self->leave_if_done();
-        },
+        base_.get(), [](evutil_socket_t, short, void* arg) { static_cast<Service*>(arg)->stop_accepting(); },
         this));
     const auto on = to_timeval(accept_on);
     event_add(stop_accepting_.get(), &on);
@@ -138,10 +155,23 @@
     event_add(look_.get(), &every);
 }
 
+// Whoever the system has let in by now is still served.
+void Service::stop_accepting()
+{
+    if (callers_.someone_waits()) {
+        const auto soon = to_timeval(look_every);
+        event_add(stop_accepting_.get(), &soon);
+        return;
+    }
+    callers_.stop_listening();
+    stopped_accepting_ = monotonic_now();
+}
+
 void Service::leave_if_done()
 {
-    if (listening_) return;
+    if (!stopped_accepting_) return;
     callers_.close_idle();
+    if (monotonic_now() - *stopped_accepting_ < stay_on) return;
     if (reducer_.in_flight() == 0 && callers_.open() == 0) event_base_loopbreak(base_.get());
 }
 
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -24,18 +24,22 @@
     void post(Event event);
     void carry_out(Effect& effect);
     void stop();
+    void stop_accepting();
     void leave_if_done();
 
     const Config config_;
-    // The loop's time at Unix time zero, taken once: the same start of an upstream is the same point ever after.
+    // The loop's time at Unix time zero, taken once: the same start of an upstream is the same point ever
+    // after.
     const Point epoch_;
+    const size_t descriptors_;  // for callers and upstreams together
     Base base_;
     Reducer reducer_;
     Upstreams upstreams_;
     Discovery discovery_;
     Callers callers_;
     std::deque<Event> events_;
-    bool reducing_ = false, stopping_ = false, listening_ = true;
+    bool reducing_ = false, stopping_ = false;
+    std::optional<Point> stopped_accepting_;
     std::vector<Timer> signals_;
     Timer stop_accepting_, look_;
 };
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -77,8 +77,8 @@
     if (at == all_.end()) {
         const bool none_left = errno == EMFILE || errno == ENFILE;
         if (none_left) close_oldest_idle(8);
-        return tell_(
-            Failed{dial.attempt, {Progress::not_connected, none_left ? Cause::no_descriptor : Cause::refused}});
+        return tell_(Failed{dial.attempt,
+                            {Progress::not_connected, none_left ? Cause::no_descriptor : Cause::refused}});
     }
     serve(at, dial.attempt, dial.limit);
 }
@@ -105,7 +105,12 @@
         at->stream.get(),
         [](bufferevent*, void* arg) {
             auto* c = static_cast<Connection*>(arg);
-            c->owner->readable(c->self);
+            auto* owner = c->owner;
+            try {
+                owner->readable(c->self);
+            } catch (const std::exception& e) {
+                spdlog::error("an answer could not be read: {}", e.what());
+            }
         },
         nullptr,
         [](bufferevent*, short what, void* arg) {
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -1,5 +1,6 @@
 // Connections to upstreams: made as needed, kept while they may be used again, one request at a time on each.
-// On bufferevents, not on evhttp's client: that one does not tell whether the last byte of a request had left.
+// On bufferevents, not on evhttp's client: that one does not tell whether the last byte of a request had
+// left.
 #pragma once
 
 #include <functional>
--- /dev/null
+++ b/tests/message.cpp
@@ -0,0 +1,168 @@
+// Messages: what is taken from callers and from upstreams, and in what pieces.
+#include "src/net/message.h"
+
+#include "src/net/config.h"
+#include "src/net/discovery.h"
+#include "trace.h"
+
+using namespace firtide;
+using namespace firtide::net;
+
+namespace
+{
+
+Setup setup()
+{
+    Setup s;
+    s.operations = {"op"};
+    s.client_timeouts = {seconds(2)};
+    s.tenants = {"one", "two"};
+    s.zones = {"x", "y"};
+    s.report_names = {"queue", "util"};
+    s.report = {&Report::queue, &Report::utilisation};
+    return s;
+}
+
+void request(const char* what, const std::string& target, Headers headers)
+{
+    Request r{"POST", target, "", 0, 0, {}, {}, "body"};
+    const auto bad = decode_request(setup(), std::move(headers), r);
+    if (bad) return (void)std::printf("%s: %d %s\n", what, bad->status, bad->why);
+    std::printf("%s: tenant %u, %.3f s; on it goes:\n%s\n", what, r.tenant, r.time_left.seconds(),
+                encode_request(r, "host:1", seconds(0.4567)).c_str());
+}
+
+// The same bytes whole and cut at every place must read the same.
+void answer(const char* what, const std::string& bytes, bool ends = false, size_t last_cut = 400)
+{
+    const auto s = setup();
+    const auto read = [&](size_t cut) {
+        ResponseReader reader(s);
+        auto state = reader.take(bytes.substr(0, cut));
+        if (state == ResponseReader::State::more && cut < bytes.size())
+            state = reader.take(bytes.substr(cut));
+        if (state == ResponseReader::State::more && ends) state = reader.end();
+        const Response& r = reader.response();
+        std::string text = state == ResponseReader::State::malformed ? "malformed"
+                           : state == ResponseReader::State::more    ? "not whole"
+                                                                     : "whole";
+        if (state == ResponseReader::State::whole) {
+            text += " " + std::to_string(r.status) + (r.declined ? " declined" : "") + " '" +
+                    (r.body.size() > 40 ? std::to_string(r.body.size()) + " bytes" : r.body) + "'" +
+                    (reader.keeps_connection() ? "" : ", connection over");
+            if (r.report.queue) text += ", queue " + std::to_string(*r.report.queue);
+            for (const auto& [name, value] : r.passed_on) text += ", " + name;
+        }
+        return text;
+    };
+    const auto whole = read(bytes.size());
+    bool alike = true;
+    for (size_t cut = 0; cut < std::min(bytes.size(), last_cut); ++cut) alike = alike && read(cut) == whole;
+    std::printf("%s: %s%s\n", what, whole.c_str(), alike ? "" : " (but not in pieces)");
+}
+
+void config(const char* what, const std::string& text)
+{
+    try {
+        const auto c = decode_config(text);
+        std::printf("%s: well-formed, %s, %zu operations\n", what, c.name.c_str(), c.setup.operations.size());
+    } catch (const BadConfig& bad) {
+        std::printf("%s: %s\n", what, bad.what());
+    }
+}
+
+void list(const char* what, const std::string& text)
+{
+    const auto l = decode_list(setup(), text, Point{-1'000'000});
+    if (!l) return (void)std::printf("%s: no list\n", what);
+    std::printf("%s: version %llu, %s\n", what, static_cast<unsigned long long>(l->version),
+                l->told.all ? "all" : "changes");
+    for (const auto& e : l->told.entries)
+        std::printf("  %s %s presence %d zone %u cell %u started %.3f\n", e.uid.c_str(), e.endpoint.c_str(),
+                    static_cast<int>(e.presence), e.zone, e.cell,
+                    e.started ? static_cast<double>(e.started->us) * 1e-6 : -1);
+}
+
+}  // namespace
+
+int main()
+{
+    const std::pair<std::string, std::string> id{"req-id", "1"};
+    request("plain", "/op/a?b=c", {id, {"Req-Deadline-Ms", "480"}, {"X", "y"}, {"Connection", "close"}});
+    request("a tenant, no deadline", "/op", {id, {"Req-Owner", "two"}});
+    request("a longer deadline than the operation's", "/op", {id, {"Req-Deadline-Ms", "99999"}});
+    request("unknown operation", "/other/op", {id});
+    request("no id", "/op", {});
+    request("no target", "op", {id});
+    request("a target with a space", "/op/a b", {id});
+    request("unreadable deadline", "/op", {id, {"Req-Deadline-Ms", "12x"}});
+    request("negative deadline", "/op", {id, {"Req-Deadline-Ms", "-1"}});
+    request("a stray carriage return", "/op", {id, {"X", "a\rReq-Id: 2"}});
+
+    const std::string ok = "HTTP/1.1 200 OK\r\n", length = "Content-Length: 4\r\n\r\nbody";
+    answer("plain", ok + "Srv-Load: queue=2,util=0.5,other=1\r\nX-A: b\r\n" + length);
+    answer("a report that cannot be read", ok + "Srv-Load: queue=nan,=,util\r\n" + length);
+    answer("declined", "HTTP/1.1 503 no\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
+    answer("closing", ok + "Connection: close\r\n" + length);
+    answer("old", "HTTP/1.0 200 OK\r\n" + length);
+    answer("lines without carriage returns", "HTTP/1.1 200 OK\nContent-Length: 1\n\nx");
+    answer("in chunks", ok + "Transfer-Encoding: chunked\r\n\r\n3;e=1\r\nabc\r\n1\r\nd\r\n0\r\nT: x\r\n\r\n");
+    answer("an interim answer first", "HTTP/1.1 100 Continue\r\n\r\n" + ok + length);
+    answer("cut short", ok + "Content-Length: 9\r\n\r\nbody", true);
+    answer("chunks cut short", ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", true);
+    answer("until its announced end", ok + "Connection: close\r\n\r\nbody", true);
+    answer("no length and no end announced", ok + "\r\nbody", true);
+    answer("two lengths", ok + "Content-Length: 5\r\n" + length);
+    answer("a negative length", ok + "Content-Length: -4\r\n\r\nbody");
+    answer("64 KiB", ok + "Content-Length: 65536\r\n\r\n" + std::string(65536, 'x'));
+    answer("more", ok + "Content-Length: 65537\r\n\r\n" + std::string(65537, 'x'));
+    answer("chunks of more", ok + "Transfer-Encoding: chunked\r\n\r\nffff\r\n" + std::string(65535, 'x') +
+                                 "\r\n2\r\nxx\r\n0\r\n\r\n");
+    answer("a head without end", ok + std::string(20000, 'x'));
+    answer("more bytes than the answer", ok + length + "rest", false, 20);
+    answer("no HTTP", "hello\r\n\r\n");
+    answer("a header without colon", ok + "hello\r\n\r\n");
+
+    const std::string head = R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff")";
+    const std::string op = R"({"name":"op","repeat":"free"})";
+    config("configuration", head + R"(,"name":"n1","settings":{"operations":[)" + op + "]}}");
+    config("no JSON", "{");
+    config("no settings", head + "}");
+    config("no operations", head + R"(,"settings":{}})");
+    config("a bad choice", head + R"(,"settings":{"operations":[{"name":"op","repeat":"maybe"}]}})");
+    config("a bad number", head + R"(,"settings":{"contract":{"cold_us":"x"},"operations":[)" + op + "]}}");
+    config("a bad address", R"({"listen":"here","discovery":"127.0.0.1:2","seed":"ff","settings":{}})");
+    config("a bad seed", R"({"listen":"a:1","discovery":"a:2","seed":"xyz","settings":{}})");
+    config("a bad limit", head + R"(,"limits":{"sockets":3},"settings":{}})");
+    std::printf(
+        "flat and nested settings say the same: %s\n",
+        [] {
+            const auto flat =
+                decode_settings(split_lines("operations.count=1\noperations.0.name=op\noperations.0.repeat="
+                                            "guarded\noperations.0.group=zone\n"
+                                            "contract.cold_share=0.25\ntelemetry.fields=depth,tps\npolicy_"
+                                            "limits.cancel=true\ndcs=x,y\ntier=1"));
+            const auto nested =
+                decode_config(
+                    R"({"listen":"a:1","discovery":"a:2","seed":"1","settings":{"dcs":["x","y"],"tier":1,
+                "operations":[{"name":"op","repeat":"guarded","group":"zone"}],"contract":{"cold_share":0.25},
+                "telemetry":{"fields":["depth","tps"]},"policy_limits":{"cancel":true}}})")
+                    .setup;
+            const auto &a = flat.settings, &b = nested.settings;
+            return flat.operations == nested.operations && flat.zones == nested.zones &&
+                   flat.report == nested.report && flat.report_names == nested.report_names &&
+                   a.cold_share == b.cold_share && a.tier == b.tier &&
+                   a.operations[0].repeat == b.operations[0].repeat && a.may_cancel && b.may_cancel &&
+                   a.operations[0].group == Group::zone && b.operations[0].group == Group::zone &&
+                   a.tier == 1;
+        }()
+            ? "yes"
+            : "no");
+
+    list("list", R"({"rev":7,"all":true,"targets":[{"uid":"a","endpoint":"1.2.3.4:5","az":"y","pod_group":3,
+        "state":"ready","boot_ms":2500},{"uid":"b","endpoint":"e","az":"?","state":"draining","boot_ms":0}]})");
+    list("changes", R"({"rev":8,"all":false,"targets":[{"uid":"a","state":"gone"}]})");
+    list("an unknown state", R"({"rev":8,"all":false,"targets":[{"uid":"a","state":"odd"}]})");
+    list("no targets", R"({"rev":8})");
+    list("no JSON", "rev 8");
+}
--- /dev/null
+++ b/tests/reducer.cpp
@@ -0,0 +1,146 @@
+// What the reducer asks for, event by event: no sockets.
+#include "src/net/reducer.h"
+
+#include "trace.h"
+
+using namespace firtide;
+using namespace firtide::net;
+
+namespace
+{
+
+Setup setup(Repeat repeat)
+{
+    Setup s;
+    s.settings = Stage::settings(Stage::op(repeat));
+    s.operations = {"op"};
+    s.client_timeouts = {seconds(2)};
+    s.report_names = {"q"};
+    s.report = {&Report::queue};
+    return s;
+}
+
+class Play
+{
+  public:
+    Play(const char* what, Repeat repeat, bool probes = false) : setup_(setup(repeat))
+    {
+        std::printf("-- %s\n", what);
+        setup_.settings.may_probe = setup_.settings.reports_by_probe = probes;
+        reducer = std::make_unique<Reducer>(setup_, 1);
+        tell(Started{});
+        list(true, {{"a", "1.1.1.1:1", Presence::ready, 0, 0, 1, {}}});
+    }
+    void list(bool all, std::vector<Entry> entries) { tell(ListTold{all, std::move(entries)}); }
+    void arrive(CallerId caller = 1)
+    {
+        tell(Arrived{caller, {"POST", "/op/x?y", "id", 0, 0, seconds(2), {{"Req-Id", "id"}}, "body"}});
+    }
+    void answered(int status, bool declined = false, Report report = {})
+    {
+        tell(Answered{last, {status, declined, report, {}, "an answer"}});
+    }
+    void failed(Progress progress, Cause cause) { tell(Failed{last, {progress, cause}}); }
+    void tell(Event event)
+    {
+        now = now + seconds(0.01);
+        for (const Effect& e : reducer->reduce(now, std::move(event))) {
+            if (const auto* a = std::get_if<Answer>(&e))
+                std::printf("answer caller %llu: %d%s%s\n", static_cast<unsigned long long>(a->caller),
+                            a->response.status, a->response.passed_on.empty() ? "" : ", come back later",
+                            a->last_on_connection ? ", the last on its connection" : "");
+            if (const auto* d = std::get_if<Dial>(&e)) {
+                std::printf("dial %s for attempt %llu within %.2f s\n", d->endpoint.c_str(),
+                            static_cast<unsigned long long>(last = d->attempt), d->limit.seconds());
+            }
+            if (const auto* w = std::get_if<Write>(&e))
+                std::printf("write %s\n", first_line(w->bytes).c_str());
+            if (std::get_if<HangUp>(&e)) std::printf("hang up\n");
+            if (const auto* c = std::get_if<CloseIdle>(&e))
+                std::printf("close idle connections of u%u\n", c->tgt);
+            if (const auto* w = std::get_if<Wake>(&e)) woken_ = w->name;
+        }
+    }
+    void wake() { tell(Woken{woken_}); }
+    void connected() { tell(Connected{last}); }
+    static Entry b(Presence p = Presence::ready) { return {"b", "2.2.2.2:2", p, 0, 0, 1, {}}; }
+    static Entry a(Presence p, const char* endpoint = "1.1.1.1:1") { return {"a", endpoint, p, 0, 0, 1, {}}; }
+
+    std::unique_ptr<Reducer> reducer;
+    Point now{1'000'000'000};
+    AttemptId last = 0;
+
+  private:
+    Setup setup_;
+    uint64_t woken_ = 0;
+};
+
+}  // namespace
+
+int main()
+{
+    {
+        Play p("served; a late word of the same attempt is nothing", Repeat::idempotent);
+        p.arrive(), p.connected(), p.answered(200), p.answered(200),
+            p.failed(Progress::written, Cause::broken);
+    }
+    for (const bool safe : {true, false}) {
+        const auto repeat = safe ? Repeat::idempotent : Repeat::non_idempotent;
+        const std::string of = safe ? ", idempotent" : ", non-idempotent";
+        const auto play = [&](const char* what, auto how) {
+            Play p((what + of).c_str(), repeat);
+            p.arrive(), p.connected(), how(p);
+        };
+        play("a bare 503 proves nothing", [](Play& p) { p.answered(503); });
+        play("declined: it never ran", [](Play& p) { p.answered(503, true); });
+        play("a 500 may have run", [](Play& p) { p.answered(500); });
+        play("broken after the last byte", [](Play& p) { p.failed(Progress::written, Cause::broken); });
+        play("broken within the answer", [](Play& p) { p.failed(Progress::answering, Cause::broken); });
+        play("an unreadable answer", [](Play& p) { p.failed(Progress::answering, Cause::malformed); });
+        play("broken before the last byte",
+             [](Play& p) { p.failed(Progress::partly_written, Cause::broken); });
+        play("time is up before the last byte",
+             [](Play& p) { p.failed(Progress::partly_written, Cause::no_answer_in_time); });
+        play("time is up after it", [](Play& p) { p.failed(Progress::written, Cause::no_answer_in_time); });
+        play("no descriptor left", [](Play& p) { p.failed(Progress::not_connected, Cause::no_descriptor); });
+    }
+    {
+        Play p("drained while the connection was being made: not a byte goes out", Repeat::non_idempotent);
+        p.arrive(), p.list(false, {Play::a(Presence::draining), Play::b()}), p.connected(), p.connected();
+    }
+    {
+        Play p("a whole list without it: the same", Repeat::non_idempotent);
+        p.arrive(), p.list(true, {Play::b()}), p.connected();
+    }
+    {
+        Play p("moved while the connection was being made", Repeat::non_idempotent);
+        p.arrive(), p.list(false, {Play::a(Presence::ready, "3.3.3.3:3")}), p.connected(), p.connected();
+    }
+    {
+        Play p("the caller leaves while the connection is being made", Repeat::idempotent);
+        p.arrive(), p.tell(CallerLeft{1}), p.connected(), p.tell(CallerLeft{1});
+        std::printf("%zu in flight\n", p.reducer->in_flight());
+    }
+    {
+        Play p("the caller leaves, and the answer comes all the same", Repeat::non_idempotent);
+        p.arrive(), p.connected(), p.tell(CallerLeft{1}), p.answered(200);
+        std::printf("%zu in flight\n", p.reducer->in_flight());
+    }
+    {
+        Play p("time is up before the connection is there", Repeat::non_idempotent);
+        p.arrive(), p.now = p.now + seconds(3), p.connected();
+    }
+    {
+        Play p("stopping", Repeat::idempotent);
+        p.arrive(), p.connected(), p.tell(Stopping{}), p.answered(200), p.arrive(2);
+        std::printf("%s\n", p.reducer->ready() ? "ready" : "not ready");
+    }
+    {
+        Play p("probes of what is in use", Repeat::idempotent, true);
+        p.arrive(), p.connected(), p.answered(200), p.wake(), p.connected(), p.answered(200);
+    }
+    {
+        Play p("no upstream at all", Repeat::idempotent);
+        p.list(true, {}), p.arrive();
+    }
+}
--- /dev/null
+++ b/tests/sockets.cpp
@@ -0,0 +1,353 @@
+// The service on loopback, between stand-ins for callers, an upstream and discovery.
+#include <sys/resource.h>
+#include <sys/wait.h>
+
+#include <mutex>
+
+#include "trace.h"
+
+using namespace firtide;
+
+namespace
+{
+
+const std::string ok = "HTTP/1.1 200 OK";
+
+// What the upstream does with a request, by the last part of its path.
+std::function<void(Wire&, const std::string&)> upstream_does;
+std::atomic<int> asked{0}, ended{0};
+
+void serve_upstream(Wire& wire)
+{
+    for (std::string request; wire.open() && !(request = wire.message()).empty();) {
+        ++asked;
+        upstream_does(wire, request);
+    }
+    ++ended;
+}
+
+std::mutex list_lock;
+std::string list_now;
+std::atomic<int> version{1}, watches{0};
+std::atomic<bool> silent{false};
+
+void serve_discovery(Wire& wire)
+{
+    for (std::string request; wire.open() && !(request = wire.message()).empty();) {
+        const auto after = request.find("after=");
+        ++watches;
+        if (after != std::string::npos)
+            for (int i = 0; i < 20 && std::stoi(request.substr(after + 6)) >= version; ++i)
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        if (silent) return (void)wire.ended(10000);
+        const std::lock_guard hold(list_lock);
+        wire.send(http(ok, list_now));
+    }
+}
+
+std::string target(const char* uid, const std::string& endpoint, const char* state)
+{
+    return std::string(R"({"uid":")") + uid + R"(","endpoint":")" + endpoint + R"(","state":")" + state +
+           "\"}";
+}
+
+void list_is(const std::string& targets)
+{
+    const std::lock_guard hold(list_lock);
+    list_now = "{\"rev\":" + std::to_string(++version) + R"(,"all":true,"targets":[)" + targets + "]}";
+}
+
+uint16_t free_port()
+{
+    return StandIn([](Wire&) {}).port;
+}
+
+std::string program;
+
+// The program in a process of its own, until SIGTERM.
+struct Running {
+    explicit Running(const std::string& discovery, const std::string& sockets = "1024") : port(free_port())
+    {
+        char path[] = "/tmp/firtide-test-XXXXXX";
+        const int fd = mkstemp(path);
+        const auto config = R"({"listen":"127.0.0.1:)" + std::to_string(port) + R"(","discovery":")" +
+                            discovery + R"(","seed":"1","limits":{"sockets":)" + sockets +
+                            R"(},"settings":{"operations":[
+            {"name":"safe","repeat":"free","client_timeout_us":1000000},
+            {"name":"once","repeat":"single_shot","client_timeout_us":1000000}],
+            "policy_limits":{"max_forwards":3,"cancel":true,"conn_idle_us":400000,"connect_timeout_us":100000}}})";
+        (void)!write(fd, config.data(), config.size());
+        close(fd);
+        if ((process = fork()) == 0) {
+            execl(program.c_str(), program.c_str(), "serve", "--log-level", "error", path, nullptr);
+            _exit(127);
+        }
+        for (int i = 0; i < 200 && first_line(Wire(port).ask("GET /-/ready HTTP/1.1\r\n\r\n")) != ok; ++i)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        unlink(path);
+    }
+    ~Running()
+    {
+        if (process) stop();
+    }
+    // Its exit status, and what it has used of the processor in seconds.
+    std::pair<int, double> stop()
+    {
+        int status = 0;
+        rusage used{};
+        kill(process, SIGTERM);
+        wait4(std::exchange(process, 0), &status, 0, &used);
+        const auto s = [](timeval t) {
+            return static_cast<double>(t.tv_sec) + 1e-6 * static_cast<double>(t.tv_usec);
+        };
+        return {status, s(used.ru_utime) + s(used.ru_stime)};
+    }
+    uint16_t port;
+    pid_t process = 0;
+};
+
+void pause(int ms)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+std::string get(const std::string& path)
+{
+    return "GET /safe/" + path + " HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\n\r\n";
+}
+
+std::string post(const std::string& path, const std::string& body = "b")
+{
+    return http("POST /once/" + path + " HTTP/1.1", body, "Host: a\r\nReq-Id: 1\r\nReq-Deadline-Ms: 600\r\n");
+}
+
+bool until(const std::function<bool()>& so, int ms = 2000)
+{
+    for (; ms > 0 && !so(); ms -= 5) pause(5);
+    return so();
+}
+
+void tell(const char* what, const std::string& answer)
+{
+    const auto body = answer.find("\r\n\r\n");
+    const auto text = body == std::string::npos ? "" : answer.substr(body + 4);
+    std::printf("%s: %s, %s\n", what, first_line(answer).c_str(),
+                text.size() > 80 ? (std::to_string(text.size()) + " bytes").c_str() : text.c_str());
+}
+
+void outcomes(Running& firtide, const StandIn& upstream)
+{
+    const std::pair<const char*, std::function<void(Wire&, const std::string&)>> ways[] = {
+        {"answers", [](Wire& w, auto&) { w.send(http(ok, "well")); }},
+        {"answers in chunks",
+         [](Wire& w, auto&) { w.send(ok + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwell\r\n0\r\n\r\n"); }},
+        {"answers and closes",
+         [](Wire& w, auto&) { w.send(http(ok, "well", "Connection: close\r\n")), w.close(); }},
+        {"answers 500", [](Wire& w, auto&) { w.send(http("HTTP/1.1 500 no")); }},
+        {"answers 503", [](Wire& w, auto&) { w.send(http("HTTP/1.1 503 no")); }},
+        {"declines", [](Wire& w, auto&) { w.send(http("HTTP/1.1 503 no", "", "Srv-Declined: 1\r\n")); }},
+        {"closes without an answer", [](Wire& w, auto&) { w.close(); }},
+        {"resets", [](Wire& w, auto&) { w.reset(); }},
+        {"answers half", [](Wire& w, auto&) { w.send(ok + "\r\nContent-Length: 9\r\n\r\nhalf"), w.close(); }},
+        {"answers nonsense", [](Wire& w, auto&) { w.send("nonsense\r\n\r\n"); }},
+        {"is silent", [](Wire& w, auto&) { w.ended(1500), w.close(); }},
+    };
+    for (const auto& [what, way] : ways) {
+        upstream_does = way;
+        list_is(target(what, upstream.endpoint(), "ready"));  // one that nothing is known of
+        pause(50);
+        asked = 0;
+        Wire caller(firtide.port);
+        std::printf("upstream %s: ", what);
+        const auto once = first_line(caller.ask(post("x")));
+        const int forwards = asked.exchange(0);
+        const auto safe = first_line(caller.ask(get("x")));
+        std::printf("once %s after %d, safe %s after %d\n", once.c_str(), forwards, safe.c_str(),
+                    asked.load());
+    }
+}
+
+void callers(Running& firtide)
+{
+    upstream_does = [](Wire& w, const std::string& request) {
+        const auto deadline = request.find("Req-Deadline-Ms: ") + 17;
+        const int ms = std::stoi(request.substr(deadline));
+        w.send(http(ok, request.substr(0, request.find('\r')) +
+                            (ms > 550 && ms <= 600 ? ", in time" : ", " + std::to_string(ms) + " ms") + ", " +
+                            std::to_string(request.size() - request.find("\r\n\r\n") - 4) + " bytes"));
+    };
+    Wire caller(firtide.port);
+    tell("plain", caller.ask(post("a/b?c=d%20e")));
+    tell("64 KiB", caller.ask(post("x", std::string(65536, 'x'))));
+    tell("chunked", caller.ask("POST /once/x HTTP/1.1\r\nReq-Id: 1\r\nReq-Deadline-Ms: 600\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"));
+    caller.send(post("first") + post("second"));
+    tell("two at once", caller.message());
+    tell("and the second", caller.message());
+    const auto whole = post("slow");
+    caller.send(whole.substr(0, 30)), pause(30), caller.send(whole.substr(30, whole.size() - 31)), pause(30);
+    caller.send(whole.substr(whole.size() - 1));
+    tell("in pieces", caller.message());
+    tell("too much", Wire(firtide.port).ask(post("x", std::string(70000, 'x'))));
+    const std::pair<const char*, std::string> bad[] = {
+        {"no HTTP", "hello\r\n\r\n"},
+        {"bytes", std::string("\0\xff\x80\r\n\r\n", 7)},
+        {"no id", "GET /safe HTTP/1.1\r\n\r\n"},
+        {"unknown operation", "GET /other HTTP/1.1\r\nReq-Id: 1\r\n\r\n"},
+        {"unknown method", "BREW /safe HTTP/1.1\r\nReq-Id: 1\r\n\r\n"},
+        {"bad length", "POST /once HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: x\r\n\r\n"},
+        {"negative length", "POST /once HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: -5\r\n\r\n"},
+        {"bad chunk", "POST /once HTTP/1.1\r\nReq-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"},
+        {"bad header", "GET /safe HTTP/1.1\r\nReq-Id 1\r\n\r\n"},
+        {"endless head", "GET /safe HTTP/1.1\r\nX: " + std::string(40000, 'x')},
+        {"bad deadline", "GET /safe HTTP/1.1\r\nReq-Id: 1\r\nReq-Deadline-Ms: soon\r\n\r\n"},
+    };
+    for (const auto& [what, text] : bad)
+        std::printf("%s: %s\n", what, first_line(Wire(firtide.port).ask(text)).c_str());
+    tell("and after all that", Wire(firtide.port).ask(post("x")));
+}
+
+void leaving(Running& firtide)
+{
+    upstream_does = [](Wire& w, auto&) { w.ended(1500), w.close(); };
+    for (const bool by_reset : {false, true}) {
+        pause(50);
+        ended = asked = 0;
+        Wire caller(firtide.port);
+        caller.send(get("x"));
+        until([] { return asked == 1; });
+        by_reset ? caller.reset() : caller.close();
+        std::printf("a caller leaves%s: its forward is %s\n", by_reset ? " by a reset" : "",
+                    until([] { return ended == 1; }, 300) ? "ended" : "still out");
+    }
+}
+
+void idle(Running& firtide)
+{
+    upstream_does = [](Wire& w, auto&) { w.send(http(ok)); };
+    Wire(firtide.port).ask(get("x"));
+    ended = 0;
+    int stood = 0;
+    for (; ended == 0 && stood < 2000; stood += 10) pause(10);
+    std::printf("an idle connection is closed %s\n", stood > 200 && stood < 380
+                                                         ? "clearly before the upstream would"
+                                                         : std::to_string(stood).c_str());
+}
+
+void listed(Running& firtide, const StandIn& upstream)
+{
+    upstream_does = [](Wire& w, auto&) { w.send(http(ok)); };
+    StandIn other([](Wire& w) {
+        while (!w.message().empty()) w.send(http(ok, "the other"));
+    });
+    const auto answers = [&] {
+        const auto a = Wire(firtide.port).ask(get("x"));
+        return a.find("the other") != std::string::npos ? "the other"
+               : first_line(a) == ok                    ? "the first"
+                                                        : "nobody";
+    };
+    const auto after = [&](const char* what, const std::string& targets) {
+        list_is(targets);
+        pause(100);
+        std::printf("%s: %s answers\n", what, answers());
+    };
+    after("it drains", target("u", upstream.endpoint(), "draining"));
+    after("it is ready again", target("u", upstream.endpoint(), "ready"));
+    after("it moves", target("u", other.endpoint(), "ready"));
+    after("it is gone", target("u", other.endpoint(), "gone"));
+    after("a list without it", "");
+    silent = true;
+    list_is(target("u", upstream.endpoint(), "ready"));
+    pause(300);
+    std::printf("discovery falls silent: %s answers\n", answers());
+    silent = false;
+    until([&] { return firtide.port && std::string(answers()) == "the first"; }, 5000);
+    std::printf("and is back: %s answers\n", answers());
+    const int before = watches;
+    pause(500);
+    std::printf("a quiet watch is called again %s\n", watches - before <= 4 ? "as it ends" : "all the time");
+}
+
+void stopping(const std::string& discovery)
+{
+    Running firtide(discovery);
+    upstream_does = [](Wire& w, auto&) { pause(700), w.send(http(ok, "late")); };
+    Wire busy(firtide.port), resting(firtide.port);
+    busy.send(get("x"));
+    resting.ask("GET /-/ready HTTP/1.1\r\n\r\n");
+    until([] { return asked > 0; });
+    std::thread stop([&] { std::printf("exit status %d\n", firtide.stop().first); });
+    pause(300);
+    Wire late(firtide.port);
+    std::printf("0.3 s after SIGTERM: %s", first_line(late.ask("GET /-/ready HTTP/1.1\r\n\r\n")).c_str());
+    std::printf("%s", late.ended() ? ", its connection is closed\n" : "\n");
+    Wire last(firtide.port);
+    last.send(get("x"));
+    const auto answer = busy.message();
+    std::printf("what was in flight: %s%s\n", first_line(answer).c_str(),
+                answer.find("Connection: close") != std::string::npos ? ", the last on its connection" : "");
+    std::printf("an idle connection is %s\n", resting.ended() ? "closed" : "still open");
+    std::printf("what came after SIGTERM: %s\n", first_line(last.message()).c_str());
+    stop.join();
+    std::printf("a new caller %s\n", Wire(firtide.port).open() ? "still gets in" : "is not let in any more");
+}
+
+void crowd(const std::string& discovery)
+{
+    Running firtide(discovery, "64");
+    upstream_does = [](Wire& w, auto&) { pause(100), w.send(http(ok)); };
+    std::vector<Wire> all;
+    for (int i = 0; i < 150; ++i) {
+        all.emplace_back(firtide.port);
+        all.back().send("GET /safe/x HTTP/1.1\r\nReq-Id: 1\r\n\r\n");
+    }
+    int served = 0, throttled = 0, other = 0;
+    for (auto& w : all) {
+        const auto line = first_line(w.message());
+        ++(line == ok ? served : line.find(" 503 ") != std::string::npos ? throttled : other);
+    }
+    std::printf("150 callers and 64 descriptors: all answered, some by throttling: %s\n",
+                served > 0 && other == 0 ? "yes"
+                                         : (std::to_string(served) + " served, " + std::to_string(throttled) +
+                                            " throttled, " + std::to_string(other) + " not answered")
+                                               .c_str());
+    std::printf("without spinning: %s\n", firtide.stop().second < 0.3 ? "yes" : "no");
+}
+
+}  // namespace
+
+int main(int, char** argv)
+{
+    program = argv[1];
+    signal(SIGPIPE, SIG_IGN);
+    StandIn upstream(serve_upstream), discovery(serve_discovery);
+    list_is(target("u", upstream.endpoint(), "ready"));
+    const auto play = [&](const char* what, auto&& part) {
+        std::printf("-- %s\n", what);
+        std::fflush(stdout);
+        part();
+    };
+    play("outcomes", [&] {
+        Running f(discovery.endpoint());
+        outcomes(f, upstream);
+    });
+    list_is(target("u", upstream.endpoint(), "ready"));
+    play("callers", [&] {
+        Running f(discovery.endpoint());
+        callers(f);
+    });
+    play("leaving", [&] {
+        Running f(discovery.endpoint());
+        leaving(f);
+    });
+    play("idle", [&] {
+        Running f(discovery.endpoint());
+        idle(f);
+    });
+    play("the list", [&] {
+        Running f(discovery.endpoint());
+        listed(f, upstream);
+    });
+    play("stopping", [&] { stopping(discovery.endpoint()); });
+    play("a crowd", [&] { crowd(discovery.endpoint()); });
+}
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -1,9 +1,22 @@
-// The one file of helpers: a stage that plays a host to the module and prints what it decides, line by line.
+// The one file of helpers: a stage that plays a host to the module and prints what it decides, line by line;
+// and stand-ins on loopback for the callers, upstreams and discovery of the service.
 #pragma once
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
 #include <cstdio>
+#include <functional>
 #include <map>
 #include <string>
+#include <thread>
+#include <utility>
+#include <vector>
 
 #include "src/balance.h"
 
@@ -127,4 +140,128 @@
     std::map<uint64_t, Point> timers;
 };
 
+// A connection with blocking reads that never wait for longer than two seconds.
+class Wire
+{
+  public:
+    explicit Wire(int fd) : fd_(fd) {}
+    explicit Wire(uint16_t port) : fd_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const auto at = address(port);
+        if (connect(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) close();
+    }
+    Wire(Wire&& other) : fd_(std::exchange(other.fd_, -1)), text_(std::move(other.text_)) {}
+    ~Wire() { close(); }
+
+    static sockaddr_in address(uint16_t port)
+    {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_port = htons(port);
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return at;
+    }
+    bool open() const { return fd_ >= 0; }
+    void close()
+    {
+        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+    }
+    void reset()
+    {
+        const linger none{1, 0};
+        setsockopt(fd_, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+        close();
+    }
+    void send(const std::string& bytes) const
+    {
+        (void)!::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    bool more(int ms = 2000)
+    {
+        pollfd at{fd_, POLLIN, 0};
+        char bytes[16384];
+        if (!open() || poll(&at, 1, ms) <= 0) return false;
+        const auto n = recv(fd_, bytes, sizeof bytes, 0);
+        if (n > 0) text_.append(bytes, static_cast<size_t>(n));
+        ended_ = n <= 0;
+        return n > 0;
+    }
+    bool ended(int ms = 2000) { return !more(ms) && ended_; }
+    // One message with Content-Length or without a body; empty where none comes whole.
+    std::string message()
+    {
+        for (;;) {
+            const auto head = text_.find("\r\n\r\n");
+            if (head != std::string::npos) {
+                const auto at = text_.find("Content-Length: ");
+                const auto body = at < head ? std::stoul(text_.substr(at + 16)) : 0;
+                if (text_.size() >= head + 4 + body) {
+                    const auto whole = text_.substr(0, head + 4 + body);
+                    text_.erase(0, whole.size());
+                    return whole;
+                }
+            }
+            if (!more()) return {};
+        }
+    }
+    std::string ask(const std::string& bytes)
+    {
+        send(bytes);
+        return message();
+    }
+
+  private:
+    int fd_;
+    std::string text_;
+    bool ended_ = false;
+};
+
+// A stand-in: listens on loopback and handles each connection in a thread of its own.
+class StandIn
+{
+  public:
+    explicit StandIn(std::function<void(Wire&)> serve) : serve_(std::move(serve))
+    {
+        fd_ = socket(AF_INET, SOCK_STREAM, 0);
+        auto at = Wire::address(0);
+        bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at);
+        socklen_t size = sizeof at;
+        getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+        port = ntohs(at.sin_port);
+        listen(fd_, 64);
+        accepting_ = std::thread([this] {
+            for (int fd; (fd = accept(fd_, nullptr, nullptr)) >= 0;)
+                serving_.emplace_back([this, fd] {
+                    Wire wire(fd);
+                    serve_(wire);
+                });
+        });
+    }
+    ~StandIn()
+    {
+        shutdown(fd_, SHUT_RDWR);
+        accepting_.join();
+        ::close(fd_);
+        for (auto& t : serving_) t.join();
+    }
+    std::string endpoint() const { return "127.0.0.1:" + std::to_string(port); }
+    uint16_t port = 0;
+
+  private:
+    std::function<void(Wire&)> serve_;
+    int fd_;
+    std::thread accepting_;
+    std::vector<std::thread> serving_;
+};
+
+inline std::string http(const std::string& first, const std::string& body = "", const std::string& more = "")
+{
+    return first + "\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string first_line(const std::string& message)
+{
+    return message.empty() ? "(nothing)" : message.substr(0, message.find('\r'));
+}
+
 }  // namespace firtide
