Take the time a request waited unread off what is left for it

Seen: a process stopped for 0.3 s then told the upstream 599 of 600 ms; the caller would have given up long before. Callers::take read the header as counted from when the loop got to it. The kernel knows when the last byte came (TCP_INFO); that is taken off. Trace 'a stall' fails without it (599 ms). Tried and taken back: a look for an unseen end before an idle connection is used. The trace was the same without it, since what is handed to a stream leaves only after the loop has seen the end: the forward is proven not run. Also: the warning about descriptors comes once a second at most; upstreams that refuse or never come up in the trace.

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -7,6 +7,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <map>
 #include <mutex>
@@ -38,6 +39,16 @@
     }
 }
 
+// How long ago the last byte came. Guards against requests that waited unread while this program stood still:
+// their time counts from when their callers sent them.
+Span unread_for(int fd)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return {};
+    return Span{int64_t{info.tcpi_last_data_recv} * 1000};
+}
+
 }  // namespace
 
 // Lives from the first request on a connection until that ends.
@@ -165,6 +176,8 @@
     for (const auto* h = list->tqh_first; h; h = h->next.tqe_next) headers.emplace_back(h->key, h->value);
     if (const auto bad = decode_request(config_.setup, std::move(headers), taken))
         return reply(request, {bad->status, false, {}, {}, std::string(bad->why) + "\n"}, false);
+    taken.time_left = std::max(
+        Span{}, taken.time_left - unread_for(bufferevent_getfd(evhttp_connection_get_bufferevent(c.of))));
     auto* body = evhttp_request_get_input_buffer(request);
     taken.body.resize(evbuffer_get_length(body));
     evbuffer_remove(body, taken.body.data(), taken.body.size());
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -15,6 +15,7 @@
 constexpr Span accept_on = seconds(0.5);    // after SIGTERM: callers go on coming for a moment
 constexpr Span stay_on = seconds(0.2);      // and then for requests on the connections accepted last
 constexpr Span look_every = seconds(0.02);  // whether all is answered
+constexpr Span tell_every = seconds(1);     // of the same trouble in the log
 constexpr size_t kept_back = 32;            // descriptors for the loop, the log, discovery and the listener
 constexpr double part_of_upstreams = 0.4;   // of the others
 
@@ -70,12 +71,7 @@
       callers_(
           base_.get(), config_,
           static_cast<size_t>(static_cast<double>(descriptors_) * (1 - part_of_upstreams)),
-          [this] { return reducer_.ready(); },
-          [this] {
-              spdlog::warn("no descriptor left: {} callers, {} upstream connections open", callers_.open(),
-                           upstreams_.open());
-              if (upstreams_.close_oldest_idle(16) == 0) callers_.close_idle();
-          },
+          [this] { return reducer_.ready(); }, [this] { make_room(); },
           [this](Event e) { post(std::move(e)); })
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -89,6 +85,17 @@
 
 Service::~Service() = default;
 
+// No descriptor is left: what stands idle goes.
+void Service::make_room()
+{
+    if (const auto now = monotonic_now(); now - told_of_no_room_ > tell_every) {
+        told_of_no_room_ = now;
+        spdlog::warn("no descriptor left: {} callers, {} upstream connections open", callers_.open(),
+                     upstreams_.open());
+    }
+    if (upstreams_.close_oldest_idle(16) == 0) callers_.close_idle();
+}
+
 // Events that come while effects are carried out wait for their turn.
 void Service::post(Event event)
 {
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -23,6 +23,7 @@
   private:
     void post(Event event);
     void carry_out(Effect& effect);
+    void make_room();
     void stop();
     void stop_accepting();
     void leave_if_done();
@@ -39,6 +40,7 @@
     Callers callers_;
     std::deque<Event> events_;
     bool reducing_ = false, stopping_ = false;
+    Point told_of_no_room_;
     std::optional<Point> stopped_accepting_;
     std::vector<Timer> signals_;
     Timer stop_accepting_, look_;
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -38,7 +38,8 @@
     Point rests_since;
     ResponseReader reader;
 
-    // "Written" is what the kernel took.
+    // "Written" is what the kernel took. What is handed to the stream waits there until the loop has looked
+    // for ends once more: after a stall, a request that meets one is known not to have left.
     Progress progress() const
     {
         if (!connected) return Progress::not_connected;
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -167,6 +167,41 @@
     }
 }
 
+// Upstreams that refuse, or that nobody answers for: the queue of this socket is full.
+void unreachable(Running& firtide)
+{
+    const int full = socket(AF_INET, SOCK_STREAM, 0);
+    auto at = Wire::address(free_port());
+    const std::string port = std::to_string(ntohs(at.sin_port));
+    bind(full, reinterpret_cast<sockaddr*>(&at), sizeof at);
+    listen(full, 0);
+    Wire fills(ntohs(at.sin_port));
+    for (const auto& [what, where] :
+         {std::pair("refuses", std::to_string(free_port())), {"is not there", port}}) {
+        list_is(target(what, "127.0.0.1:" + where, "ready"));
+        pause(50);
+        std::printf("upstream %s: once %s\n", what, first_line(Wire(firtide.port).ask(post("x"))).c_str());
+    }
+    close(full);
+}
+
+// The program stands still for a while, as on a machine short of processors.
+void stalled(Running& firtide)
+{
+    upstream_does = [](Wire& w, const std::string& request) {
+        const int ms = std::stoi(request.substr(request.find("Req-Deadline-Ms: ") + 17));
+        w.send(http(ok, ms <= 330 ? "told how little time is left" : std::to_string(ms) + " ms"));
+        if (request.find("/closing") != std::string::npos) w.ended(100), w.close();
+    };
+    Wire caller(firtide.port);
+    caller.ask(post("closing"));
+    kill(firtide.process, SIGSTOP);
+    caller.send(post("x"));
+    pause(300);  // the upstream closes its end meanwhile
+    kill(firtide.process, SIGCONT);
+    tell("after standing still", caller.message());
+}
+
 void callers(Running& firtide)
 {
     upstream_does = [](Wire& w, const std::string& request) {
@@ -188,6 +223,10 @@
     caller.send(whole.substr(0, 30)), pause(30), caller.send(whole.substr(30, whole.size() - 31)), pause(30);
     caller.send(whole.substr(whole.size() - 1));
     tell("in pieces", caller.message());
+    const auto expecting =
+        http("POST /once/x HTTP/1.1", "b", "Req-Id: 1\r\nReq-Deadline-Ms: 600\r\nExpect: 100-continue\r\n");
+    std::printf("asks first: %s", first_line(caller.ask(expecting.substr(0, expecting.size() - 1))).c_str());
+    tell(", and then", caller.ask("b"));
     tell("too much", Wire(firtide.port).ask(post("x", std::string(70000, 'x'))));
     const std::pair<const char*, std::string> bad[] = {
         {"no HTTP", "hello\r\n\r\n"},
@@ -340,6 +379,15 @@
         Running f(discovery.endpoint());
         leaving(f);
     });
+    play("unreachable", [&] {
+        Running f(discovery.endpoint());
+        unreachable(f);
+    });
+    list_is(target("u", upstream.endpoint(), "ready"));
+    play("a stall", [&] {
+        Running f(discovery.endpoint());
+        stalled(f);
+    });
     play("idle", [&] {
         Running f(discovery.endpoint());
         idle(f);
