Refuse a second length; targets with a host; new connections must ask within 10 s

Seen with hand-written requests on loopback: two different Content-Length headers were taken (evhttp goes by one), an absolute target got 400, and a connection that never asked held its descriptor as long as a used one. After an unreadable request nothing more is read on its connection.

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -19,7 +19,8 @@
 namespace
 {
 
-constexpr Span idle_for = seconds(30);        // a connection that asks nothing or takes nothing is closed
+constexpr Span first_within = seconds(10);    // a new connection that asks nothing by then is closed
+constexpr Span idle_for = seconds(60);        // the same between requests, and for one that takes no answer
 constexpr Span listen_pause = seconds(0.02);  // where no descriptor is left
 
 // The listener's error callback is given evhttp's own argument, not ours: who listens is found here.
@@ -75,8 +76,8 @@
     evhttp_set_max_body_size(server_.get(), most_body);
     evhttp_set_default_content_type(server_.get(), nullptr);
     evhttp_set_allowed_methods(server_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST);
-    const auto idle = to_timeval(idle_for);
-    evhttp_set_timeout_tv(server_.get(), &idle);
+    const auto first = to_timeval(first_within);
+    evhttp_set_timeout_tv(server_.get(), &first);
     evhttp_set_gencb(
         server_.get(),
         [](evhttp_request* request, void* arg) {
@@ -149,6 +150,8 @@
     at->of = of;
     evhttp_connection_set_closecb(
         of, [](evhttp_connection* which, void* self) { static_cast<Callers*>(self)->closed(which); }, this);
+    const auto idle = to_timeval(idle_for);
+    evhttp_connection_set_timeout_tv(of, &idle);
     auto* stream = evhttp_connection_get_bufferevent(of);
     const int on = 1;
     setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -165,7 +168,7 @@
 {
     Connection& c = connection(evhttp_request_get_connection(request));
     Request taken;
-    taken.target = evhttp_request_get_uri(request);
+    taken.target = origin_form(evhttp_request_get_uri(request));
     taken.method = evhttp_request_get_command(request) == EVHTTP_REQ_POST ? "POST" : "GET";
     if (taken.target == "/-/ready") {
         const bool ready = ready_();
@@ -175,7 +178,9 @@
     const auto* list = evhttp_request_get_input_headers(request);
     for (const auto* h = list->tqh_first; h; h = h->next.tqe_next) headers.emplace_back(h->key, h->value);
     if (const auto bad = decode_request(config_.setup, std::move(headers), taken))
-        return reply(request, {bad->status, false, {}, {}, std::string(bad->why) + "\n"}, false);
+        // What could not be read may have been framed otherwise than it was taken: nothing more is read
+        // there.
+        return reply(request, {bad->status, false, {}, {}, std::string(bad->why) + "\n"}, bad->status == 400);
     taken.time_left = std::max(
         Span{}, taken.time_left - unread_for(bufferevent_getfd(evhttp_connection_get_bufferevent(c.of))));
     auto* body = evhttp_request_get_input_buffer(request);
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <utility>
 
 namespace firtide::net
 {
@@ -92,6 +93,14 @@
     return report;
 }
 
+std::string origin_form(std::string_view target)
+{
+    constexpr std::string_view scheme = "http://";
+    if (!same_name(target.substr(0, scheme.size()), scheme)) return std::string(target);
+    const auto path = target.find('/', scheme.size());
+    return path == std::string_view::npos ? "/" : std::string(target.substr(path));
+}
+
 std::optional<Unacceptable> decode_request(const Setup& setup, Headers headers, Request& into)
 {
     if (into.target.empty() || into.target.front() != '/' || !plain(into.target))
@@ -101,9 +110,13 @@
     if (!operation) return Unacceptable{404, "no such operation"};
     into.operation = *operation;
     into.time_left = setup.client_timeouts[*operation];
+    std::optional<std::string> length;
     for (auto& [name, value] : headers) {
         // Guards against a stray carriage return, which the next reader might take for the end of a line.
         if (!plain(name) || !printable(value)) return Unacceptable{400, "unreadable header"};
+        // Guards against a second length, which the next reader might go by.
+        if (same_name(name, "Content-Length") && std::exchange(length, value).value_or(value) != value)
+            return Unacceptable{400, "two lengths"};
         if (same_name(name, "Req-Id")) into.id = value;
         if (same_name(name, "Req-Owner")) into.tenant = place(setup.tenants, value).value_or(0);
         if (same_name(name, "Req-Deadline-Ms")) {
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -49,6 +49,7 @@
     Cause cause = Cause::broken;
 };
 
+std::string origin_form(std::string_view target);  // without scheme and host, where a target has them
 std::optional<Unacceptable> decode_request(const Setup& setup, Headers headers, Request& into);
 std::string encode_request(const Request& request, std::string_view host, Span wait);
 Report decode_report(const Setup& setup, std::string_view text);
