--- a/drill/instance.cpp
+++ b/drill/instance.cpp
@@ -31,7 +31,10 @@
 }  // namespace
 
 Instance::Instance(uint16_t name, uint64_t seed, std::string_view setup, Writer& out)
-    : name_(name), out_(out), setup_(decode_settings(split_lines(setup))), balancer_(setup_.settings, seed, *this)
+    : name_(name),
+      out_(out),
+      setup_(decode_settings(split_lines(setup))),
+      balancer_(setup_.settings, seed, *this)
 {
 }
 
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -108,7 +108,8 @@
         if (const auto* failed = std::get_if<Failed>(&next))
             spdlog::debug("attempt {} failed: progress {}, cause {}", failed->attempt,
                           static_cast<int>(failed->broken.progress), static_cast<int>(failed->broken.cause));
-        for (Effect& effect : reducer_.reduce(monotonic_now(), std::move(next))) carry_out(effect);
+        auto effects = reducer_.reduce(monotonic_now(), std::move(next));
+        for (Effect& effect : effects) carry_out(effect);
     }
     reducing_ = false;
 }
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -120,35 +120,33 @@
         },
         &*at);
     bufferevent_enable(at->stream.get(), EV_READ | EV_WRITE);
-    at->connecting_until.reset(evtimer_new(
-        base_,
-        [](evutil_socket_t, short, void* arg) {
-            auto* c = static_cast<Connection*>(arg);
-            c->owner->fail(c->self, Cause::no_answer_in_time);
-        },
-        &*at));
-    const auto wait = to_timeval(setup_.connect_timeout);
-    event_add(at->connecting_until.get(), &wait);
+    at->connecting_until = give_up_after(*at, setup_.connect_timeout);
     // A refusal that is known at once comes through the callback all the same.
     bufferevent_socket_connect(at->stream.get(), reinterpret_cast<sockaddr*>(&address), length);
     return at;
 }
 
+Timer Upstreams::give_up_after(Connection& c, Span wait)
+{
+    Timer timer(evtimer_new(
+        base_,
+        [](evutil_socket_t, short, void* arg) {
+            auto* late = static_cast<Connection*>(arg);
+            late->owner->fail(late->self, Cause::no_answer_in_time);
+        },
+        &c));
+    const auto after = to_timeval(wait);
+    event_add(timer.get(), &after);
+    return timer;
+}
+
 void Upstreams::serve(Place at, AttemptId attempt, Span limit)
 {
     at->attempt = attempt;
     at->asked = false;
     at->reader = ResponseReader(setup_);
     of_attempt_[attempt] = at;
-    at->waits_until.reset(evtimer_new(
-        base_,
-        [](evutil_socket_t, short, void* arg) {
-            auto* c = static_cast<Connection*>(arg);
-            c->owner->fail(c->self, Cause::no_answer_in_time);
-        },
-        &*at));
-    const auto wait = to_timeval(limit);
-    event_add(at->waits_until.get(), &wait);
+    at->waits_until = give_up_after(*at, limit);
 }
 
 void Upstreams::write(const Write& write)
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -31,6 +31,7 @@
     using Place = std::list<Connection>::iterator;
 
     Place connect(Tgt tgt, const std::string& endpoint);
+    Timer give_up_after(Connection& c, Span wait);
     void serve(Place at, AttemptId attempt, Span limit);
     void rest(Place at);
     void fail(Place at, Cause cause);
