--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <CLI/CLI.hpp>
 #include <cstdio>
 
+#include "src/net/discovery.h"
 #include "src/net/log.h"
 #include "src/net/service.h"
 
@@ -25,7 +26,10 @@
     try {
         if (version->parsed()) return std::puts("firtide " FIRTIDE_VERSION) < 0;
         auto config = firtide::net::read_config(path);
-        if (check->parsed()) return std::puts("the configuration is well-formed") < 0;
+        if (check->parsed()) {
+            firtide::net::check_known(config);
+            return std::puts("the configuration is well-formed") < 0;
+        }
         if (!firtide::net::start_log(config.name, level))
             throw std::runtime_error("--log-level: no such level");
         firtide::net::Service(std::move(config)).run();
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -69,6 +69,12 @@
     return list;
 }
 
+void check_known(const Config& config)
+{
+    if (!config.known.empty() && !decode_list(config.setup, config.known, Point{}))
+        throw BadConfig("known: is no list of upstreams, or one of its targets has no uid");
+}
+
 Discovery::Discovery(event_base* base, const Config& config, Point epoch, std::function<void(Event)> tell)
     : base_(base), config_(config), epoch_(epoch), tell_(std::move(tell)), pause_(first_pause)
 {
@@ -118,8 +124,8 @@
 
 void Discovery::came(evhttp_request* request)
 {
-    if (!request || evhttp_request_get_response_code(request) != 200)
-        return failed(request ? "no list in the answer" : "no answer");
+    const int status = request ? evhttp_request_get_response_code(request) : 0;
+    if (status != 200) return failed(status == 0 ? "no answer" : "an answer without a list");
     auto* body = evhttp_request_get_input_buffer(request);
     const size_t size = evbuffer_get_length(body);
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(body, -1));
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -19,6 +19,10 @@
 // Nullopt where the text is no list.
 std::optional<List> decode_list(const Setup& setup, const std::string& text, Point epoch);
 
+// Throws BadConfig where the list that the configuration brings is none. A service starts without it all the
+// same.
+void check_known(const Config& config);
+
 class Discovery
 {
   public:
