--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -101,7 +101,6 @@
     if (const auto limits = in.find("limits"); limits != in.end()) {
         if (!limits->is_object()) throw BadConfig("limits: an object is expected");
         out.descriptors = count_at(*limits, "sockets", out.descriptors, 64);
-        out.memory_mb = count_at(*limits, "memory_mb", out.memory_mb, 16);
     }
     const auto settings = in.find("settings");
     if (settings == in.end() || !settings->is_object()) throw BadConfig("settings: an object is expected");
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -23,7 +23,6 @@
     Address listen, discovery;
     uint64_t seed = 0;
     size_t descriptors = 1024;
-    size_t memory_mb = 192;
     Setup setup;
     std::string known;  // the list as it was last had, in discovery's form; empty: none
 };
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -241,6 +241,7 @@
 
 bool ResponseReader::header(std::string_view text)
 {
+    if (text.front() == ' ' || text.front() == '\t') return true;  // more of the last one, in the old way
     const auto colon = text.find(':');
     if (colon == std::string_view::npos || colon == 0) return false;
     const auto name = text.substr(0, colon);
--- a/tests/message.cpp
+++ b/tests/message.cpp
@@ -108,6 +108,7 @@
     answer("lines without carriage returns", "HTTP/1.1 200 OK\nContent-Length: 1\n\nx");
     answer("in chunks", ok + "Transfer-Encoding: chunked\r\n\r\n3;e=1\r\nabc\r\n1\r\nd\r\n0\r\nT: x\r\n\r\n");
     answer("an interim answer first", "HTTP/1.1 100 Continue\r\n\r\n" + ok + length);
+    answer("a header in two lines", ok + "X: a\r\n b\r\n" + length);
     answer("cut short", ok + "Content-Length: 9\r\n\r\nbody", true);
     answer("chunks cut short", ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", true);
     answer("until its announced end", ok + "Connection: close\r\n\r\nbody", true);
