--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -80,16 +80,7 @@
     evhttp_set_timeout_tv(server_.get(), &first);
     evhttp_set_gencb(
         server_.get(),
-        [](evhttp_request* request, void* arg) {
-            auto* self = static_cast<Callers*>(arg);
-            try {
-                self->take(request);
-            } catch (const std::exception& e) {
-                spdlog::error("a request could not be taken: {}", e.what());
-                self->reply(request, {500, false, {}, {}, "errored\n"}, true);
-            }
-        },
-        this);
+        [](evhttp_request* request, void* self) { static_cast<Callers*>(self)->take(request); }, this);
     listen(config.listen);
 }
 
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -110,6 +110,8 @@
     if (!operation) return Unacceptable{404, "no such operation"};
     into.operation = *operation;
     into.time_left = setup.client_timeouts[*operation];
+    const auto nobody = static_cast<uint32_t>(setup.tenants.size());
+    into.tenant = nobody;  // what no tenant is named for counts against nobody's share
     std::optional<std::string> length;
     for (auto& [name, value] : headers) {
         // Guards against a stray carriage return, which the next reader might take for the end of a line.
@@ -118,7 +120,7 @@
         if (same_name(name, "Content-Length") && std::exchange(length, value).value_or(value) != value)
             return Unacceptable{400, "two lengths"};
         if (same_name(name, "Req-Id")) into.id = value;
-        if (same_name(name, "Req-Owner")) into.tenant = place(setup.tenants, value).value_or(0);
+        if (same_name(name, "Req-Owner")) into.tenant = place(setup.tenants, value).value_or(nobody);
         if (same_name(name, "Req-Deadline-Ms")) {
             const auto ms = number<int64_t>(value);
             if (!ms || *ms < 0) return Unacceptable{400, "unreadable Req-Deadline-Ms"};
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -108,8 +108,16 @@
         if (const auto* failed = std::get_if<Failed>(&next))
             spdlog::debug("attempt {} failed: progress {}, cause {}", failed->attempt,
                           static_cast<int>(failed->broken.progress), static_cast<int>(failed->broken.cause));
-        auto effects = reducer_.reduce(monotonic_now(), std::move(next));
-        for (Effect& effect : effects) carry_out(effect);
+        const auto* arrived = std::get_if<Arrived>(&next);
+        const CallerId caller = arrived ? arrived->caller : 0;
+        // An exception costs the connection that it came up on, and no other.
+        try {
+            auto effects = reducer_.reduce(monotonic_now(), std::move(next));
+            for (Effect& effect : effects) carry_out(effect);
+        } catch (const std::exception& e) {
+            spdlog::error("an event could not be dealt with: {}", e.what());
+            if (caller) callers_.answer(Answer{caller, {500, false, {}, {}, "errored\n"}, true});
+        }
     }
     reducing_ = false;
 }
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -106,12 +106,7 @@
         at->stream.get(),
         [](bufferevent*, void* arg) {
             auto* c = static_cast<Connection*>(arg);
-            auto* owner = c->owner;
-            try {
-                owner->readable(c->self);
-            } catch (const std::exception& e) {
-                spdlog::error("an answer could not be read: {}", e.what());
-            }
+            c->owner->readable(c->self);
         },
         nullptr,
         [](bufferevent*, short what, void* arg) {
--- a/tests/message.cpp
+++ b/tests/message.cpp
@@ -90,6 +90,7 @@
     const std::pair<std::string, std::string> id{"req-id", "1"};
     request("plain", "/op/a?b=c", {id, {"Req-Deadline-Ms", "480"}, {"X", "y"}, {"Connection", "close"}});
     request("a tenant, no deadline", "/op", {id, {"Req-Owner", "two"}});
+    request("a tenant that the settings do not name", "/op", {id, {"Req-Owner", "three"}});
     request("a longer deadline than the operation's", "/op", {id, {"Req-Deadline-Ms", "99999"}});
     request("unknown operation", "/other/op", {id});
     request("no id", "/op", {});
