--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -318,11 +318,18 @@
 {
     Running firtide(discovery);
     upstream_does = [](Wire& w, auto&) { pause(700), w.send(http(ok, "late")); };
-    Wire busy(firtide.port), resting(firtide.port);
+    Wire busy(firtide.port), resting(firtide.port), half(firtide.port);
     busy.send(get("x"));
     resting.ask("GET /-/ready HTTP/1.1\r\n\r\n");
+    half.ask("GET /-/ready HTTP/1.1\r\n\r\n");
+    half.send("GET /safe/x HTTP/1.1\r\n");
     until([] { return asked > 0; });
-    std::thread stop([&] { std::printf("exit status %d\n", firtide.stop().status); });
+    std::thread stop([&] {
+        const auto since = time(nullptr);
+        std::printf("exit status %d", firtide.stop().status);
+        std::printf(", %s a request that never ends\n",
+                    time(nullptr) - since < 5 ? "in spite of" : "held up by");
+    });
     pause(300);
     Wire late(firtide.port);
     std::printf("0.3 s after SIGTERM: %s", first_line(late.ask("GET /-/ready HTTP/1.1\r\n\r\n")).c_str());
