SIGHUP reads the configuration again and moves the watch on the list

Checked: exit 129 is SIGHUP's default; src/net/service.cpp hooked SIGTERM and SIGINT only, and src/net/discovery.cpp took its address from the configuration once. Ruled out: the watch itself, which goes on as before in the log. Change: SIGHUP goes through the one config path and, as an event, through the reducer; a wrong file keeps the old one and is logged with its key.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -32,7 +32,7 @@
         }
         if (!firtide::net::start_log(config.name, level))
             throw std::runtime_error("--log-level: no such level");
-        firtide::net::Service(std::move(config)).run();
+        firtide::net::Service(std::move(config), [&path] { return firtide::net::read_config(path); }).run();
     } catch (const std::exception& e) {
         std::fprintf(stderr, "firtide: %s\n", e.what());
         return 1;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -76,6 +76,11 @@
 
 }  // namespace
 
+std::string text_of(const Address& address)
+{
+    return address.host + ":" + std::to_string(address.port);
+}
+
 Address decode_address(const std::string& text, const std::string& key)
 {
     const auto colon = text.rfind(':');
@@ -104,6 +109,7 @@
     }
     const auto settings = in.find("settings");
     if (settings == in.end() || !settings->is_object()) throw BadConfig("settings: an object is expected");
+    out.fixed = settings->dump() + in.value("limits", json::object()).dump();
     Flat flat;
     flatten(*settings, "", flat);
     try {
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -24,6 +24,7 @@
     uint64_t seed = 0;
     size_t descriptors = 1024;
     Setup setup;
+    std::string fixed;  // the parts of the file that hold from start to end, as text
     std::string known;  // the list as it was last had, in discovery's form; empty: none
 };
 
@@ -31,6 +32,7 @@
 Config read_config(const std::string& path);
 Config decode_config(const std::string& text);
 
+std::string text_of(const Address& address);
 Address decode_address(const std::string& text, const std::string& key);
 
 }  // namespace firtide::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -76,7 +76,12 @@
 }
 
 Discovery::Discovery(event_base* base, const Config& config, Point epoch, std::function<void(Event)> tell)
-    : base_(base), config_(config), epoch_(epoch), tell_(std::move(tell)), pause_(first_pause)
+    : base_(base),
+      config_(config),
+      address_(config.discovery),
+      epoch_(epoch),
+      tell_(std::move(tell)),
+      pause_(first_pause)
 {
     again_.reset(evtimer_new(
         base, [](evutil_socket_t, short, void* self) { static_cast<Discovery*>(self)->call(); }, this));
@@ -90,16 +95,30 @@
     call();
 }
 
+// The versions of two agents say nothing of each other. Freeing the connection drops a call that is still out
+// there: its late answer is never heard.
+void Discovery::move(Address to)
+{
+    spdlog::info("discovery moves to {}:{}", to.host, to.port);
+    address_ = std::move(to);
+    connection_.reset();
+    version_.reset();
+    pause_ = first_pause;
+    if (!asking_) return;
+    event_del(again_.get());
+    call();
+}
+
 void Discovery::call()
 {
     if (!connection_) {
-        connection_.reset(evhttp_connection_base_new(base_, nullptr, config_.discovery.host.c_str(),
-                                                     config_.discovery.port));
+        connection_.reset(evhttp_connection_base_new(base_, nullptr, address_.host.c_str(), address_.port));
         if (!connection_) return failed("no connection");
         evhttp_connection_set_max_body_size(connection_.get(), most_list);
-        const auto wait = to_timeval(watch_for + silence);
-        evhttp_connection_set_timeout_tv(connection_.get(), &wait);
     }
+    // The whole list is there at once. Guards against waiting as long as for a watch where nobody answers.
+    const auto wait = to_timeval(version_ ? watch_for + silence : silence);
+    evhttp_connection_set_timeout_tv(connection_.get(), &wait);
     auto* request = evhttp_request_new(
         [](evhttp_request* got, void* arg) {
             auto* self = static_cast<Discovery*>(arg);
@@ -111,7 +130,7 @@
         },
         this);
     if (!request) return failed("no memory");
-    const auto host = config_.discovery.host + ":" + std::to_string(config_.discovery.port);
+    const auto host = address_.host + ":" + std::to_string(address_.port);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", host.c_str());
     std::string target = "/api/targets";
     if (version_)
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -29,6 +29,7 @@
     // epoch: the loop's time at Unix time zero.
     Discovery(event_base* base, const Config& config, Point epoch, std::function<void(Event)> tell);
 
+    void move(Address to);  // asks there from now on, for the whole list first
     void ask();  // the whole list, and then watches it; asks anew after failures, where that is its own job
 
   private:
@@ -38,6 +39,7 @@
 
     event_base* base_;
     const Config& config_;
+    Address address_;
     Point epoch_;
     std::function<void(Event)> tell_;
     std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> connection_;
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -43,7 +43,10 @@
 
 }  // namespace
 
-Reducer::Reducer(const Setup& setup, uint64_t seed) : setup_(setup), balancer_(setup.settings, seed, *this) {}
+Reducer::Reducer(const Setup& setup, uint64_t seed, std::string discovery)
+    : setup_(setup), discovery_(std::move(discovery)), balancer_(setup.settings, seed, *this)
+{
+}
 
 std::vector<Effect> Reducer::reduce(Point now, Event event)
 {
@@ -194,6 +197,14 @@
     stopping_ = true;
 }
 
+// The list, and what is known of its upstreams, stays as it is until the new address has told its own.
+void Reducer::on(Reread& read)
+{
+    if (read.discovery == discovery_) return;
+    discovery_ = read.discovery;
+    effects_.push_back(MoveWatch{std::move(read.discovery)});
+}
+
 // Every answer to a caller passes here; a second one never does.
 void Reducer::answer(Inv inv, Response response)
 {
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -61,8 +61,11 @@
 };
 struct Stopping {
 };
+struct Reread {  // the configuration, while serving
+    std::string discovery;
+};
 using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Connected,
-                           Answered, Failed, Woken, Stopping>;
+                           Answered, Failed, Woken, Stopping, Reread>;
 
 // Effects.
 struct Answer {
@@ -92,12 +95,15 @@
 };
 struct WatchList {
 };
-using Effect = std::variant<Answer, Dial, Write, HangUp, CloseIdle, Wake, WatchList>;
+struct MoveWatch {  // to another address; what the last one says from now on is nothing
+    std::string discovery;
+};
+using Effect = std::variant<Answer, Dial, Write, HangUp, CloseIdle, Wake, WatchList, MoveWatch>;
 
 class Reducer : private Outlet
 {
   public:
-    Reducer(const Setup& setup, uint64_t seed);
+    Reducer(const Setup& setup, uint64_t seed, std::string discovery);
 
     // The effects are to be carried out in their order.
     std::vector<Effect> reduce(Point now, Event event);
@@ -138,6 +144,7 @@
     void on(Failed failed);
     void on(Woken woken);
     void on(Stopping);
+    void on(Reread& read);
 
     std::vector<Listing> listings(const std::vector<Entry>& entries, bool all);
     void dial(AttemptId id, Attempt attempt);
@@ -167,6 +174,7 @@
     std::vector<Upstream> upstreams_;
     std::unordered_map<std::string, Tgt> upstream_of_;
     bool listed_ = false, stopping_ = false;
+    std::string discovery_;
     Balancer balancer_;
 };
 
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -59,12 +59,13 @@
 
 }  // namespace
 
-Service::Service(Config config)
+Service::Service(Config config, std::function<Config()> read_again)
     : config_(std::move(config)),
+      read_again_(std::move(read_again)),
       epoch_(epoch()),
       descriptors_(descriptors(config_.descriptors)),
       base_(make_base()),
-      reducer_(config_.setup, config_.seed),
+      reducer_(config_.setup, config_.seed, text_of(config_.discovery)),
       upstreams_(base_.get(), config_.setup,
                  static_cast<size_t>(static_cast<double>(descriptors_) * part_of_upstreams),
                  [this](Event e) { post(std::move(e)); }),
@@ -76,12 +77,18 @@
           [this](Event e) { post(std::move(e)); })
 {
     std::signal(SIGPIPE, SIG_IGN);
-    for (const int number : {SIGTERM, SIGINT}) {
-        signals_.emplace_back(evsignal_new(
-            base_.get(), number,
-            [](evutil_socket_t, short, void* self) { static_cast<Service*>(self)->stop(); }, this));
-        event_add(signals_.back().get(), nullptr);
-    }
+    const auto stop = [](evutil_socket_t, short, void* self) { static_cast<Service*>(self)->stop(); };
+    on_signal(SIGTERM, stop);
+    on_signal(SIGINT, stop);
+    if (read_again_)
+        on_signal(SIGHUP,
+                  [](evutil_socket_t, short, void* self) { static_cast<Service*>(self)->reread(); });
+}
+
+void Service::on_signal(int number, void (*what)(evutil_socket_t, short, void*))
+{
+    signals_.emplace_back(evsignal_new(base_.get(), number, what, this));
+    event_add(signals_.back().get(), nullptr);
 }
 
 Service::~Service() = default;
@@ -131,6 +138,8 @@
     if (auto* up = std::get_if<HangUp>(&effect)) return upstreams_.hang_up(up->attempt);
     if (auto* idle = std::get_if<CloseIdle>(&effect)) return upstreams_.close_idle(idle->tgt);
     if (std::get_if<WatchList>(&effect)) return discovery_.ask();
+    if (auto* to = std::get_if<MoveWatch>(&effect))
+        return discovery_.move(decode_address(to->discovery, "discovery"));
     const auto wake = std::get<Wake>(effect);
     const auto what = [this, name = wake.name] { post(Woken{name}); };
     const auto after = to_timeval(wake.at - monotonic_now());
@@ -154,6 +163,20 @@
     spdlog::info("stopped");
 }
 
+// SIGHUP. Guards against a file that is wrong or half there: all stays as it was.
+void Service::reread()
+{
+    try {
+        const Config read = read_again_();
+        if (read.fixed != config_.fixed || text_of(read.listen) != text_of(config_.listen))
+            spdlog::warn("configuration: all but discovery takes a restart to change");
+        spdlog::info("configuration read again");
+        post(Reread{text_of(read.discovery)});
+    } catch (const std::exception& e) {
+        spdlog::error("configuration kept as it was: {}", e.what());
+    }
+}
+
 void Service::stop()
 {
     if (stopping_) return;
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -14,7 +14,8 @@
 class Service
 {
   public:
-    explicit Service(Config config);
+    // read_again: reads the configuration anew at SIGHUP, or throws; where there is none, SIGHUP is left alone.
+    explicit Service(Config config, std::function<Config()> read_again = {});
     ~Service();
 
     // Serves until a SIGTERM or SIGINT has come and everything in flight is answered.
@@ -25,10 +26,13 @@
     void carry_out(Effect& effect);
     void make_room();
     void stop();
+    void reread();
+    void on_signal(int number, void (*what)(evutil_socket_t, short, void*));
     void stop_accepting();
     void leave_if_done();
 
     const Config config_;
+    const std::function<Config()> read_again_;
     // The loop's time at Unix time zero, taken once: the same start of an upstream is the same point ever
     // after.
     const Point epoch_;
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -27,7 +27,7 @@
     {
         std::printf("-- %s\n", what);
         setup_.settings.may_probe = setup_.settings.reports_by_probe = probes;
-        reducer = std::make_unique<Reducer>(setup_, 1);
+        reducer = std::make_unique<Reducer>(setup_, 1, "here:1");
         tell(Started{});
         list(true, {{"a", "1.1.1.1:1", Presence::ready, 0, 0, 1, {}}});
     }
@@ -55,6 +55,8 @@
             }
             if (const auto* w = std::get_if<Write>(&e))
                 std::printf("write %s\n", first_line(w->bytes).c_str());
+            if (const auto* m = std::get_if<MoveWatch>(&e))
+                std::printf("move the watch to %s\n", m->discovery.c_str());
             if (std::get_if<HangUp>(&e)) std::printf("hang up\n");
             if (const auto* c = std::get_if<CloseIdle>(&e))
                 std::printf("close idle connections of u%u\n", c->tgt);
@@ -139,6 +141,11 @@
         Play p("probes of what is in use", Repeat::idempotent, true);
         p.arrive(), p.connected(), p.answered(200), p.wake(), p.connected(), p.answered(200);
     }
+    {
+        // Guards against a restarted watch where nothing moved, and against losing the list where it does.
+        Play p("the configuration is read again, the second time with another discovery", Repeat::idempotent);
+        p.tell(Reread{"here:1"}), p.tell(Reread{"there:1"}), p.arrive(), p.connected(), p.answered(200);
+    }
     {
         Play p("no upstream at all", Repeat::idempotent);
         p.list(true, {}), p.arrive();
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -63,7 +63,7 @@
     return StandIn([](Wire&) {}).port;
 }
 
-std::string program;
+std::string program, upstream_endpoint;
 
 // The program in a process of its own, until SIGTERM.
 struct Running {
@@ -79,17 +79,27 @@
             "policy_limits":{"max_forwards":3,"cancel":true,"conn_idle_us":400000,"connect_timeout_us":100000}}})";
         (void)!write(fd, config.data(), config.size());
         close(fd);
+        file = path, text = config;
         if ((process = fork()) == 0) {
             execl(program.c_str(), program.c_str(), "serve", "--log-level", "error", path, nullptr);
             _exit(127);
         }
         for (int i = 0; i < 200 && first_line(Wire(port).ask("GET /-/ready HTTP/1.1\r\n\r\n")) != ok; ++i)
             std::this_thread::sleep_for(std::chrono::milliseconds(5));
-        unlink(path);
     }
     ~Running()
     {
         if (process) stop();
+        unlink(file.c_str());
+    }
+    // Replaces `a` by `b` in the file of the configuration, and says so.
+    void reread(const std::string& a, const std::string& b)
+    {
+        text.replace(text.find(a), a.size(), b);
+        const std::string fresh = file + ".new";
+        if (FILE* out = std::fopen(fresh.c_str(), "w")) std::fputs(text.c_str(), out), std::fclose(out);
+        rename(fresh.c_str(), file.c_str());
+        kill(process, SIGHUP);
     }
     struct Used {
         int status = 0;
@@ -109,6 +119,7 @@
     }
     uint16_t port;
     pid_t process = 0;
+    std::string file, text;
 };
 
 void pause(int ms)
@@ -315,6 +326,35 @@
     std::printf("a quiet watch is called again %s\n", watches - before <= 4 ? "as it ends" : "all the time");
 }
 
+// SIGHUP under load. Guards against ending on it, against a file that is wrong, and against an old agent that
+// still answers after the move.
+void reloading(const std::string& discovery)
+{
+    Running firtide(discovery);
+    StandIn other([](Wire& w) {
+        while (!w.message().empty()) w.send(http(ok, "the other"));
+    });
+    StandIn moved([&](Wire& w) {
+        const auto list = R"({"rev":1,"all":true,"targets":[)" + target("v", other.endpoint(), "ready") + "]}";
+        for (std::string request; !(request = w.message()).empty(); w.send(http(ok, list)))
+            if (request.find("after=1&") != std::string::npos) pause(100);
+    });
+    upstream_does = [](Wire& w, auto&) { pause(300), w.send(http(ok, "the first")); };
+    Wire busy(firtide.port), caller(firtide.port);
+    busy.send(get("x"));
+    pause(50);
+    firtide.reread(discovery, "nowhere");
+    tell("a file that is wrong", caller.ask(get("x")));
+    firtide.reread("nowhere", moved.endpoint());
+    pause(100);
+    tell("discovery moved", caller.ask(get("x")));
+    tell("what was in flight", busy.message());
+    list_is(target("u", upstream_endpoint, "ready"));
+    pause(200);
+    tell("the old agent says something", caller.ask(get("x")));
+    std::printf("exit status %d\n", firtide.stop().status);
+}
+
 void stopping(const std::string& discovery)
 {
     Running firtide(discovery);
@@ -376,6 +416,7 @@
     program = argv[1];
     signal(SIGPIPE, SIG_IGN);
     StandIn upstream(serve_upstream), discovery(serve_discovery);
+    upstream_endpoint = upstream.endpoint();
     list_is(target("u", upstream.endpoint(), "ready"));
     const auto play = [&](const char* what, auto&& part) {
         std::printf("-- %s\n", what);
@@ -412,6 +453,7 @@
         Running f(discovery.endpoint());
         listed(f, upstream);
     });
+    play("the configuration is read again", [&] { reloading(discovery.endpoint()); });
     play("stopping", [&] { stopping(discovery.endpoint()); });
     play("a crowd", [&] {
         crowd(discovery.endpoint(), 150, "64", get("x"));
