Callers on bufferevents: whole requests within 2.5 s, bodies within memory, bad framing refused

Checked with a loopback probe: evhttp's time limits hold from read to read, it tells nothing of a connection before its first whole request, and it can't answer before the body is there. Ruled out: limits by evhttp_set_bevcb, which gives the buffer but not the connection. At fault: src/net/callers.cpp as a whole (first_within, take, watch). Change: callers come through evconnlistener and bufferevents and the reader that answers already had; a whole request within 2.5 s of connecting or its first byte, room made from what rests 2 s or says nothing, a body refused before it comes where it would not fit, a length with chunks, odd codings and folded headers refused, 16 requests in a row on a connection; an id that is open gets 409 in the reducer. Answers that only the connection's end would end, or with both framings, are spoilt; a load report that can't be read is none.

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -1,16 +1,12 @@
 #include "callers.h"
 
 #include <event2/buffer.h>
-#include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cerrno>
-#include <map>
-#include <mutex>
 
 #include "log.h"
 
@@ -19,26 +15,15 @@
 namespace
 {
 
-constexpr Span first_within = seconds(10);    // a new connection that asks nothing by then is closed
-constexpr Span idle_for = seconds(60);        // the same between requests, and for one that takes no answer
-constexpr Span listen_pause = seconds(0.02);  // where no descriptor is left
-
-// The listener's error callback is given evhttp's own argument, not ours: who listens is found here.
-std::mutex listeners_lock;
-std::map<const evconnlistener*, Callers*> listeners;
-
-const char* reason_of(int status)
-{
-    switch (status) {
-        case 200: return "OK";
-        case 400: return "Bad Request";
-        case 404: return "Not Found";
-        case 500: return "Internal Server Error";
-        case 502: return "Bad Gateway";
-        case 503: return "Service Unavailable";
-        default: return "Answer";
-    }
-}
+// How long a connection may stay in each phase: for a whole request from its first byte (of a new connection:
+// from connecting), between requests, for an answer, to take one, and to close after its last.
+constexpr std::array<Span, 5> at_most = {seconds(2.5), seconds(60), seconds(3600), seconds(10), seconds(1)};
+constexpr Span may_rest = seconds(2);          // whatever room is needed
+constexpr Span says_something = seconds(0.2);  // the same for a new connection
+constexpr Span look_every = seconds(0.05);
+constexpr size_t read_ahead = 8 * 1024;      // bytes of one connection that wait to be read
+constexpr size_t most_ignored = 128 * 1024;  // bytes read and dropped behind a last answer
+constexpr uint32_t most_in_a_row = 16;       // requests sent before the last one's answer had come
 
 // How long ago the last byte came. Guards against requests that waited unread while this program stood still:
 // their time counts from when their callers sent them.
@@ -52,14 +37,20 @@
 
 }  // namespace
 
-// Lives from the first request on a connection until that ends.
+// Lives as long as the connection.
 struct Callers::Connection {
+    explicit Connection(const Setup& setup) : reader(setup) {}
+
     Callers* owner = nullptr;
-    evhttp_connection* of = nullptr;
-    evhttp_request* request = nullptr;  // taken and not answered
-    CallerId caller = 0;
-    Timer leaving;
-    bool reading = false;  // a request has begun to come
+    Place self;
+    Phase phase = asking;
+    Point since;
+    Stream stream;
+    RequestReader reader;
+    CallerId caller = 0;  // of the request that waits for its answer
+    bool last = false;    // after the answer being sent
+    size_t held = 0, ignored = 0;
+    uint32_t in_a_row = 0;
 };
 
 Callers::Callers(event_base* base, const Config& config, size_t most_open, std::function<bool()> ready,
@@ -67,219 +58,267 @@
     : base_(base),
       config_(config),
       most_open_(most_open),
+      most_held_(config.bodies),
       ready_(std::move(ready)),
       crowded_(std::move(crowded)),
-      tell_(std::move(tell)),
-      server_(evhttp_new(base))
+      tell_(std::move(tell))
 {
-    evhttp_set_max_headers_size(server_.get(), most_head);
-    evhttp_set_max_body_size(server_.get(), most_body);
-    evhttp_set_default_content_type(server_.get(), nullptr);
-    evhttp_set_allowed_methods(server_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST);
-    const auto first = to_timeval(first_within);
-    evhttp_set_timeout_tv(server_.get(), &first);
-    evhttp_set_gencb(
-        server_.get(),
-        [](evhttp_request* request, void* self) { static_cast<Callers*>(self)->take(request); }, this);
     listen(config.listen);
+    look_.reset(event_new(
+        base_, -1, EV_PERSIST,
+        [](evutil_socket_t, short, void* self) { static_cast<Callers*>(self)->look(); }, this));
+    const auto every = to_timeval(look_every);
+    event_add(look_.get(), &every);
 }
 
-Callers::~Callers()
-{
-    stop_listening();
-    for (auto& [of, c] : connections_) evhttp_connection_set_closecb(of, nullptr, nullptr);
-}
+Callers::~Callers() = default;
 
 void Callers::listen(const Address& address)
 {
     sockaddr_storage at{};
     int length = sizeof at;
-    const auto text = address.host + ":" + std::to_string(address.port);
+    const auto text = text_of(address);
     if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&at), &length) != 0)
         throw BadConfig("listen: '" + text + "' is no numeric address");
-    auto* listener = evconnlistener_new_bind(
-        base_, nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, 1024,
-        reinterpret_cast<sockaddr*>(&at), length);
-    if (!listener)
-        throw BadConfig("listen: cannot listen on " + text + ": " +
-                        evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
-    bound_ = evhttp_bind_listener(server_.get(), listener);
-    listen_again_.reset(evtimer_new(
+    listener_.reset(evconnlistener_new_bind(
         base_,
-        [](evutil_socket_t, short, void* arg) {
-            auto* self = static_cast<Callers*>(arg);
-            if (self->bound_) evconnlistener_enable(evhttp_bound_socket_get_listener(self->bound_));
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+            static_cast<Callers*>(self)->accept(fd);
         },
-        this));
-    const std::lock_guard hold(listeners_lock);
-    listeners[listener] = this;
-    evconnlistener_set_error_cb(listener, [](evconnlistener* of, void*) {
-        Callers* self = nullptr;
-        {
-            const std::lock_guard held(listeners_lock);
-            self = listeners.at(of);
-        }
-        self->no_descriptor_left();
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, 1024,
+        reinterpret_cast<sockaddr*>(&at), length));
+    if (!listener_)
+        throw BadConfig("listen: cannot listen on " + text + ": " +
+                        evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+    evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* arg) {
+        auto* self = static_cast<Callers*>(arg);
+        self->crowded_();
+        self->pause_listening();
     });
 }
 
-// Guards against spinning: libevent would try again at once, without end.
-void Callers::no_descriptor_left()
+// Until the next look. Guards against spinning: libevent would try again at once, without end.
+void Callers::pause_listening()
 {
-    evconnlistener_disable(evhttp_bound_socket_get_listener(bound_));
-    const auto pause = to_timeval(listen_pause);
-    event_add(listen_again_.get(), &pause);
-    crowded_();
+    paused_ = true;
+    evconnlistener_disable(listener_.get());
 }
 
-Callers::Connection& Callers::connection(evhttp_connection* of)
+size_t Callers::open() const
+{
+    size_t all = 0;
+    for (const auto& phase : in_) all += phase.size();
+    return all;
+}
+
+void Callers::accept(int fd)
 {
-    auto& at = connections_[of];
-    if (at) return *at;
-    at = std::make_unique<Connection>();
-    at->owner = this;
-    at->of = of;
-    evhttp_connection_set_closecb(
-        of, [](evhttp_connection* which, void* self) { static_cast<Callers*>(self)->closed(which); }, this);
-    const auto idle = to_timeval(idle_for);
-    evhttp_connection_set_timeout_tv(of, &idle);
-    auto* stream = evhttp_connection_get_bufferevent(of);
     const int on = 1;
-    setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    evbuffer_add_cb(
-        bufferevent_get_input(stream),
-        [](evbuffer*, const evbuffer_cb_info* what, void* c) {
-            if (what->n_added > 0) static_cast<Connection*>(c)->reading = true;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const Place at = in_[asking].emplace(in_[asking].end(), config_.setup);
+    at->owner = this;
+    at->self = at;
+    at->since = monotonic_now();
+    at->stream.reset(bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+    bufferevent_setcb(
+        at->stream.get(),
+        [](bufferevent*, void* arg) {
+            auto* c = static_cast<Connection*>(arg);
+            c->owner->readable(c->self);
+        },
+        [](bufferevent*, void* arg) {
+            auto* c = static_cast<Connection*>(arg);
+            c->owner->written(c->self);
+        },
+        [](bufferevent*, short, void* arg) {
+            auto* c = static_cast<Connection*>(arg);
+            c->owner->ended(c->self);
         },
-        at.get());
-    return *at;
+        &*at);
+    bufferevent_setwatermark(at->stream.get(), EV_READ, 0, read_ahead);
+    bufferevent_enable(at->stream.get(), EV_READ | EV_WRITE);
+    if (open() >= most_open_ && make_room(1) == 0) pause_listening();
+}
+
+void Callers::enter(Place at, Phase phase)
+{
+    in_[phase].splice(in_[phase].end(), in_[at->phase], at);
+    at->phase = phase;
+    at->since = monotonic_now();
+}
+
+// What a connection holds of the memory for bodies, from now on.
+void Callers::hold(Connection& c, size_t bytes)
+{
+    held_ = held_ - c.held + bytes;
+    c.held = bytes;
 }
 
-void Callers::take(evhttp_request* request)
+void Callers::readable(Place at)
 {
-    Connection& c = connection(evhttp_request_get_connection(request));
-    Request taken;
-    taken.target = origin_form(evhttp_request_get_uri(request));
-    taken.method = evhttp_request_get_command(request) == EVHTTP_REQ_POST ? "POST" : "GET";
-    if (taken.target == "/-/ready") {
+    auto* input = bufferevent_get_input(at->stream.get());
+    const size_t size = evbuffer_get_length(input);
+    if (at->phase == leaving) {
+        evbuffer_drain(input, size);
+        if ((at->ignored += size) > most_ignored) close(at);
+        return;
+    }
+    // What comes early stays unread, and is little, until the answer before it is written.
+    if (size == 0 || at->phase == waiting || at->phase == telling) return;
+    if (at->phase == resting) enter(at, asking);
+    const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+    const auto state = at->reader.take({bytes, size});
+    evbuffer_drain(input, at->reader.used());
+    if (state == RequestReader::State::malformed) {
+        const auto [status, why] = at->reader.why();
+        return refuse(at, status, why);
+    }
+    // Guards against running out of memory: where the bodies would not fit, that is said before they come.
+    const auto& request = at->reader.request();
+    const size_t most = request.body.size() + at->reader.still_to_come();
+    if (most > at->held) {
+        if (held_ - at->held + most > most_held_) return refuse(at, 503, "no room for the body");
+        hold(*at, most);
+    }
+    if (state == RequestReader::State::whole) return came(at);
+    if (at->reader.expects_word() && request.body.empty())
+        bufferevent_write(at->stream.get(), "HTTP/1.1 100 Continue\r\n\r\n", 25), at->reader.word_given();
+}
+
+void Callers::came(Place at)
+{
+    const auto input = evbuffer_get_length(bufferevent_get_input(at->stream.get()));
+    at->in_a_row = input > 0 ? at->in_a_row + 1 : 0;
+    at->last = !at->reader.keeps_connection() || at->in_a_row >= most_in_a_row;
+    if (at->reader.asks_whether_ready()) {
         const bool ready = ready_();
-        return reply(request, {ready ? 200 : 503, false, {}, {}, ready ? "ready\n" : "not ready\n"}, !ready);
+        return reply(at, {ready ? 200 : 503, false, {}, {}, ready ? "ready\n" : "not ready\n"}, !ready);
     }
-    Headers headers;
-    const auto* list = evhttp_request_get_input_headers(request);
-    for (const auto* h = list->tqh_first; h; h = h->next.tqe_next) headers.emplace_back(h->key, h->value);
-    if (const auto bad = decode_request(config_.setup, std::move(headers), taken))
-        // What could not be read may have been framed otherwise than it was taken: nothing more is read
-        // there.
-        return reply(request, {bad->status, false, {}, {}, std::string(bad->why) + "\n"}, bad->status == 400);
-    taken.time_left = std::max(
-        Span{}, taken.time_left - unread_for(bufferevent_getfd(evhttp_connection_get_bufferevent(c.of))));
-    auto* body = evhttp_request_get_input_buffer(request);
-    taken.body.resize(evbuffer_get_length(body));
-    evbuffer_remove(body, taken.body.data(), taken.body.size());
-    c.request = request;
-    c.caller = next_++;
-    waiting_[c.caller] = &c;
-    watch(c);
-    tell_(Arrived{c.caller, std::move(taken)});
+    Request request = std::move(at->reader.request());
+    request.time_left = std::max(Span{}, request.time_left - unread_for(bufferevent_getfd(at->stream.get())));
+    enter(at, waiting);
+    at->caller = next_++;
+    waiting_[at->caller] = at;
+    tell_(Arrived{at->caller, std::move(request)});
 }
 
-// evhttp stops reading while a request waits for its answer, so that it would not see its caller leave.
-void Callers::watch(Connection& c)
+// What could not be read may have been framed otherwise than it was taken: nothing more is read there.
+void Callers::refuse(Place at, int status, const char* why)
 {
-    c.leaving.reset(event_new(
-        base_, bufferevent_getfd(evhttp_connection_get_bufferevent(c.of)), EV_READ,
-        [](evutil_socket_t, short, void* arg) {
-            auto* connection = static_cast<Connection*>(arg);
-            connection->owner->looked(*connection);
-        },
-        &c));
-    event_add(c.leaving.get(), nullptr);
+    reply(at, {status, false, {}, {}, std::string(why) + "\n"}, true);
 }
 
-void Callers::looked(Connection& c)
+void Callers::answer(const Answer& answer)
 {
-    char byte;
-    const auto fd = bufferevent_getfd(evhttp_connection_get_bufferevent(c.of));
-    const auto got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    // More bytes: the next request came early. It stays unread until this one is answered, and a caller who
-    // does so and leaves is noticed only then.
-    if (got > 0) return;
-    if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
-        event_add(c.leaving.get(), nullptr);
-        return;
+    const auto found = waiting_.find(answer.caller);
+    if (found == waiting_.end()) return;  // it has left
+    const Place at = found->second;
+    waiting_.erase(found);
+    at->caller = 0;
+    reply(at, answer.response, answer.last_on_connection);
+}
+
+void Callers::reply(Place at, const Response& response, bool last)
+{
+    at->last = at->last || last;
+    at->reader = RequestReader(config_.setup);
+    const auto bytes = encode_response(response, at->last);
+    hold(*at, bytes.size());
+    enter(at, telling);
+    bufferevent_write(at->stream.get(), bytes.data(), bytes.size());
+}
+
+void Callers::written(Place at)
+{
+    // libevent also says so of a new connection, by when its first answer may be on its way.
+    if (at->phase != telling || evbuffer_get_length(bufferevent_get_output(at->stream.get())) > 0) return;
+    hold(*at, 0);
+    if (at->last) {
+        // Guards against an answer that is lost to a reset: what still comes is read for a moment.
+        enter(at, leaving);
+        shutdown(bufferevent_getfd(at->stream.get()), SHUT_WR);
+    } else {
+        enter(at, resting);
     }
-    evhttp_connection_free(c.of);  // and on to closed()
+    // Whatever came early has its turn after all others. Guards against callers that send hundreds at once.
+    bufferevent_trigger(at->stream.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
-void Callers::closed(evhttp_connection* of)
+void Callers::ended(Place at)
 {
-    const auto at = connections_.find(of);
-    if (at == connections_.end()) return;
-    const auto caller = at->second->request ? at->second->caller : 0;
-    waiting_.erase(caller);
-    const auto kept = std::move(at->second);
-    connections_.erase(at);
+    const auto caller = at->caller;
+    close(at);
     if (caller) tell_(CallerLeft{caller});
 }
 
-void Callers::answer(const Answer& answer)
+void Callers::close(Place at)
 {
-    const auto at = waiting_.find(answer.caller);
-    if (at == waiting_.end()) return;  // it has left
-    Connection& c = *at->second;
-    waiting_.erase(at);
-    auto* request = c.request;
-    c.request = nullptr;
-    c.leaving.reset();
-    reply(request, answer.response, answer.last_on_connection || connections_.size() > most_open_);
+    waiting_.erase(at->caller);
+    hold(*at, 0);
+    in_[at->phase].erase(at);
 }
 
-void Callers::reply(evhttp_request* request, Response response, bool last)
+// Ends what has had its time, and lets callers in again.
+void Callers::look()
 {
-    auto* of = evhttp_request_get_connection(request);
-    auto* headers = evhttp_request_get_output_headers(request);
-    for (const auto& [name, value] : response.passed_on)
-        evhttp_add_header(headers, name.c_str(), value.c_str());
-    if (last) evhttp_add_header(headers, "Connection", "close");
-    auto* body = evbuffer_new();
-    evbuffer_add(body, response.body.data(), response.body.size());
-    auto* stream = evhttp_connection_get_bufferevent(of);
-    if (const auto at = connections_.find(of); at != connections_.end())
-        at->second->reading = evbuffer_get_length(bufferevent_get_input(stream)) > 0;
-    evhttp_send_reply(request, response.status, reason_of(response.status), body);
-    evbuffer_free(body);
+    const Point now = monotonic_now();
+    for (size_t phase = 0; phase < phases; ++phase)
+        while (!in_[phase].empty() && now - in_[phase].front().since > at_most[phase]) {
+            const Place at = in_[phase].begin();
+            if (phase == asking && at->reader.begun())
+                refuse(at, 408, "the request took too long");
+            else
+                ended(at);
+        }
+    if (!paused_ || !listener_) return;
+    if (open() >= most_open_) make_room(1 + open() - most_open_);
+    if (open() >= most_open_) return;
+    paused_ = false;
+    evconnlistener_enable(listener_.get());
 }
 
 bool Callers::someone_waits() const
 {
-    if (!bound_) return false;
-    pollfd at{evhttp_bound_socket_get_fd(bound_), POLLIN, 0};
+    if (!listener_ || open() >= most_open_) return false;
+    pollfd at{evconnlistener_get_fd(listener_.get()), POLLIN, 0};
     return poll(&at, 1, 0) > 0;
 }
 
 void Callers::stop_listening()
 {
-    if (!bound_) return;
-    listen_again_.reset();
-    {
-        const std::lock_guard hold(listeners_lock);
-        listeners.erase(evhttp_bound_socket_get_listener(bound_));
-    }
-    evhttp_del_accept_socket(server_.get(), bound_);
-    bound_ = nullptr;
+    listener_.reset();
 }
 
 size_t Callers::close_idle()
 {
-    std::vector<evhttp_connection*> idle;
-    for (const auto& [of, c] : connections_) {
-        // Guards against closing on an answer that has not left yet.
-        auto* output = bufferevent_get_output(evhttp_connection_get_bufferevent(of));
-        if (!c->request && !c->reading && evbuffer_get_length(output) == 0) idle.push_back(of);
-    }
-    for (auto* of : idle) evhttp_connection_free(of);
-    return idle.size();
+    // Guards against closing on a request that has come and was not looked at yet.
+    size_t closed = 0;
+    for (const auto phase : {resting, asking})
+        for (Place at = in_[phase].begin(), next; at != in_[phase].end(); at = next) {
+            next = std::next(at);
+            pollfd unread{bufferevent_getfd(at->stream.get()), POLLIN, 0};
+            const bool asks = at->reader.begun() || poll(&unread, 1, 0) > 0 ||
+                              evbuffer_get_length(bufferevent_get_input(at->stream.get())) > 0;
+            if (!asks) close(at), ++closed;
+        }
+    return closed;
+}
+
+size_t Callers::make_room(size_t count)
+{
+    const Point now = monotonic_now();
+    size_t closed = 0;
+    const auto from = [&](Phase phase, Span rested) {
+        for (Place at = in_[phase].begin(); at != in_[phase].end() && closed < count;) {
+            if (now - at->since < rested) break;
+            const Place old = at++;
+            if (phase == leaving || !old->reader.begun()) close(old), ++closed;
+        }
+    };
+    from(leaving, says_something);
+    from(resting, may_rest);
+    from(asking, says_something);
+    return closed;
 }
 
 }  // namespace firtide::net
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -1,11 +1,13 @@
-// The side that callers see: an evhttp server that takes requests in, answers them, and notices who leaves.
+// The side that callers see: takes requests in, answers them, and notices who leaves. On the listener and
+// bufferevents, not on evhttp's server: that one tells nothing of a connection before its first whole
+// request, so that a slow one has no end and a body cannot be refused early.
 #pragma once
 
-#include <event2/http.h>
 #include <event2/listener.h>
 
+#include <array>
 #include <functional>
-#include <memory>
+#include <list>
 #include <unordered_map>
 
 #include "config.h"
@@ -17,7 +19,7 @@
 class Callers
 {
   public:
-    // Past most_open connections each answer is the last on its own. ready: whether `GET /-/ready` is to be
+    // At most_open connections nobody is let in until room is made. ready: whether `GET /-/ready` is to be
     // answered 200. crowded: called when no descriptor is left.
     Callers(event_base* base, const Config& config, size_t most_open, std::function<bool()> ready,
             std::function<void()> crowded, std::function<void(Event)> tell);
@@ -27,32 +29,44 @@
     bool someone_waits() const;  // to be accepted
     void stop_listening();
     size_t close_idle();  // how many connections there were
-    size_t open() const { return connections_.size(); }
+    // Closes what rests longest, at most so many; nobody who has just come or just been answered.
+    size_t make_room(size_t count);
+    size_t open() const;
 
   private:
     struct Connection;
+    using Place = std::list<Connection>::iterator;
+    // Asking: has connected or begun a request. Resting: between requests. Telling: is given an answer.
+    // Leaving: has been given its last one.
+    enum Phase { asking, resting, waiting, telling, leaving, phases };
 
     void listen(const Address& address);
-    void no_descriptor_left();
-    void take(evhttp_request* request);
-    Connection& connection(evhttp_connection* of);
-    void watch(Connection& c);
-    void looked(Connection& c);
-    void closed(evhttp_connection* of);
-    void reply(evhttp_request* request, Response response, bool last);
+    void pause_listening();
+    void accept(int fd);
+    void enter(Place at, Phase phase);
+    void readable(Place at);
+    void came(Place at);
+    void refuse(Place at, int status, const char* why);
+    void reply(Place at, const Response& response, bool last);
+    void written(Place at);
+    void ended(Place at);
+    void close(Place at);
+    void hold(Connection& c, size_t bytes);
+    void look();
 
     event_base* base_;
     const Config& config_;
-    size_t most_open_;
+    const size_t most_open_, most_held_;
+    size_t held_ = 0;  // bytes of bodies, taken in or promised
     std::function<bool()> ready_;
     std::function<void()> crowded_;
     std::function<void(Event)> tell_;
-    std::unique_ptr<evhttp, Freed<evhttp_free>> server_;
-    evhttp_bound_socket* bound_ = nullptr;
-    Timer listen_again_;
+    std::unique_ptr<evconnlistener, Freed<evconnlistener_free>> listener_;
+    bool paused_ = false;
+    Timer look_;
     CallerId next_ = 1;
-    std::unordered_map<evhttp_connection*, std::unique_ptr<Connection>> connections_;
-    std::unordered_map<CallerId, Connection*> waiting_;
+    std::array<std::list<Connection>, phases> in_;  // each: the longest in its phase first
+    std::unordered_map<CallerId, Place> waiting_;
 };
 
 }  // namespace firtide::net
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,5 +1,6 @@
 #include "config.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -13,6 +14,9 @@
 
 using nlohmann::json;
 
+constexpr size_t own_mb = 10;             // memory of the program with nothing to do, and some room
+constexpr size_t least_bodies = 1 << 20;  // bytes
+
 std::string scalar(const json& value)
 {
     if (value.is_string()) return value.get<std::string>();
@@ -99,6 +103,7 @@
     const auto in = json::parse(text, nullptr, false);
     if (!in.is_object()) throw BadConfig("the configuration is not a JSON object");
     Config out;
+    size_t memory_mb = 256;
     if (const auto name = text_at(in, "name", "NODE_NAME"); !name.empty()) out.name = name;
     out.listen = decode_address(text_at(in, "listen", "NODE_LISTEN"), "listen");
     out.discovery = decode_address(text_at(in, "discovery", "NODE_DISCOVERY"), "discovery");
@@ -106,7 +111,12 @@
     if (const auto limits = in.find("limits"); limits != in.end()) {
         if (!limits->is_object()) throw BadConfig("limits: an object is expected");
         out.descriptors = count_at(*limits, "sockets", out.descriptors, 64);
+        memory_mb = count_at(*limits, "memory_mb", memory_mb, 16);
     }
+    // Half of what the program itself and one answer on each upstream's connection leave: a body stands here
+    // twice for a moment, as it came and as it goes on.
+    const size_t own = (own_mb << 20) + out.descriptors * 4 / 10 * most_body;
+    out.bodies = std::max(least_bodies, ((memory_mb << 20) - std::min(memory_mb << 20, own)) / 2);
     const auto settings = in.find("settings");
     if (settings == in.end() || !settings->is_object()) throw BadConfig("settings: an object is expected");
     out.fixed = settings->dump() + in.value("limits", json::object()).dump();
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -23,6 +23,7 @@
     Address listen, discovery;
     uint64_t seed = 0;
     size_t descriptors = 1024;
+    size_t bodies = 0;  // bytes that callers may have here together, out of limits.memory_mb
     Setup setup;
     std::string fixed;  // the parts of the file that hold from start to end, as text
     std::string known;  // the list as it was last had, in discovery's form; empty: none
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -54,12 +54,32 @@
     return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 0x20 && c != 0x7f; });
 }
 
+constexpr double most_figure = 1e6;  // of a load report that can be meant
+
 bool printable(std::string_view text)
 {
     return std::all_of(text.begin(), text.end(),
                        [](unsigned char c) { return c == '\t' || (c >= 0x20 && c != 0x7f); });
 }
 
+const char* reason_of(int status)
+{
+    switch (status) {
+        case 200: return "OK";
+        case 400: return "Bad Request";
+        case 404: return "Not Found";
+        case 408: return "Request Timeout";
+        case 409: return "Conflict";
+        case 413: return "Content Too Large";
+        case 431: return "Request Header Fields Too Large";
+        case 500: return "Internal Server Error";
+        case 501: return "Not Implemented";
+        case 502: return "Bad Gateway";
+        case 503: return "Service Unavailable";
+        default: return "Answer";
+    }
+}
+
 }  // namespace
 
 bool same_name(std::string_view a, std::string_view b)
@@ -77,6 +97,7 @@
     return std::none_of(own.begin(), own.end(), [&](auto name) { return same_name(name, header); });
 }
 
+// All of it or nothing. Guards against figures from a report that is spoilt elsewhere.
 Report decode_report(const Setup& setup, std::string_view text)
 {
     Report report;
@@ -84,11 +105,11 @@
         const auto item = text.substr(0, text.find(','));
         text.remove_prefix(std::min(text.size(), item.size() + 1));
         const auto eq = item.find('=');
-        if (eq == std::string_view::npos) continue;
+        if (eq == std::string_view::npos) return {};
         const auto at = place(setup.report_names, trimmed(item.substr(0, eq)));
         const auto value = number<double>(trimmed(item.substr(eq + 1)));
-        if (at && value && std::isfinite(*value) && setup.report[*at])
-            report.*setup.report[*at] = std::max(0.0, *value);
+        if (!value || !(*value >= 0 && *value <= most_figure)) return {};
+        if (at && setup.report[*at]) report.*setup.report[*at] = *value;
     }
     return report;
 }
@@ -112,13 +133,9 @@
     into.time_left = setup.client_timeouts[*operation];
     const auto nobody = static_cast<uint32_t>(setup.tenants.size());
     into.tenant = nobody;  // what no tenant is named for counts against nobody's share
-    std::optional<std::string> length;
     for (auto& [name, value] : headers) {
         // Guards against a stray carriage return, which the next reader might take for the end of a line.
         if (!plain(name) || !printable(value)) return Unacceptable{400, "unreadable header"};
-        // Guards against a second length, which the next reader might go by.
-        if (same_name(name, "Content-Length") && std::exchange(length, value).value_or(value) != value)
-            return Unacceptable{400, "two lengths"};
         if (same_name(name, "Req-Id")) into.id = value;
         if (same_name(name, "Req-Owner")) into.tenant = place(setup.tenants, value).value_or(nobody);
         if (same_name(name, "Req-Deadline-Ms")) {
@@ -145,6 +162,19 @@
     return out.append("\r\n\r\n").append(request.body);
 }
 
+std::string encode_response(const Response& response, bool last_on_connection)
+{
+    std::string out;
+    out.reserve(256 + response.body.size());
+    out.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
+    out.append(reason_of(response.status));
+    for (const auto& [name, value] : response.passed_on)
+        out.append("\r\n").append(name).append(": ").append(value);
+    if (last_on_connection) out.append("\r\nConnection: close");
+    out.append("\r\nContent-Length: ").append(std::to_string(response.body.size()));
+    return out.append("\r\n\r\n").append(response.body);
+}
+
 std::string encode_probe(std::string_view host, bool with_report)
 {
     std::string out = with_report ? "GET /-/load" : "GET /-/healthy";
@@ -158,7 +188,7 @@
     return std::to_string(ms / 1000) + "." + part;
 }
 
-ResponseReader::State ResponseReader::take(std::string_view bytes)
+MessageReader::State MessageReader::take(std::string_view bytes)
 {
     begun_ = begun_ || !bytes.empty();
     rest_.append(bytes);
@@ -167,21 +197,16 @@
     }
     rest_.erase(0, at_);
     at_ = 0;
-    if (!ok || response_.body.size() > most_body || head_bytes_ > most_head ||
-        rest_.size() > most_head + most_body)
+    used_ = bytes.size();
+    if (!ok || body().size() > most_body || head_bytes_ > most_head || rest_.size() > most_head + most_body)
         return State::malformed;
     if (part_ != Part::done) return State::more;
-    if (!rest_.empty()) keeps_ = false;
+    used_ -= rest_.size();
+    rest_.clear();
     return State::whole;
 }
 
-ResponseReader::State ResponseReader::end()
-{
-    keeps_ = false;
-    return part_ == Part::until_end ? State::whole : State::more;
-}
-
-std::optional<std::string_view> ResponseReader::line()
+std::optional<std::string_view> MessageReader::line()
 {
     const auto end = rest_.find('\n', at_);
     if (end == std::string::npos) {
@@ -196,14 +221,13 @@
 }
 
 // One part further; false where there is not enough yet or something is wrong.
-bool ResponseReader::step(bool& ok)
+bool MessageReader::step(bool& ok)
 {
-    if (head_bytes_ > most_head || response_.body.size() > most_body) return ok = false;
-    if (part_ == Part::body || part_ == Part::chunk || part_ == Part::until_end) {
-        const auto n = part_ == Part::until_end ? rest_.size() - at_ : std::min(wanted_, rest_.size() - at_);
-        response_.body.append(rest_, at_, n);
+    if (head_bytes_ > most_head || body().size() > most_body) return ok = false;
+    if (part_ == Part::body || part_ == Part::chunk) {
+        const auto n = std::min(wanted_, rest_.size() - at_);
+        body().append(rest_, at_, n);
         at_ += n;
-        if (part_ == Part::until_end) return false;
         if ((wanted_ -= n) > 0) return false;
         part_ = part_ == Part::body ? Part::done : Part::chunk_end;
         return true;
@@ -211,8 +235,16 @@
     const auto text = line();
     if (!text) return false;
     switch (part_) {
-        case Part::status: return ok = status_line(*text);
-        case Part::headers: return ok = text->empty() ? head_done() : header(*text);
+        case Part::first_line: return ok = first_line(*text);
+        case Part::headers: {
+            if (text->empty()) return ok = head_done();
+            const auto colon = text->find(':');
+            // A line that goes on with the last header is read in two ways: by none here.
+            if (colon == std::string_view::npos || !plain(text->substr(0, colon)) || colon == 0)
+                return ok = false;
+            const auto name = text->substr(0, colon), value = trimmed(text->substr(colon + 1));
+            return ok = printable(value) && framing(name, value) && header(name, value);
+        }
         case Part::chunk_size: {
             const auto size = number<size_t>(trimmed(text->substr(0, text->find(';'))), 16);
             if (!size || *size > most_body) return ok = false;
@@ -227,7 +259,30 @@
     }
 }
 
-bool ResponseReader::status_line(std::string_view text)
+bool MessageReader::framing(std::string_view name, std::string_view value)
+{
+    if (same_name(name, "Content-Length")) {
+        const auto n = number<size_t>(value);
+        if (!n || (length_ && *length_ != *n)) return false;
+        length_ = n;
+    } else if (same_name(name, "Transfer-Encoding")) {
+        if (chunked_ || !same_name(value, "chunked")) return false;
+        chunked_ = true;
+    } else if (same_name(name, "Connection")) {
+        if (names_token(value, "close")) keeps_ = false;
+    }
+    // Both at once are read in two ways: what one reader takes for the body, the next takes for a message.
+    return !(length_ && chunked_);
+}
+
+void MessageReader::body_follows()
+{
+    wanted_ = length_.value_or(0);
+    body().reserve(wanted_);
+    part_ = chunked_ ? Part::chunk_size : wanted_ > 0 ? Part::body : Part::done;
+}
+
+bool ResponseReader::first_line(std::string_view text)
 {
     if (text.size() < 12 || text.substr(0, 7) != "HTTP/1." || text[8] != ' ') return false;
     const auto status = number<int>(text.substr(9, 3));
@@ -241,52 +296,78 @@
     return true;
 }
 
-bool ResponseReader::header(std::string_view text)
+bool ResponseReader::header(std::string_view name, std::string_view value)
 {
-    if (text.front() == ' ' || text.front() == '\t') return true;  // more of the last one, in the old way
-    const auto colon = text.find(':');
-    if (colon == std::string_view::npos || colon == 0) return false;
-    const auto name = text.substr(0, colon);
-    const auto value = trimmed(text.substr(colon + 1));
-    if (!plain(name)) return false;
-    if (same_name(name, "Content-Length")) {
-        const auto n = number<size_t>(value);
-        if (!n || *n > most_body || (length_ && *length_ != *n)) return false;
-        length_ = n;
-    } else if (same_name(name, "Transfer-Encoding")) {
-        if (!same_name(value, "chunked")) return false;
-        chunked_ = true;
-    } else if (same_name(name, "Connection")) {
-        if (names_token(value, "close")) keeps_ = false;
-    } else if (same_name(name, "Srv-Declined")) {
+    if (same_name(name, "Srv-Declined"))
         response_.declined = value == "1";
-    } else if (same_name(name, "Srv-Load")) {
+    else if (same_name(name, "Srv-Load"))
         response_.report = decode_report(*setup_, value);
-    } else if (goes_on(name)) {
+    else if (goes_on(name))
         response_.passed_on.emplace_back(name, value);
-    }
     return true;
 }
 
 bool ResponseReader::head_done()
 {
-    if (response_.status < 200) {  // an interim answer: the real one follows
-        part_ = Part::status;
+    if (response_.status < 200) {  // an interim answer: the real one follows, within the same limit of bytes
+        part_ = Part::first_line;
         return response_.status != 101;
     }
     if (response_.status == 204 || response_.status == 304) {
         part_ = Part::done;
-    } else if (chunked_) {
-        part_ = Part::chunk_size;
-    } else if (length_) {
-        wanted_ = *length_;
-        part_ = wanted_ > 0 ? Part::body : Part::done;
-    } else {
-        // Without a length the end of the connection ends the answer: only where that was announced can it be
-        // told from a break.
-        if (keeps_) return false;
-        part_ = Part::until_end;
+        return true;
     }
+    if ((!length_ && !chunked_) || length_.value_or(0) > most_body) return false;
+    body_follows();
+    return true;
+}
+
+bool RequestReader::asks_whether_ready() const
+{
+    return request_.target == "/-/ready";
+}
+
+size_t RequestReader::still_to_come() const
+{
+    if (part_ == Part::first_line || part_ == Part::headers) return 0;
+    return (chunked_ ? most_body : length_.value_or(0)) - request_.body.size();
+}
+
+bool RequestReader::refuse(int status, const char* why)
+{
+    why_ = {status, why};
+    return false;
+}
+
+bool RequestReader::first_line(std::string_view text)
+{
+    if (text.empty()) return true;  // left over from the last request, in the old way
+    const auto one = text.find(' '), two = text.rfind(' ');
+    if (one == std::string_view::npos || one == two) return false;
+    const auto version = text.substr(two + 1);
+    if (version.size() != 8 || version.substr(0, 7) != "HTTP/1.") return false;
+    keeps_ = version[7] != '0';
+    request_.method = text.substr(0, one);
+    if (request_.method != "GET" && request_.method != "POST") return refuse(501, "unknown method");
+    request_.target = origin_form(text.substr(one + 1, two - one - 1));
+    part_ = Part::headers;
+    return true;
+}
+
+bool RequestReader::header(std::string_view name, std::string_view value)
+{
+    if (same_name(name, "Expect")) expects_ = same_name(value, "100-continue");
+    headers_.emplace_back(name, value);
+    return true;
+}
+
+bool RequestReader::head_done()
+{
+    if (length_.value_or(0) > most_body) return refuse(413, "too much");
+    if (!asks_whether_ready())
+        if (const auto bad = decode_request(*setup_, std::move(headers_), request_))
+            return refuse(bad->status, bad->why);
+    body_follows();
     return true;
 }
 
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -52,6 +52,7 @@
 std::string origin_form(std::string_view target);  // without scheme and host, where a target has them
 std::optional<Unacceptable> decode_request(const Setup& setup, Headers headers, Request& into);
 std::string encode_request(const Request& request, std::string_view host, Span wait);
+std::string encode_response(const Response& response, bool last_on_connection);
 Report decode_report(const Setup& setup, std::string_view text);
 std::string encode_probe(std::string_view host, bool with_report);
 
@@ -59,36 +60,90 @@
 bool same_name(std::string_view a, std::string_view b);  // of headers: letter case is nothing
 bool goes_on(std::string_view header);                   // is not of one connection alone
 
-// Takes an answer in as it comes. Guards against answers cut short: only a whole one is ever handed out.
-class ResponseReader
+// Takes a message in as it comes, and nothing past its end: head, then a body of a stated length or in
+// chunks.
+class MessageReader
 {
   public:
     enum class State { more, whole, malformed };
 
-    explicit ResponseReader(const Setup& setup) : setup_(&setup) {}
+    virtual ~MessageReader() = default;
 
+    // How many of the bytes belong to this message is in used().
     State take(std::string_view bytes);
-    State end();  // the connection has ended
+    size_t used() const { return used_; }
     bool begun() const { return begun_; }
     bool keeps_connection() const { return keeps_; }
-    Response& response() { return response_; }
 
-  private:
-    enum class Part { status, headers, body, until_end, chunk_size, chunk, chunk_end, trailers, done };
+  protected:
+    enum class Part { first_line, headers, body, chunk_size, chunk, chunk_end, trailers, done };
+
+    virtual bool first_line(std::string_view text) = 0;
+    virtual bool header(std::string_view name, std::string_view value) = 0;
+    virtual bool head_done() = 0;
+    virtual std::string& body() = 0;
+
+    // Reads what tells the body's end. False where it cannot be relied on.
+    bool framing(std::string_view name, std::string_view value);
+    void body_follows();
+
+    Part part_ = Part::first_line;
+    std::optional<size_t> length_;
+    bool chunked_ = false, keeps_ = true, begun_ = false;
 
+  private:
     std::optional<std::string_view> line();
     bool step(bool& ok);
-    bool status_line(std::string_view text);
-    bool header(std::string_view text);
-    bool head_done();
+
+    std::string rest_;
+    size_t at_ = 0, wanted_ = 0, head_bytes_ = 0, used_ = 0;
+};
+
+// An answer of an upstream. Guards against answers cut short: only a whole one is ever handed out, and none
+// whose end is told by the end of the connection alone.
+class ResponseReader : public MessageReader
+{
+  public:
+    explicit ResponseReader(const Setup& setup) : setup_(&setup) {}
+
+    Response& response() { return response_; }
+
+  private:
+    bool first_line(std::string_view text) override;
+    bool header(std::string_view name, std::string_view value) override;
+    bool head_done() override;
+    std::string& body() override { return response_.body; }
 
     const Setup* setup_;
     Response response_;
-    Part part_ = Part::status;
-    std::string rest_;
-    size_t at_ = 0, wanted_ = 0, head_bytes_ = 0;
-    std::optional<size_t> length_;
-    bool chunked_ = false, keeps_ = true, begun_ = false;
+};
+
+// A request of a caller. What is wrong with it is known once its head is there: a body that belongs to such
+// a one is never read.
+class RequestReader : public MessageReader
+{
+  public:
+    explicit RequestReader(const Setup& setup) : setup_(&setup) {}
+
+    Request& request() { return request_; }
+    const Unacceptable& why() const { return why_; }
+    bool asks_whether_ready() const;
+    size_t still_to_come() const;  // bytes of its body at most, once the head is there
+    bool expects_word() const { return still_to_come() > 0 && expects_; }
+    void word_given() { expects_ = false; }
+
+  private:
+    bool first_line(std::string_view text) override;
+    bool header(std::string_view name, std::string_view value) override;
+    bool head_done() override;
+    std::string& body() override { return request_.body; }
+    bool refuse(int status, const char* why);
+
+    const Setup* setup_;
+    Request request_;
+    Headers headers_;
+    Unacceptable why_{400, "unreadable request"};
+    bool expects_ = false;
 };
 
 }  // namespace firtide::net
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -114,6 +114,11 @@
 
 void Reducer::on(Arrived& arrived)
 {
+    // Guards against two forwards under one id, of which an upstream would take the second for a copy.
+    if (!open_ids_.insert(arrived.request.id).second) {
+        effects_.push_back(Answer{arrived.caller, plain_answer(409, "this id is open\n"), true});
+        return;
+    }
     if (free_.empty()) {
         free_.push_back(static_cast<Inv>(invocations_.size()));
         invocations_.emplace_back();
@@ -130,7 +135,7 @@
 {
     const auto at = invocation_of_.find(left.caller);
     if (at == invocation_of_.end() || invocations_[at->second].over) return;
-    invocations_[at->second].over = true;
+    over(invocations_[at->second]);
     balancer_.client_left(now_, at->second);
 }
 
@@ -205,12 +210,18 @@
     effects_.push_back(MoveWatch{std::move(read.discovery)});
 }
 
+void Reducer::over(Invocation& i)
+{
+    i.over = true;
+    open_ids_.erase(i.request.id);
+}
+
 // Every answer to a caller passes here; a second one never does.
 void Reducer::answer(Inv inv, Response response)
 {
     Invocation& i = invocations_[inv];
     if (i.over) return;
-    i.over = true;
+    over(i);
     effects_.push_back(Answer{i.caller, std::move(response), stopping_});
 }
 
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -151,6 +152,7 @@
     bool may_write(const Attempt& attempt) const;
     void ended(AttemptId id, Result result, Response* response);
     void answer(Inv inv, Response response);
+    void over(Invocation& i);
 
     void forward(Inv inv, Tgt tgt, Span limit) override;
     void throttle(Inv inv, Span come_back) override;
@@ -169,6 +171,7 @@
     std::vector<Invocation> invocations_;
     std::vector<Inv> free_;
     std::unordered_map<CallerId, Inv> invocation_of_;
+    std::unordered_set<std::string> open_ids_;  // of what is not answered yet
     std::unordered_map<AttemptId, Attempt> attempts_;
     AttemptId next_attempt_ = 1;
     std::vector<Upstream> upstreams_;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -18,7 +18,8 @@
 constexpr Span look_every = seconds(0.02);  // whether all is answered
 constexpr Span tell_every = seconds(1);     // of the same trouble in the log
 constexpr size_t kept_back = 32;            // descriptors for the loop, the log, discovery and the listener
-constexpr double part_of_upstreams = 0.4;   // of the others
+// Of the others, at most; together more than all, for either may need the room that the other leaves.
+constexpr double part_of_upstreams = 0.4, part_of_callers = 0.72;
 
 Base make_base()
 {
@@ -71,8 +72,7 @@
                  [this](Event e) { post(std::move(e)); }),
       discovery_(base_.get(), config_, epoch_, [this](Event e) { post(std::move(e)); }),
       callers_(
-          base_.get(), config_,
-          static_cast<size_t>(static_cast<double>(descriptors_) * (1 - part_of_upstreams)),
+          base_.get(), config_, static_cast<size_t>(static_cast<double>(descriptors_) * part_of_callers),
           [this] { return reducer_.ready(); }, [this] { make_room(); },
           [this](Event e) { post(std::move(e)); })
 {
@@ -81,8 +81,7 @@
     on_signal(SIGTERM, stop);
     on_signal(SIGINT, stop);
     if (read_again_)
-        on_signal(SIGHUP,
-                  [](evutil_socket_t, short, void* self) { static_cast<Service*>(self)->reread(); });
+        on_signal(SIGHUP, [](evutil_socket_t, short, void* self) { static_cast<Service*>(self)->reread(); });
 }
 
 void Service::on_signal(int number, void (*what)(evutil_socket_t, short, void*))
@@ -101,7 +100,7 @@
         spdlog::warn("no descriptor left: {} callers, {} upstream connections open", callers_.open(),
                      upstreams_.open());
     }
-    if (upstreams_.close_oldest_idle(16) == 0) callers_.close_idle();
+    if (callers_.make_room(16) == 0) upstreams_.close_oldest_idle(16);
 }
 
 // Events that come while effects are carried out wait for their turn.
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -14,7 +14,8 @@
 class Service
 {
   public:
-    // read_again: reads the configuration anew at SIGHUP, or throws; where there is none, SIGHUP is left alone.
+    // read_again: reads the configuration anew at SIGHUP, or throws; where there is none, SIGHUP is left
+    // alone.
     explicit Service(Config config, std::function<Config()> read_again = {});
     ~Service();
 
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -221,13 +221,14 @@
     }
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
     const auto state = at->reader.take({bytes, size});
+    const bool more = at->reader.used() < size;  // than belongs to the answer
     evbuffer_drain(input, size);
     if (state == ResponseReader::State::more) return;
     if (state == ResponseReader::State::malformed) return fail(at, Cause::malformed);
     const auto attempt = at->attempt;
     const bool unwritten = evbuffer_get_length(bufferevent_get_output(at->stream.get())) > 0;
     auto response = std::move(at->reader.response());
-    const bool keep = at->reader.keeps_connection() && !unwritten;
+    const bool keep = at->reader.keeps_connection() && !unwritten && !more;
     of_attempt_.erase(attempt);
     if (keep)
         rest(at);
@@ -246,12 +247,6 @@
     }
     if (!at->attempt) return close(at);  // idle for long enough, or ended by the upstream
     if (!at->connected) return fail(at, Cause::refused);
-    if (at->asked && (what & BEV_EVENT_EOF) && at->reader.end() == ResponseReader::State::whole) {
-        const auto attempt = at->attempt;
-        auto response = std::move(at->reader.response());
-        close(at);
-        return tell_(Answered{attempt, std::move(response)});
-    }
     fail(at, Cause::broken);
 }
 
