The limit of outstanding work looks at 60 answers before it moves, or at 3 s of them

Checked: answer times are lognormal or pareto with cv up to 2.8, so a mean of 12 passes the aim by chance; balance.cpp feel() then cuts to what was out just then.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -43,7 +43,9 @@
 constexpr double most_retries = 5;            // saved up
 constexpr uint32_t most_redirects = 3;        // after answers that prove nothing ran
 
-constexpr double round_of = 12;  // answers between two looks at the limit of outstanding work
+// Between two looks at the limit of outstanding work: so many answers, or fewer if they took long to come.
+constexpr double round_of = 60, least_round = 12;
+constexpr Span long_round = seconds(3);
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
 constexpr double typical_use = 1.25;    // a middling tenant's share over what it uses of it
 constexpr double never_pressed = 0.2;   // of the latency objective: a mean answer time under it is well
@@ -182,6 +184,7 @@
     Span slowest_objective;
     double pressure = usual_calm, slow_pressure = 0;  // mean of answer time over latency objective
     double calm = usual_calm;                         // what it is with next to no load
+    Point round_at;
     double felt = 0, felt_n = 0, first_felt = 0, first_n = 0;
     double limit = 1e9;           // mean own outstanding work
     double good_outstanding = 0;  // the most it was while the aim was met, forgotten slowly
@@ -530,7 +533,9 @@
         if (inv.early || since_start < inv.op->latency_objective * 0.25)
             first_felt += of_objective, ++first_n;
         felt += of_objective;
-        if (++felt_n < round_of) return;
+        // Guards against a limit cut by chance: answer times scatter so far that a few of them tell nothing.
+        if (++felt_n < least_round || (felt_n < round_of && now - round_at < long_round)) return;
+        round_at = now;
         const double mean = felt / felt_n;
         felt = felt_n = 0;
         pressure = 0.5 * (pressure + mean);
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -287,7 +287,7 @@
     const std::pair<const char*, std::string> begun[] = {
         {"says nothing", ""},
         {"half a head", "GET /safe/x HTTP/1.1\r\n"},
-        {"half a body", http("POST /once/x HTTP/1.1", "body", an_id()).substr(0, 60)},
+        {"half a body", http("POST /once/x HTTP/1.1", "body body", an_id()).substr(0, 60)},
         {"a head that never ends", "GET /safe/x HTTP/1.1\r\n"},
     };
     std::vector<Wire> all;
