Spoilt answers end within half a second; what waits unread on an idle connection is seen

Checked on loopback: a head that never ends, a body that stops, a stated 3 GB, both framings, a second copy that comes while the process stands still. At fault: upstreams.cpp readable() (no limit within an answer), dial() (looked at the loop's view of an idle connection, not the kernel's), give_up_after() (a timer that fires before what has come is read), connect() (ENOBUFS and the like told as refused). Without it the new trace reads 503 after 1 for the head that never ends, 200 after 2 with it.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -556,7 +556,7 @@
         else
             calm *= limit > least_limit() ? 0.997 : 1.003;
         if (pressure > aim() && mean > aim())
-            limit = std::max(least_limit(), std::min(limit, mean_out) * std::max(0.75, aim() / pressure));
+            limit = std::max(least_limit(), limit * std::max(0.75, aim() / pressure));
         else if (pressure <= aim() && mean_out > 0.7 * limit)
             limit *= std::min(1.3, aim() / pressure);
         limit = std::min(limit, most_limit());
@@ -752,6 +752,7 @@
                 return finish(id, true, come_back());
             return route(id);
         }
+        if (result == Result::unusable) return finish(id, false);
         const double needed = ops[inv.operation].usual;
         if (inv.op->repeat != Repeat::non_idempotent && retry_tokens >= 1 &&
             (inv.useful - now).seconds() > needed) {
@@ -771,7 +772,8 @@
         const bool stuck = stalled(u);
         --u.out;
         --outstanding;
-        if (result == Result::succeeded || result == Result::errored || result == Result::full)
+        if (result == Result::succeeded || result == Result::errored || result == Result::full ||
+            result == Result::unusable)
             u.waiting_since = now;
         u.last_end = now;
         const bool broke = result == Result::timed_out || result == Result::reset;
--- a/src/balance.h
+++ b/src/balance.h
@@ -20,7 +20,8 @@
 using Inv = uint32_t;
 using Tgt = uint32_t;
 
-enum class Result { succeeded, errored, full, timed_out, unreachable, reset, cancelled, not_sent };
+// Unusable: the upstream found fault with the invocation itself, which says nothing of the upstream.
+enum class Result { succeeded, errored, full, timed_out, unreachable, reset, cancelled, not_sent, unusable };
 enum class Presence { gone, ready, draining };
 
 struct Listing {
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -311,6 +311,7 @@
 {
     if (response_.status < 200) {  // an interim answer: the real one follows, within the same limit of bytes
         part_ = Part::first_line;
+        begun_ = false;
         return response_.status != 101;
     }
     if (response_.status == 204 || response_.status == 304) {
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -30,6 +30,8 @@
 {
     if (r.status == 200) return Result::succeeded;
     if ((r.status == 503 || r.status == 504) && r.declined) return Result::full;
+    // Guards against blaming upstreams for what bad callers ask, and against asking it of another one.
+    if (r.status >= 400 && r.status < 500) return Result::unusable;
     return Result::errored;
 }
 
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -4,8 +4,10 @@
 #include <event2/util.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 
 #include <algorithm>
+#include <cerrno>
 
 #include "log.h"
 
@@ -18,6 +20,23 @@
 // crosses the close.
 constexpr double idle_part = 0.75;
 
+// An answer that has begun is whole by then. Guards against one whose head or body never ends: waiting for
+// more would use up the time that another forward needs.
+constexpr Span answer_within = seconds(0.5);
+
+// Guards against blaming an upstream for what this machine lacks.
+Cause cause_of(int error)
+{
+    switch (error) {
+        case EMFILE:
+        case ENFILE:
+        case ENOBUFS:
+        case ENOMEM:
+        case EADDRNOTAVAIL: return Cause::no_descriptor;
+        default: return Cause::refused;
+    }
+}
+
 }  // namespace
 
 // Lives as long as the connection; what belongs to one request is in the attempt's part.
@@ -34,6 +53,9 @@
 
     AttemptId attempt = 0;  // 0: idle
     Timer waits_until;
+    Point until;
+    bool looked_again = false;  // past its time, for what the kernel has and the loop has not seen
+    bool answering = false;
     bool asked = false;  // the request was handed to the stream
     Point rests_since;
     ResponseReader reader;
@@ -58,14 +80,13 @@
 
 void Upstreams::dial(const Dial& dial)
 {
-    auto& resting = idle_[dial.tgt];
-    while (!resting.empty()) {
-        const Place at = resting.back();
-        resting.pop_back();
-        if (at->endpoint != dial.endpoint) {
+    for (auto found = idle_.find(dial.tgt); found != idle_.end(); found = idle_.find(dial.tgt)) {
+        const Place at = found->second.back();
+        if (at->endpoint != dial.endpoint || !quiet(*at)) {
             close(at);
             continue;
         }
+        take_from_rest(at);
         bufferevent_set_timeouts(at->stream.get(), nullptr, nullptr);
         serve(at, dial.attempt, dial.limit);
         return tell_(Connected{dial.attempt});
@@ -76,10 +97,9 @@
     }
     const Place at = connect(dial.tgt, dial.endpoint);
     if (at == all_.end()) {
-        const bool none_left = errno == EMFILE || errno == ENFILE;
-        if (none_left) close_oldest_idle(8);
-        return tell_(Failed{dial.attempt,
-                            {Progress::not_connected, none_left ? Cause::no_descriptor : Cause::refused}});
+        const auto cause = cause_of(errno);
+        if (cause == Cause::no_descriptor) close_oldest_idle(8);
+        return tell_(Failed{dial.attempt, {Progress::not_connected, cause}});
     }
     serve(at, dial.attempt, dial.limit);
 }
@@ -127,7 +147,7 @@
         base_,
         [](evutil_socket_t, short, void* arg) {
             auto* late = static_cast<Connection*>(arg);
-            late->owner->fail(late->self, Cause::no_answer_in_time);
+            late->owner->late(late->self);
         },
         &c));
     const auto after = to_timeval(wait);
@@ -138,7 +158,8 @@
 void Upstreams::serve(Place at, AttemptId attempt, Span limit)
 {
     at->attempt = attempt;
-    at->asked = false;
+    at->asked = at->answering = at->looked_again = false;
+    at->until = monotonic_now() + limit;
     at->reader = ResponseReader(setup_);
     of_attempt_[attempt] = at;
     at->waits_until = give_up_after(*at, limit);
@@ -177,8 +198,7 @@
 
 void Upstreams::close_idle(Tgt tgt)
 {
-    auto& resting = idle_[tgt];
-    while (!resting.empty()) close(resting.back());
+    for (auto at = idle_.find(tgt); at != idle_.end(); at = idle_.find(tgt)) close(at->second.back());
 }
 
 size_t Upstreams::close_oldest_idle(size_t count)
@@ -205,12 +225,47 @@
 {
     if (at->attempt) {
         of_attempt_.erase(at->attempt);
-    } else if (const auto resting = idle_.find(at->tgt); resting != idle_.end()) {
-        std::erase(resting->second, at);
+    } else {
+        take_from_rest(at);
     }
     all_.erase(at);
 }
 
+// Nothing is kept of an upstream that no connection rests at. Guards against growing with each that ever was.
+void Upstreams::take_from_rest(Place at)
+{
+    const auto resting = idle_.find(at->tgt);
+    if (resting == idle_.end()) return;
+    std::erase(resting->second, at);
+    if (resting->second.empty()) idle_.erase(resting);
+}
+
+// Guards against a second copy of the last answer, or the end of the connection, that has come and that the
+// loop has not seen yet: it would be taken for the answer to the next request.
+bool Upstreams::quiet(const Connection& c) const
+{
+    char byte;
+    return evbuffer_get_length(bufferevent_get_input(c.stream.get())) == 0 &&
+           recv(bufferevent_getfd(c.stream.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EINTR);
+}
+
+// Time is up. Guards against blaming an upstream for a stall of this program: what has come meanwhile is
+// looked at first.
+void Upstreams::late(Place at)
+{
+    pollfd seen{bufferevent_getfd(at->stream.get()),
+                static_cast<short>(at->connected ? POLLIN : POLLIN | POLLOUT), 0};
+    if (!at->looked_again && poll(&seen, 1, 0) > 0) {
+        at->looked_again = true;
+        auto& timer = at->connected ? at->waits_until : at->connecting_until;
+        const auto soon = to_timeval(seconds(0.001));
+        event_add(timer.get(), &soon);
+        return;
+    }
+    fail(at, at->answering ? Cause::malformed : Cause::no_answer_in_time);
+}
+
 void Upstreams::readable(Place at)
 {
     auto* input = bufferevent_get_input(at->stream.get());
@@ -223,7 +278,12 @@
     const auto state = at->reader.take({bytes, size});
     const bool more = at->reader.used() < size;  // than belongs to the answer
     evbuffer_drain(input, size);
-    if (state == ResponseReader::State::more) return;
+    if (state == ResponseReader::State::more) {
+        if (!at->reader.begun() || at->answering) return;
+        at->answering = true;
+        at->waits_until = give_up_after(*at, std::min(answer_within, at->until - monotonic_now()));
+        return;
+    }
     if (state == ResponseReader::State::malformed) return fail(at, Cause::malformed);
     const auto attempt = at->attempt;
     const bool unwritten = evbuffer_get_length(bufferevent_get_output(at->stream.get())) > 0;
@@ -246,7 +306,7 @@
         return;
     }
     if (!at->attempt) return close(at);  // idle for long enough, or ended by the upstream
-    if (!at->connected) return fail(at, Cause::refused);
+    if (!at->connected) return fail(at, cause_of(EVUTIL_SOCKET_ERROR()));
     fail(at, Cause::broken);
 }
 
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -34,6 +34,9 @@
     Timer give_up_after(Connection& c, Span wait);
     void serve(Place at, AttemptId attempt, Span limit);
     void rest(Place at);
+    void take_from_rest(Place at);
+    bool quiet(const Connection& c) const;
+    void late(Place at);
     void fail(Place at, Cause cause);
     void close(Place at);
     void readable(Place at);
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -96,6 +96,7 @@
         };
         play("a bare 503 proves nothing", [](Play& p) { p.answered(503); });
         play("declined: it never ran", [](Play& p) { p.answered(503, true); });
+        play("a 400 finds fault with the request", [](Play& p) { p.answered(400); });
         play("a 500 may have run", [](Play& p) { p.answered(500); });
         play("broken after the last byte", [](Play& p) { p.failed(Progress::written, Cause::broken); });
         play("broken within the answer", [](Play& p) { p.failed(Progress::answering, Cause::broken); });
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -190,6 +190,55 @@
     }
 }
 
+// Answers that come spoilt, or bring more than belongs to them.
+void spoilt(Running& firtide, const StandIn& upstream)
+{
+    const std::pair<const char*, std::string> ways[] = {
+        {"begins and goes no further", ok + "\r\nContent-Length: 9\r\n\r\nhalf"},
+        {"never ends its head", ok + "\r\nX: y\r\n"},
+        {"says that it has 3 GB", ok + "\r\nContent-Length: 3221225472\r\n\r\nxxxx"},
+        {"has a length and chunks",
+         ok + "\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwell\r\n0\r\n\r\n"},
+    };
+    for (const auto& [what, bytes] : ways) {
+        upstream_does = [&](Wire& w, auto&) {
+            if (asked > 1) return w.send(http(ok, "well"));
+            w.send(bytes);
+            w.ended(1500);
+        };
+        list_is(target(what, upstream.endpoint(), "ready"));  // one that nothing is known of
+        pause(50);
+        std::printf("an answer %s: ", what);
+        Wire caller(firtide.port);
+        asked = 0;
+        const auto once = first_line(caller.ask(post("x")));
+        asked = 0;
+        const auto safe = first_line(caller.ask(get("x")));
+        std::printf("once %s, safe %s after %d\n", once.c_str(), safe.c_str(), asked.load());
+        for (int i = 0; i < 12; ++i) caller.ask(get("x"));  // earns another second try
+    }
+    list_is(target("another", upstream.endpoint(), "ready"));
+    pause(50);
+    upstream_does = [](Wire& w, auto&) {
+        w.send("HTTP/1.1 102 Processing\r\n\r\n"), pause(600), w.send(http(ok, "well"));
+    };
+    tell("an interim answer, and the real one late", Wire(firtide.port).ask(get("x")));
+    std::atomic<bool> go{false};
+    upstream_does = [&](Wire& w, const std::string& request) {
+        const auto answer = http(ok, request.substr(0, request.find(' ', 6)));
+        w.send(answer);
+        until([&] { return go.load(); });
+        w.send(answer);
+    };
+    Wire caller(firtide.port);
+    caller.ask(post("one"));
+    kill(firtide.process, SIGSTOP);
+    caller.send(post("two")), pause(50);
+    go = true, pause(50);
+    kill(firtide.process, SIGCONT);
+    tell("a second copy comes late, and the next request", caller.message());
+}
+
 // Upstreams that refuse, or that nobody answers for: the queue of this socket is full.
 void unreachable(Running& firtide)
 {
@@ -494,6 +543,11 @@
         outcomes(f, upstream);
     });
     list_is(target("u", upstream.endpoint(), "ready"));
+    list_is(target("u", upstream.endpoint(), "ready"));
+    play("spoilt answers", [&] {
+        Running f(discovery.endpoint());
+        spoilt(f, upstream);
+    });
     play("callers", [&] {
         Running f(discovery.endpoint());
         callers(f);
