Callers that are here are served for two seconds more after SIGTERM

Seen: reload, a third of the requests of 15 to 20 s fail: the second balancer is told to stop 1.4 s before the first one is back. Checked: the logs give the times; balancer.cpp's decisions have no part in it, as no attempt was made. At fault: service.cpp leave_if_done(), which closed idle callers 0.5 s after SIGTERM, and reducer.cpp, which made each answer the last on its connection at once. Change: connections that are there go on being served for 2 s; what comes meanwhile is answered by 3.4 s after the signal, before the process may be killed.

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -220,7 +220,9 @@
 
 void Callers::reply(Place at, const Response& response, bool last)
 {
-    at->last = at->last || last;
+    // Others wait to be let in, and nobody is here who says nothing and would go first.
+    const bool crowded = paused_ && in_[asking].size() <= (at->phase == asking);
+    at->last = at->last || last || crowded;
     at->reader = RequestReader(config_.setup);
     const auto bytes = encode_response(response, at->last);
     hold(*at, bytes.size());
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -8,6 +8,8 @@
 {
 
 constexpr Span probe_waits = seconds(0.25);
+constexpr Span serve_on = seconds(2);     // after the signal to stop, on connections that are there
+constexpr Span answer_by = seconds(3.4);  // after it, what has come meanwhile: then the process may be killed
 
 // The same at every instance, whatever the order in which upstreams are met.
 uint64_t id_of(std::string_view uid)
@@ -128,6 +130,8 @@
     const Inv inv = free_.back();
     free_.pop_back();
     invocation_of_.emplace(arrived.caller, inv);
+    if (stopped_)
+        arrived.request.time_left = std::min(arrived.request.time_left, *stopped_ + answer_by - now_);
     const Ask ask{arrived.request.operation, arrived.request.tenant, arrived.request.time_left};
     invocations_[inv] = {arrived.caller, false, std::move(arrived.request), {}};
     balancer_.accept(now_, inv, ask);
@@ -201,7 +205,7 @@
 
 void Reducer::on(Stopping)
 {
-    stopping_ = true;
+    stopped_ = now_;
 }
 
 // The list, and what is known of its upstreams, stays as it is until the new address has told its own.
@@ -212,6 +216,11 @@
     effects_.push_back(MoveWatch{std::move(read.discovery)});
 }
 
+bool Reducer::turns_out(Point now) const
+{
+    return stopped_ && now >= *stopped_ + serve_on;
+}
+
 void Reducer::over(Invocation& i)
 {
     i.over = true;
@@ -224,7 +233,7 @@
     Invocation& i = invocations_[inv];
     if (i.over) return;
     over(i);
-    effects_.push_back(Answer{i.caller, std::move(response), stopping_});
+    effects_.push_back(Answer{i.caller, std::move(response), turns_out(now_)});
 }
 
 void Reducer::dial(AttemptId id, Attempt attempt)
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -109,7 +109,9 @@
     // The effects are to be carried out in their order.
     std::vector<Effect> reduce(Point now, Event event);
 
-    bool ready() const { return listed_ && !stopping_; }
+    bool ready() const { return listed_ && !stopped_; }
+    // Stopping for so long that each answer is the last on its connection and idle ones may go.
+    bool turns_out(Point now) const;
     size_t in_flight() const { return invocation_of_.size(); }
 
   private:
@@ -176,7 +178,8 @@
     AttemptId next_attempt_ = 1;
     std::vector<Upstream> upstreams_;
     std::unordered_map<std::string, Tgt> upstream_of_;
-    bool listed_ = false, stopping_ = false;
+    bool listed_ = false;
+    std::optional<Point> stopped_;  // since then
     std::string discovery_;
     Balancer balancer_;
 };
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -13,8 +13,7 @@
 {
 
 constexpr Span accept_on = seconds(0.5);    // after SIGTERM: callers go on coming for a moment
-constexpr Span stay_on = seconds(0.2);      // and then for requests on the connections accepted last
-constexpr Span wait_on = seconds(2.5);      // and no longer for a caller that does not finish its request
+constexpr Span wait_on = seconds(2.9);      // and no longer for a caller that does not finish its request
 constexpr Span look_every = seconds(0.02);  // whether all is answered
 constexpr Span tell_every = seconds(1);     // of the same trouble in the log
 constexpr size_t kept_back = 32;            // descriptors for the loop, the log, discovery and the listener
@@ -209,9 +208,12 @@
 void Service::leave_if_done()
 {
     if (!stopped_accepting_) return;
+    // Guards against turning callers out while the next balancer of a rolling restart is not back yet: those
+    // that are here are served for as long as their answers can still come in time.
+    if (!reducer_.turns_out(monotonic_now())) return;
     callers_.close_idle();
     const Span since = monotonic_now() - *stopped_accepting_;
-    if (since < stay_on || reducer_.in_flight() > 0) return;
+    if (reducer_.in_flight() > 0) return;
     // Guards against a caller that stops within a request and would hold the whole restart up.
     if (callers_.open() == 0 || since > wait_on) event_base_loopbreak(base_.get());
 }
