A new upstream takes the place of one that has gone; nothing grows with all that ever were

From reading: reducer.h upstreams_ and upstream_of_, balance.cpp ups, near and far kept every uid for good, and decisions walk them. Checked: a thousand upstreams one after the other made 1001 places, now 2, while an invocation that stays open pins the first. Change: places are given away once the upstream is gone and no open invocation or probe refers to it; the module forgets the old one by its id.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -195,7 +195,7 @@
     double own_part;
     Point share_at;
 
-    std::vector<Tgt> near, far;  // all ever listed, each in this instance's own order of preference
+    std::vector<Tgt> near, far;  // all that have a place, each in this instance's own order of preference
     std::vector<std::pair<Tgt, double>> weights;
 
     double roll() { return std::generate_canonical<double, 24>(chance); }
@@ -794,6 +794,11 @@
     {
         if (l.tgt >= ups.size()) ups.resize(l.tgt + 1);
         Upstream& u = ups[l.tgt];
+        if (u.known && u.listing.id != l.id) {
+            // Another one in the place of one that has gone. Guards against growing with all that ever were.
+            std::erase(near, l.tgt), std::erase(far, l.tgt);
+            u = Upstream{};
+        }
         if (l.started && l.started != u.listing.started) {
             // A new life: what the last one showed says nothing of it.
             const auto out_now = u.out;
--- a/src/balance.h
+++ b/src/balance.h
@@ -2,7 +2,8 @@
 //
 // One Balancer decides for one instance. The host calls it with what happened, in order, each time with the
 // clock; the Balancer answers through the Outlet before the call returns. Invocations and upstreams are small
-// indices chosen by the host: an invocation's index may be used again after released(), an upstream's never.
+// indices chosen by the host: an invocation's index may be used again after released(), an upstream's once it
+// is gone and no invocation that was forwarded to it is left.
 #pragma once
 
 #include <cstdint>
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -71,6 +71,27 @@
     balancer_.started(now_);
 }
 
+// A new upstream takes the place of one that has gone. Guards against growing with all that ever were; what
+// was forwarded to the old one still counts against it until it is over.
+Tgt Reducer::place_of(const std::string& uid)
+{
+    const auto [at, fresh] = upstream_of_.try_emplace(uid, static_cast<Tgt>(upstreams_.size()));
+    if (!fresh) return at->second;
+    const auto free = std::find_if(upstreams_.begin(), upstreams_.end(), [](const Upstream& u) {
+        return u.presence == Presence::gone && u.referred == 0;
+    });
+    if (free == upstreams_.end()) {
+        upstreams_.emplace_back();
+    } else {
+        at->second = static_cast<Tgt>(free - upstreams_.begin());
+        effects_.push_back(CloseIdle{at->second});
+        upstream_of_.erase(free->uid);
+        *free = {};
+    }
+    upstreams_[at->second].uid = uid;
+    return at->second;
+}
+
 std::vector<Listing> Reducer::listings(const std::vector<Entry>& entries, bool all)
 {
     std::vector<Presence> before;
@@ -78,15 +99,19 @@
         before.push_back(u.presence);
         if (all) u.presence = Presence::gone;  // a whole list drops what it does not name
     }
+    // Those that have a place come first. Guards against giving it to another one of the same list.
+    for (const Entry& e : entries)
+        if (const auto at = upstream_of_.find(e.uid); at != upstream_of_.end())
+            upstreams_[at->second].presence = e.presence;
     std::vector<Listing> listed;
     for (const Entry& e : entries) {
-        const auto [at, fresh] = upstream_of_.try_emplace(e.uid, static_cast<Tgt>(upstreams_.size()));
-        if (fresh) upstreams_.emplace_back(), before.push_back(Presence::gone);
-        Upstream& u = upstreams_[at->second];
-        if (!u.endpoint.empty() && u.endpoint != e.endpoint) effects_.push_back(CloseIdle{at->second});
+        const Tgt at = place_of(e.uid);
+        before.resize(upstreams_.size(), Presence::gone);
+        Upstream& u = upstreams_[at];
+        if (!u.endpoint.empty() && u.endpoint != e.endpoint) effects_.push_back(CloseIdle{at});
         u.endpoint = e.endpoint;
         u.presence = e.presence;
-        listed.push_back({at->second, id_of(e.uid), e.presence, e.zone, e.cell, 1, e.started});
+        listed.push_back({at, id_of(e.uid), e.presence, e.zone, e.cell, 1, e.started});
         if (setup_.sizes_listed && e.size > 0) listed.back().size = e.size;
     }
     for (Tgt t = 0; t < upstreams_.size(); ++t)
@@ -133,7 +158,7 @@
     if (stopped_)
         arrived.request.time_left = std::min(arrived.request.time_left, *stopped_ + answer_by - now_);
     const Ask ask{arrived.request.operation, arrived.request.tenant, arrived.request.time_left};
-    invocations_[inv] = {arrived.caller, false, std::move(arrived.request), {}};
+    invocations_[inv] = {arrived.caller, false, std::move(arrived.request), {}, {}};
     balancer_.accept(now_, inv, ask);
 }
 
@@ -187,6 +212,7 @@
     const Attempt a = at->second;
     attempts_.erase(at);
     if (!a.inv) {
+        --upstreams_[a.tgt].referred;
         const bool asked = response && setup_.settings.reports_by_probe;
         return balancer_.probed(now_, a.tgt, result,
                                 asked ? decode_report(setup_, response->body) : Report{});
@@ -248,6 +274,8 @@
     const auto id = next_attempt_++;
     const auto nth = static_cast<uint32_t>(i.attempts.size());
     i.attempts.push_back(id);
+    i.met.push_back(tgt);
+    ++upstreams_[tgt].referred;
     dial(id, {inv, nth, tgt, upstreams_[tgt].endpoint, now_, now_ + limit});
 }
 
@@ -271,6 +299,7 @@
 void Reducer::released(Inv inv)
 {
     invocation_of_.erase(invocations_[inv].caller);
+    for (const Tgt tgt : invocations_[inv].met) --upstreams_[tgt].referred;
     invocations_[inv] = {};
     free_.push_back(inv);
 }
@@ -282,6 +311,7 @@
 
 void Reducer::probe(Tgt tgt)
 {
+    ++upstreams_[tgt].referred;
     dial(next_attempt_++, {{}, 0, tgt, upstreams_[tgt].endpoint, now_, now_ + probe_waits});
 }
 
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -112,6 +112,7 @@
     bool ready() const { return listed_ && !stopped_; }
     // Stopping for so long that each answer is the last on its connection and idle ones may go.
     bool turns_out(Point now) const;
+    size_t places() const { return upstreams_.size(); }  // for upstreams
     size_t in_flight() const { return invocation_of_.size(); }
 
   private:
@@ -121,6 +122,7 @@
         bool over = true;
         Request request;
         std::vector<AttemptId> attempts;
+        std::vector<Tgt> met;  // upstreams it was forwarded to
     };
     // Lives as long as one forward or probe.
     struct Attempt {
@@ -130,9 +132,10 @@
         std::string endpoint;
         Point sent, until;
     };
-    // Lives as long as the program; the list may name it again.
+    // Lives until its place is wanted for another, and nothing refers to it any more.
     struct Upstream {
-        std::string endpoint;
+        std::string uid, endpoint;
+        size_t referred = 0;  // by invocations and probes
         Presence presence = Presence::gone;
     };
 
@@ -149,6 +152,7 @@
     void on(Stopping);
     void on(Reread& read);
 
+    Tgt place_of(const std::string& uid);
     std::vector<Listing> listings(const std::vector<Entry>& entries, bool all);
     void dial(AttemptId id, Attempt attempt);
     bool may_write(const Attempt& attempt) const;
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -46,13 +46,15 @@
     {
         now = now + seconds(0.01);
         for (const Effect& e : reducer->reduce(now, std::move(event))) {
+            if (const auto* d = std::get_if<Dial>(&e)) last = d->attempt;
+            if (quiet) continue;
             if (const auto* a = std::get_if<Answer>(&e))
                 std::printf("answer caller %llu: %d%s%s\n", static_cast<unsigned long long>(a->caller),
                             a->response.status, a->response.passed_on.empty() ? "" : ", come back later",
                             a->last_on_connection ? ", the last on its connection" : "");
             if (const auto* d = std::get_if<Dial>(&e)) {
                 std::printf("dial %s for attempt %llu within %.2f s\n", d->endpoint.c_str(),
-                            static_cast<unsigned long long>(last = d->attempt), d->limit.seconds());
+                            static_cast<unsigned long long>(d->attempt), d->limit.seconds());
             }
             if (const auto* w = std::get_if<Write>(&e))
                 std::printf("write %s\n", first_line(w->bytes).c_str());
@@ -72,6 +74,7 @@
     std::unique_ptr<Reducer> reducer;
     Point now{1'000'000'000};
     AttemptId last = 0;
+    bool quiet = false;
 
   private:
     Setup setup_;
@@ -157,6 +160,29 @@
         p.arrive(1, "x"), p.connected(), p.arrive(2, "x"), p.answered(200), p.arrive(3, "x"), p.connected();
         p.tell(CallerLeft{3}), p.arrive(4, "x");
     }
+    {
+        // Guards against growing with every upstream that ever was, and against a place that is given away
+        // while an invocation still counts on what was in it.
+        Play p("a thousand upstreams, one after the other; an invocation stays open at the first",
+               Repeat::non_idempotent);
+        p.arrive(1), p.connected();
+        std::fflush(stdout);
+        p.quiet = true;
+        for (int i = 0; i < 1000; ++i) {
+            const auto name = [](int n) { return n < 0 ? "a" : "u" + std::to_string(n); };
+            p.list(false, {{name(i - 1), "x", Presence::gone, 0, 0, 1, {}},
+                           {name(i), "1.1.1.1:" + std::to_string(i), Presence::ready, 0, 0, 1, {}}});
+            p.arrive(2), p.connected(), p.answered(200);
+        }
+        p.quiet = false;
+        std::printf("%zu places\n", p.reducer->places());
+        p.arrive(3), p.connected(), p.answered(200);
+    }
+    {
+        Play p("a whole list with a new upstream before a known one: nothing is closed", Repeat::idempotent);
+        p.list(true, {Play::b(), Play::a(Presence::ready)});
+        std::printf("%zu places\n", p.reducer->places());
+    }
     {
         Play p("no upstream at all", Repeat::idempotent);
         p.list(true, {}), p.arrive();
