With three quarters of their room taken, callers are told to go after each answer

Cause, by the new log line of who holds the room: 280 of 299 callers at rest, who ask once and stay, by hundreds within the 2 s in which they may not be closed; the answer on bufferevents was the last on its connection only where nobody was asking (callers.cpp reply()). Ruled out: half requests (1 to 16 asking) and answers not taken (0 being told).

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -21,6 +21,7 @@
 constexpr Span may_rest = seconds(2);       // whatever room is needed
 constexpr Span asks_within = seconds(0.2);  // the same for a new connection or a request begun
 constexpr size_t some = 16;                 // connections to make room for at a time
+constexpr Span tell_every = seconds(1);     // of the same trouble in the log
 constexpr Span look_every = seconds(0.05);
 constexpr size_t read_ahead = 8 * 1024;      // bytes of one connection that wait to be read
 constexpr size_t most_ignored = 128 * 1024;  // bytes read and dropped behind a last answer
@@ -221,8 +222,8 @@
 
 void Callers::reply(Place at, const Response& response, bool last)
 {
-    // Others wait to be let in, and nobody is here who has not asked yet and would go first.
-    const bool crowded = paused_ && in_[asking].size() <= (at->phase == asking);
+    // Guards against callers who ask once and stay, by hundreds: what rests may not be closed at once.
+    const bool crowded = open() > most_open_ / 4 * 3;
     at->last = at->last || last || crowded;
     at->reader = RequestReader(config_.setup);
     const auto bytes = encode_response(response, at->last);
@@ -274,6 +275,12 @@
                 ended(at);
         }
     if (!paused_ || !listener_) return;
+    if (now - told_ > tell_every) {
+        told_ = now;
+        spdlog::warn("no room for more callers: {} asking, {} at rest, {} waiting, {} being told, {} leaving",
+                     in_[asking].size(), in_[resting].size(), in_[waiting].size(), in_[telling].size(),
+                     in_[leaving].size());
+    }
     if (open() >= most_open_) make_room(some + open() - most_open_);
     if (open() >= most_open_) return;
     paused_ = false;
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -63,6 +63,7 @@
     std::function<void(Event)> tell_;
     std::unique_ptr<evconnlistener, Freed<evconnlistener_free>> listener_;
     bool paused_ = false;
+    Point told_;  // of no room, in the log
     Timer look_;
     CallerId next_ = 1;
     std::array<std::list<Connection>, phases> in_;  // each: the longest in its phase first
