A cold upstream's budget follows an even part of own traffic, and its room is found

Seen, counted over all instances by probe lines: warm upstreams held 6 to 9, cold ones 1 to 2 and answered as quickly; most throttles came from the own limit, cut by the warm ones' answer times; 4 of 10 cold ones had budget left unspent at any time. Ruled out: refusal by entries (none), lost lists, second tries. At fault: expected_load took a cold upstream without a fresh report for as full as the mean, so thin instances passed it by; warm_rate shared all own warm sends out over the few warm ones left, so that a hundred instances together could send several times what the budget meant (tests/fleet.cpp: 10 a second at a sixth of capacity, where 12 is a warm one's part).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -37,7 +37,7 @@
 constexpr Span lately = seconds(10);        // an upstream sent to since then is in use
 constexpr Span probe_every = seconds(1);    // about, where reports come by probe alone
 constexpr Span rate_over = seconds(4);
-constexpr double cold_spend = 0.45;           // of the multiple that would push a cold upstream over
+constexpr double cold_spend = 0.7;            // of the multiple that would push a cold upstream over
 constexpr Span first_backoff = seconds(0.5);  // of asking for the list
 constexpr double retry_share = 0.1;           // second tries, as a share of own traffic
 constexpr double most_retries = 5;            // saved up
@@ -218,17 +218,23 @@
         return set.cold_share + (1 - set.cold_share) * age;
     }
 
-    // What this instance sends a warm upstream that it uses a second; where there is none, what it is asked
-    // for, shared out over all.
-    double warm_rate() const
+    bool is_far(const Upstream& u) const { return set.crossing_costs && u.listing.zone != set.zone; }
+
+    // What this instance would send each upstream that it uses a second if none were cold, and no more than
+    // it sends a warm one now. Guards against many instances that each see few warm ones left, and take all
+    // of their traffic over those few for what every upstream bears.
+    double even_rate() const
     {
-        double warm = 0, ready = 0;
+        double warm = 0;
+        size_t in_own_zone = 0, beyond = 0;
         for (const Upstream& u : ups) {
             if (u.listing.presence != Presence::ready) continue;
-            ++ready;
+            ++(is_far(u) ? beyond : in_own_zone);
             warm += !is_cold(u) && (u.out > 0 || now - u.last_end < lately);
         }
-        return warm > 0 ? warm_sends.rate(now) / warm : asked.rate(now) / std::max(1.0, ready);
+        const auto used = std::min(width(), in_own_zone) + std::min(width(), beyond);
+        const double even = asked.rate(now) / static_cast<double>(std::max<size_t>(1, used));
+        return warm > 0 ? std::min(even, warm_sends.rate(now) / warm) : even;
     }
 
     // Rule 4. A cold upstream gets a part of what its share of a warm one's work would allow in every window.
@@ -236,7 +242,7 @@
     bool cold_budget(Upstream& u)
     {
         if (!is_cold(u)) return true;
-        const double a_second = warm_rate() * warm_share(u) * set.fall_multiple * cold_spend;
+        const double a_second = even_rate() * warm_share(u) * set.fall_multiple * cold_spend;
         u.cold_tokens += (now - u.cold_at).seconds() * a_second;
         u.cold_tokens = std::min(u.cold_tokens, std::max(1.0, a_second * set.fall.seconds()));
         u.cold_at = now;
@@ -615,12 +621,14 @@
     // ---- the pick ----
 
     // The last report, drifting to the others' mean with age, and own sends out since less those answered.
+    // A cold one's part of that mean: its budget keeps it from more. Guards against thin instances, to whom
+    // each report is old, taking what has just started for as full as the rest, and its room lying idle.
     double expected_load(const Upstream& u) const
     {
-        const double own = u.out;
-        if (!u.load) return mean_load + own;
+        const double own = u.out, usual = mean_load * warm_share(u);
+        if (!u.load) return usual + own;
         const double fresh = std::exp2(-((now - u.load_at) / report_age));
-        const double report = mean_load + (*u.load - mean_load) * fresh;
+        const double report = usual + (*u.load - usual) * fresh;
         return std::max(own, report + (u.load_counts_own ? own - u.out_at_report : own));
     }
 
@@ -635,7 +643,7 @@
     // undoes.
     double nearness(const Upstream& u) const
     {
-        return set.crossing_costs && u.listing.zone == set.zone ? own_zone_favour : 1;
+        return set.crossing_costs && !is_far(u) ? own_zone_favour : 1;
     }
 
     // As many upstreams as own traffic meets about once a second, and never fewer than a few. Guards against
@@ -812,7 +820,7 @@
         u.listing = l;
         if (u.known) return;
         u.known = true;
-        auto& order = set.crossing_costs && l.zone != set.zone ? far : near;
+        auto& order = is_far(u) ? far : near;
         const auto place = [this](Tgt t) { return ups[t].listing.id * 0x9e3779b97f4a7c15u; };
         order.insert(std::upper_bound(order.begin(), order.end(), l.tgt,
                                       [&](Tgt a, Tgt b) { return place(a) < place(b); }),
--- /dev/null
+++ b/tests/fleet.cpp
@@ -0,0 +1,140 @@
+// What many instances do together, each with a part of the traffic: counts over all of them.
+#include <algorithm>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "trace.h"
+
+using namespace firtide;
+
+namespace
+{
+
+// Instances that share nothing but the upstreams. An upstream holds what it was sent for `took`, and reports
+// how much it holds with each answer.
+class Fleet
+{
+  public:
+    Fleet(uint32_t balancers, uint32_t upstreams) : upstreams_(upstreams), held(upstreams)
+    {
+        auto settings = Stage::settings(Stage::op(Repeat::idempotent));
+        settings.balancers = balancers;
+        settings.crossing_costs = true;
+        settings.cold = seconds(20);
+        settings.cold_share = 0.16;
+        settings.fall = seconds(1);
+        settings.fall_multiple = 2.5;
+        for (uint32_t i = 0; i < balancers; ++i) {
+            settings.self = i;
+            settings.zone = i % 2;
+            stages.push_back(std::make_unique<Stage>(settings, i + 1));
+            stages.back()->quiet = true;
+            stages.back()->list(upstreams);
+            spare.emplace_back();
+        }
+    }
+
+    void change(Tgt t, Presence presence, std::optional<Point> started = {})
+    {
+        for (auto& s : stages) s->now = now, s->change(t, presence, started);
+    }
+
+    // `rate` invocations a second, dealt out by chance.
+    void play(Span span, double rate)
+    {
+        const Point end = now + span;
+        sends.clear();
+        const auto next = [&] { return now + seconds(std::exponential_distribution<>(rate)(chance)); };
+        for (Point arrival = next(); arrival < end || (!out.empty() && out.top().at < end);) {
+            if (!out.empty() && out.top().at < arrival) {
+                const Out o = out.top();
+                out.pop();
+                now = o.at;
+                Stage& s = *stages[o.stage];
+                s.now = now;
+                Report report;
+                report.inflight = --held[o.tgt];
+                s.end(o.inv, Result::succeeded, took, report);
+                spare[o.stage].push_back(o.inv);
+                continue;
+            }
+            now = arrival;
+            arrival = next();
+            const auto i = static_cast<uint32_t>(chance() % stages.size());
+            if (spare[i].empty()) spare[i].push_back(names++);
+            const Inv inv = spare[i].back();
+            Stage& s = *stages[i];
+            s.now = now;
+            s.last_tgt = ~0u;
+            s.accept(inv);
+            if (s.last_tgt == ~0u) {
+                ++away;
+                continue;
+            }
+            spare[i].pop_back();
+            ++held[s.last_tgt];
+            sends.emplace_back(now, s.last_tgt);
+            out.push({now + took, i, inv, s.last_tgt});
+        }
+        now = end;
+    }
+
+    // Sends a second to each of some upstreams in the last play, and the most that one got in any second.
+    template <class Which>
+    void tell(const char* what, Span span, Which which) const
+    {
+        int n = 0, count = 0, most = 0;
+        for (Tgt t = 0; t < upstreams_; ++t) {
+            if (!which(t)) continue;
+            ++count;
+            std::vector<Point> at;
+            for (const auto& [when, tgt] : sends)
+                if (tgt == t) at.push_back(when);
+            n += static_cast<int>(at.size());
+            for (size_t first = 0, last = 0; last < at.size(); ++last) {
+                while (at[last] - at[first] >= seconds(1)) ++first;
+                most = std::max(most, static_cast<int>(last - first + 1));
+            }
+        }
+        std::printf("%s: %.1f a second each, %d in any one second at the most\n", what,
+                    n / span.seconds() / std::max(1, count), most);
+    }
+
+    Span took = seconds(0.2);
+    Point now{1'000'000'000};
+    int away = 0;
+
+  private:
+    struct Out {
+        Point at;
+        uint32_t stage;
+        Inv inv;
+        Tgt tgt;
+        bool operator<(const Out& o) const { return o.at < at || (o.at == at && o.stage < stage); }
+    };
+    uint32_t upstreams_;
+    std::vector<double> held;
+    std::vector<std::unique_ptr<Stage>> stages;
+    std::vector<std::vector<Inv>> spare;
+    Inv names = 0;
+    std::priority_queue<Out> out;
+    std::vector<std::pair<Point, Tgt>> sends;
+    std::ranlux24_base chance{7};
+};
+
+}  // namespace
+
+int main()
+{
+    std::printf("-- a hundred instances, 20 upstreams in two zones; one zone comes back cold\n");
+    Fleet f(100, 20);
+    f.play(seconds(10), 240);
+    f.tell("before", seconds(10), [](Tgt) { return true; });
+    for (Tgt t = 1; t < 20; t += 2) f.change(t, Presence::ready, f.now);
+    for (int i = 0; i < 3; ++i) {
+        f.play(seconds(5), 240);
+        f.tell("warm", seconds(5), [](Tgt t) { return t % 2 == 0; });
+        f.tell("cold", seconds(5), [](Tgt t) { return t % 2 == 1; });
+    }
+}
