The limit follows at once what upstreams can take, and a cold one's answers press nothing

Seen: the limit (5 an instance) did not move as half the upstreams stood still, since it learns from answer times alone, in rounds of 12 to 60 that take a thin instance 3 s each; it then lay at its floor for 10 s after the return, for the same reason and because the cold ones' slower answers counted as pressure. Ruled out: entries (the lost ones were reduced within 2 s), the list (told 4 to 10 s later), tier 1 (calm throughout). At fault: two_each and limit count every listed upstream as whole; feel counted cold answers. Change: weigh_room counts the warm upstreams' worth that those lately used can take (a cold one its share, a stalled or half reduced one none, a quarter at the least), and limit and what went well scale with it.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -51,6 +51,7 @@
 constexpr double never_pressed = 0.2;   // of the latency objective: a mean answer time under it is well
 constexpr double least_of_good = 0.5;   // the least limit, as a part of what went well
 constexpr double untried = 3;           // times two for each upstream: the limit until more went well
+constexpr double least_able = 0.25;     // of the upstreams, as the limit takes them
 constexpr double over_good = 1.15;      // the greatest limit, times what went well
 constexpr double for_chance = 0.35;     // and this much more
 constexpr double smooth = 10;           // asks over which the limit binds the mean
@@ -186,6 +187,7 @@
     double calm = usual_calm;                         // what it is with next to no load
     Point round_at;
     double felt = 0, felt_n = 0, first_felt = 0, first_n = 0;
+    double room = 0;              // upstreams' worth, see weigh_room
     double limit = 1e9;           // mean own outstanding work
     double good_outstanding = 0;  // the most it was while the aim was met, forgotten slowly
     double outstanding = 0;
@@ -494,7 +496,7 @@
                 return;
             default: return;
         }
-        if (stuck) return;  // its own trouble, not load
+        if (stuck || is_cold(u)) return;  // its own trouble, not load
         if (inv.op->latency_objective > Span{} &&
             (result == Result::succeeded || result == Result::timed_out))
             feel(inv, took / inv.op->latency_objective);
@@ -505,11 +507,25 @@
     // About two for each upstream from all instances together: less would leave them idle. Nor less than half
     // of what went well: where that does not bring the answer time down, load is not what keeps it up. Guards
     // against calls that hang in the tier below cutting the limit to nothing.
-    double two_each() const
+    double two_each() const { return 2 * room / std::max(1u, set.balancers); }
+
+    // How many warm upstreams' worth of work all that are listed can take, by those lately used: a cold one
+    // its share, one that stands still or is reduced by half none. The limit and what went well follow at
+    // once. Guards against a lost zone's work pressing the survivors, and a lasting limit once it is back:
+    // answer times tell both to a thin instance many seconds late.
+    void weigh_room()
     {
-        const auto ready = std::count_if(ups.begin(), ups.end(),
-                                         [](auto& u) { return u.listing.presence == Presence::ready; });
-        return 2.0 * static_cast<double>(ready) / std::max(1u, set.balancers);
+        double ready = 0, used = 0, able = 0;
+        for (const Upstream& u : ups) {
+            if (u.listing.presence != Presence::ready) continue;
+            ++ready;
+            if (u.out == 0 && now - u.last_end >= lately && !is_cold(u)) continue;
+            ++used;
+            if (reduction(u) < 0.5) able += warm_share(u);
+        }
+        const double is = ready * (used > 0 ? std::max(least_able, able / used) : 1);
+        if (room > 0 && is > 0) limit *= is / room, good_outstanding *= is / room;
+        if (is > 0) room = is;
     }
 
     // Guards against a burst that finds no limit at all, since nothing was pressed before it.
@@ -728,6 +744,7 @@
         if (inv.op->latency_objective > Span{} && inv.op->late_billed_value <= 0)
             inv.useful = std::min(inv.leaves, now + inv.op->latency_objective);
         inv.over = false;
+        weigh_room();
         inv.early = outstanding < two_each();
         inv.redirects = 0;
         inv.forwards.clear();
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -45,6 +45,7 @@
     {
         const Point end = now + span;
         sends.clear();
+        away = 0;
         const auto next = [&] { return now + seconds(std::exponential_distribution<>(rate)(chance)); };
         for (Point arrival = next(); arrival < end || (!out.empty() && out.top().at < end);) {
             if (!out.empty() && out.top().at < arrival) {
@@ -55,8 +56,10 @@
                 s.now = now;
                 Report report;
                 report.inflight = --held[o.tgt];
-                s.end(o.inv, Result::succeeded, took, report);
-                spare[o.stage].push_back(o.inv);
+                const bool up = !lost(o.tgt);
+                s.last_tgt = ~0u;
+                s.end(o.inv, up ? Result::succeeded : Result::unreachable, took, up ? report : Report{});
+                settle(o.stage, o.inv);
                 continue;
             }
             now = arrival;
@@ -68,14 +71,9 @@
             s.now = now;
             s.last_tgt = ~0u;
             s.accept(inv);
-            if (s.last_tgt == ~0u) {
-                ++away;
-                continue;
-            }
             spare[i].pop_back();
-            ++held[s.last_tgt];
-            sends.emplace_back(now, s.last_tgt);
-            out.push({now + took, i, inv, s.last_tgt});
+            away += s.last_tgt == ~0u;
+            settle(i, inv);
         }
         now = end;
     }
@@ -101,11 +99,32 @@
                     n / span.seconds() / std::max(1, count), most);
     }
 
+    // What some upstreams hold now, in the mean.
+    template <class Which>
+    double holds(Which which) const
+    {
+        double n = 0, sum = 0;
+        for (Tgt t = 0; t < upstreams_; ++t)
+            if (which(t)) ++n, sum += held[t];
+        return sum / n;
+    }
+
     Span took = seconds(0.2);
     Point now{1'000'000'000};
     int away = 0;
+    std::function<bool(Tgt)> lost = [](Tgt) { return false; };  // cannot be reached; seen in 75 ms
 
   private:
+    // Sends what the instance has just forwarded, or takes the invocation's name back.
+    void settle(uint32_t i, Inv inv)
+    {
+        const Tgt tgt = stages[i]->last_tgt;
+        if (tgt == ~0u) return spare[i].push_back(inv);
+        ++held[tgt];
+        sends.emplace_back(now, tgt);
+        out.push({now + (lost(tgt) ? seconds(0.075) : took), i, inv, tgt});
+    }
+
     struct Out {
         Point at;
         uint32_t stage;
@@ -137,4 +156,25 @@
         f.tell("warm", seconds(5), [](Tgt t) { return t % 2 == 0; });
         f.tell("cold", seconds(5), [](Tgt t) { return t % 2 == 1; });
     }
+
+    std::printf(
+        "-- a hundred instances, 20 upstreams that answer in a quarter of a second; one zone cannot be "
+        "reached\n");
+    Fleet z(100, 20);
+    z.took = seconds(0.25);
+    const auto stays = [](Tgt t) { return t % 2 == 0; };
+    z.play(seconds(20), 480);
+    std::printf("before: %.1f held, %d of 9600 throttled\n", z.holds(stays), z.away);
+    z.lost = [&](Tgt t) { return !stays(t); };
+    for (int i = 0; i < 3; ++i) {
+        z.play(seconds(3), 480);
+        std::printf("survivors: %.1f held, %d of 1440 throttled\n", z.holds(stays), z.away);
+    }
+    std::printf("-- it is back, cold\n");
+    z.lost = [](Tgt) { return false; };
+    for (Tgt t = 1; t < 20; t += 2) z.change(t, Presence::ready, z.now);
+    for (int i = 0; i < 4; ++i) {
+        z.play(seconds(3), 480);
+        std::printf("survivors: %.1f held, %d of 1440 throttled\n", z.holds(stays), z.away);
+    }
 }
