--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -29,7 +29,6 @@
 constexpr size_t enough = 5;                // fewer say nothing
 constexpr double judged_at = 0.8;           // the quantile of them
 constexpr double well_above = 1.8;          // times the fellows' median
-constexpr double too_many_errors = 0.25;    // of an upstream's answers, and twice the others' part
 constexpr double long_queue = 3;            // and this many more, where the mean is next to none
 constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
 constexpr size_t least_width = 8;           // upstreams used at the least, in the own zone and beyond it
@@ -103,7 +102,6 @@
     std::optional<Point> unpaired;  // a timeout or reset that waits for its fellow
     std::optional<double> load, latency_ms;
     bool load_counts_own = false;
-    double told_errors = 0;  // a second, as reported
     Point load_at;
     uint32_t out = 0, out_at_report = 0;
     float answers[recent] = {};  // times, as multiples of the operation's usual one; negative: an error
@@ -173,7 +171,6 @@
     std::unordered_map<uint64_t, std::function<void()>> sleeping;
     uint64_t next_name = 0;
 
-    double fleet_rate = 0, mean_told_errors = 0;  // a second, of one upstream
     double mean_load = 0, median_quantile = 1, mean_errors = 0, median_latency = 0;
     Point fellows_at{INT64_MIN / 2};
 
@@ -392,12 +389,9 @@
             u.out_at_report = u.out;
             if (r.queue && *r.queue > long_queue + well_above * mean_load) raise(u, step, false);
         }
-        if (r.latency_ms) u.latency_ms = r.latency_ms;
-        // Guards against quick errors that each of many instances would have to meet by itself: the upstream
-        // tells of all, and at an even part of the traffic they are too many, and more than the others'.
-        if (r.errors) u.told_errors = *r.errors;
-        if (r.errors && *r.errors > too_many_errors * fleet_rate + 2 * mean_told_errors)
-            raise(u, sure_step, false);
+        if (r.latency_ms) {
+            u.latency_ms = r.latency_ms;
+        }
     }
 
     // What the others look like; often enough to follow, seldom enough to be cheap.
@@ -406,10 +400,9 @@
         if (now - fellows_at < seconds(0.2)) return;
         fellows_at = now;
         std::vector<double> quantiles, latencies;
-        double load = 0, loads = 0, errors = 0, judged = 0, told = 0, ready = 0;
+        double load = 0, loads = 0, errors = 0, judged = 0;
         for (const Upstream& u : ups) {
             if (u.listing.presence != Presence::ready) continue;
-            told += u.told_errors, ++ready;
             if (u.load) load += *u.load, ++loads;
             if (u.latency_ms) latencies.push_back(*u.latency_ms);
             if (u.answered < enough) continue;
@@ -422,8 +415,6 @@
             return v[v.size() / 2];
         };
         mean_load = loads > 0 ? load / loads : 0;
-        mean_told_errors = told / std::max(1.0, ready);
-        fleet_rate = asked.rate(now) * std::max(1u, set.balancers) / std::max(1.0, ready);
         mean_errors = judged > 0 ? errors / judged : 0;
         median_quantile = median(quantiles, 1e9);
         median_latency = median(latencies, 0);
@@ -447,7 +438,7 @@
         }
         if (n < enough) return;
         // Guards against quick errors: they make an upstream look idle and draw work to it.
-        if (answer < 0 && u.errors > too_many_errors + 2 * mean_errors) raise(u, sure_step, false);
+        if (answer < 0 && u.errors > 0.25 + 2 * mean_errors) raise(u, sure_step, false);
         // Guards against an upstream slowed by something of its own. Long work alone makes answers slow by
         // chance; where service times are reported, they must say the same.
         const bool reported_well = u.latency_ms && *u.latency_ms <= well_above * median_latency;
@@ -505,7 +496,7 @@
                 return;
             default: return;
         }
-        if (stuck || is_cold(u)) return;  // its own trouble, not load
+        if (stuck) return;  // its own trouble, not load
         if (inv.op->latency_objective > Span{} &&
             (result == Result::succeeded || result == Result::timed_out))
             feel(inv, took / inv.op->latency_objective);
