--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -103,6 +103,7 @@
     address_ = std::move(to);
     connection_.reset();
     version_.reset();
+    newest_ = 0;
     pause_ = first_pause;
     if (!asking_) return;
     event_del(again_.get());
@@ -150,6 +151,9 @@
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(body, -1));
     auto list = decode_list(config_.setup, std::string(bytes ? bytes : "", size), epoch_);
     if (!list) return failed("the answer is no list");
+    // Guards against an agent that has fallen behind: an older list would bring back what drains or has gone.
+    if (list->version < newest_) return failed("a list older than the last one");
+    newest_ = list->version;
     if (!well_) spdlog::info("discovery answers again");
     well_ = true;
     pause_ = first_pause;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -45,6 +45,7 @@
     std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> connection_;
     Timer again_;
     std::optional<uint64_t> version_;
+    uint64_t newest_ = 0;  // that this agent told
     bool asking_ = false;
     bool well_ = true;
     Span pause_;
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -58,6 +58,13 @@
     list_now = "{\"rev\":" + std::to_string(++version) + R"(,"all":true,"targets":[)" + targets + "]}";
 }
 
+// What is no list of the next version, at the next call.
+void list_is_spoilt(const std::string& text)
+{
+    const std::lock_guard hold(list_lock);
+    list_now = text, ++version;
+}
+
 uint16_t free_port()
 {
     return StandIn([](Wire&) {}).port;
@@ -445,7 +452,25 @@
         pause(100);
         std::printf("%s: %s answers\n", what, answers());
     };
-    after("it drains", target("u", upstream.endpoint(), "draining"));
+    const auto spoilt = [&](const char* what, const std::string& text) {
+        list_is_spoilt(text);
+        pause(100);
+        std::printf("%s: %s answers\n", what, answers());
+    };
+    const auto old = [&](const char* state) {
+        return R"({"rev":1,"all":true,"targets":[)" + target("u", upstream.endpoint(), state) + "]}";
+    };
+    spoilt("a list cut short", R"({"rev":900,"all":true,"targets":[{"uid":"u","endp)");
+    spoilt("of another form", R"({"rev":900,"all":true,"targets":{"u":"gone"}})");
+    spoilt("a target without an id", R"({"rev":900,"all":true,"targets":[{"state":"gone"}]})");
+    spoilt("older than the last, in which it drains", old("draining"));
+    list_is(target("u", upstream.endpoint(), "draining"));
+    until([&] { return std::string(answers()) == "nobody"; }, 5000);
+    std::printf("it drains: %s answers\n", answers());
+    spoilt("older than the last, in which it is ready", old("ready"));
+    list_is(target("u", upstream.endpoint(), "draining"));
+    pause(1200);  // longer than the longest pause between calls
+    std::printf("it drains still: %s answers\n", answers());
     after("it is ready again", target("u", upstream.endpoint(), "ready"));
     after("it moves", target("u", other.endpoint(), "ready"));
     after("it is gone", target("u", other.endpoint(), "gone"));
