--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -144,6 +144,36 @@
 
 }  // namespace
 
+// One of many upstreams restarts, and then six in ten are replaced by new ones, one after the other.
+void replaced()
+{
+    std::printf("-- a hundred instances and 20 upstreams, one of which restarts\n");
+    Fleet f(100, 32);
+    for (Tgt t = 20; t < 32; ++t) f.change(t, Presence::gone);
+    f.play(seconds(10), 240);
+    f.change(3, Presence::ready, f.now);
+    for (int i = 0; i < 3; ++i) {
+        f.play(seconds(5), 240);
+        f.tell("cold", seconds(5), [](Tgt t) { return t == 3; });
+    }
+
+    std::printf("-- 12 of them are replaced by new ones within 7 s\n");
+    for (Tgt t = 20; t < 32; ++t) {
+        f.change(t, Presence::ready, f.now);
+        f.change(t - 16, Presence::draining);
+        f.play(seconds(0.58), 240);
+        f.change(t - 16, Presence::gone);
+    }
+    const auto is_new = [](Tgt t) { return t >= 20; };
+    const auto stays = [](Tgt t) { return t < 4 || (t >= 16 && t < 20); };
+    for (int i = 0; i < 3; ++i) {
+        f.play(seconds(5), 240);
+        f.tell("those that stay", seconds(5), stays);
+        f.tell("new ones", seconds(5), is_new);
+        std::printf("%d of 1200 throttled\n", f.away);
+    }
+}
+
 int main()
 {
     std::printf("-- a hundred instances, 20 upstreams in two zones; one zone comes back cold\n");
@@ -177,4 +207,6 @@
         z.play(seconds(3), 480);
         std::printf("survivors: %.1f held, %d of 1440 throttled\n", z.holds(stays), z.away);
     }
+
+    replaced();
 }
