Instances tell each other their work out; what waits at upstreams bounds what they are given

Change: where messages are allowed each tells its work out and tenants' rates, and load, limit and shares go by all of it; where queues are reported, an upstream whose queue would not let an answer come in time is left out; a round's median in place of its mean there; the own zone's favour follows the price of crossing; last answers weigh wherever no service time is reported.

--- a/drill/instance.cpp
+++ b/drill/instance.cpp
@@ -177,4 +177,17 @@
     act(85).put(uint8_t{1});
 }
 
+void Instance::told(Point now, Reader& in)
+{
+    const auto peer = in.get<uint32_t>();
+    const auto size = in.get<uint16_t>();
+    balancer_.told(now, peer, in.take(size));
+}
+
+void Instance::tell(const std::string& message)
+{
+    Writer& w = act(89).put(uint16_t{0xffff}).put(static_cast<uint16_t>(message.size()));
+    for (const char c : message) w.put(c);
+}
+
 }  // namespace firtide::drill
--- a/drill/instance.h
+++ b/drill/instance.h
@@ -33,6 +33,7 @@
     void reply(Point now, Reader& in);
     void gone(Point now, Reader& in);
     void probed(Point now, Reader& in);
+    void told(Point now, Reader& in);
     void wakeup(Point now, Reader& in) { balancer_.woken(now, in.get<uint64_t>()); }
 
   private:
@@ -50,6 +51,7 @@
     void probe(Tgt tgt) override;
     void close_idle(Tgt tgt) override;
     void watch_list() override;
+    void tell(const std::string& message) override;
 
     Writer& act(uint8_t code) { return out_.record(code).put(name_); }
     Tgt upstream(uint32_t id);
--- a/drill/main.cpp
+++ b/drill/main.cpp
@@ -1,7 +1,6 @@
 // firtide_drill: many independent instances of the decision module on the simulator's wire.
 // Reads batches from standard input, writes one reply for each to standard output, exits at the end of input.
 #include <cstdio>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -37,15 +36,16 @@
         if (code == 16) {
             const auto seed = in.get<uint64_t>();
             const auto setup = in.take(in.get<uint32_t>());
+            if (name >= instances_.size()) instances_.resize(name + size_t{1});
             auto& at = instances_[name];
             at = std::make_unique<Instance>(name, seed, setup, out_);
             return at->begin(now);
         }
-        const auto at = instances_.find(name);
-        if (at == instances_.end()) throw Malformed("an event for an unknown instance");
-        Instance& instance = *at->second;
+        if (name >= instances_.size() || !instances_[name])
+            throw Malformed("an event for an unknown instance");
+        Instance& instance = *instances_[name];
         switch (code) {
-            case 17: instances_.erase(at); return;
+            case 17: instances_[name].reset(); return;
             case 18: instance.demand(now, in); return;
             case 19: instance.probed(now, in); return;
             case 20: in.take(14); return;  // the start of a stream: nothing hangs on it yet
@@ -53,7 +53,7 @@
             case 23: instance.gone(now, in); return;
             case 24: return roster(now, in, instance);
             case 25: instance.reply(now, in); return;
-            case 26: in.take(4), in.take(in.get<uint16_t>()); return;  // neighbours are not listened to
+            case 26: instance.told(now, in); return;
         }
         throw Malformed("unknown event code " + std::to_string(code));
     }
@@ -89,7 +89,7 @@
 
     Writer out_;
     std::vector<std::vector<Entry>> ledgers_{16};
-    std::map<uint16_t, std::unique_ptr<Instance>> instances_;
+    std::vector<std::unique_ptr<Instance>> instances_;  // by the simulator's name
 };
 
 int run()
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <random>
 #include <unordered_map>
+#include <utility>
 
 namespace firtide
 {
@@ -23,7 +24,6 @@
 constexpr double first_trickle = 0.02;      // what a full reduction lets through when it starts to fall
 constexpr Span report_age = seconds(0.5);   // a report's distance from the others' mean halves in about this
 constexpr Span slowness_age = seconds(8);   // what last answers took is half forgotten in this
-constexpr double slow_power = 4;            // of it, in the draw
 constexpr double tells_load = 0.25;         // a mean of reported loads that says something
 constexpr size_t recent = 16;               // answers an upstream is judged by
 constexpr size_t enough = 5;                // fewer say nothing
@@ -33,9 +33,16 @@
 constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
 constexpr size_t least_width = 8;           // upstreams used at the least, in the own zone and beyond it
 constexpr double meet_within = 1;           // seconds, in which own traffic meets each of them
-constexpr double own_zone_favour = 20;      // in the pick
-constexpr Span lately = seconds(10);        // an upstream sent to since then is in use
-constexpr Span probe_every = seconds(1);    // about, where reports come by probe alone
+constexpr double crossing_weighs = 200;  // in the pick: the own zone is favoured by e to this times the price
+constexpr Span lately = seconds(10);     // an upstream sent to since then is in use
+constexpr Span probe_every = seconds(1);     // about, where reports come by probe alone
+constexpr Span tell_every = seconds(0.1);    // changes of own work out, where messages are allowed
+constexpr Span tell_all_every = seconds(2);  // about: all of it, and what tenants ask
+constexpr Span believed = seconds(5);        // what another instance told, after its last message
+constexpr size_t most_told = 80;             // upstreams in a message
+constexpr uint32_t most_peers = 4096;
+constexpr Span weigh_every = seconds(0.02);
+constexpr double usual_crowd = 4;  // held by an upstream: more is left to others, where that is known
 constexpr Span rate_over = seconds(4);
 constexpr double cold_spend = 0.7;            // of the multiple that would push a cold upstream over
 constexpr Span first_backoff = seconds(0.5);  // of asking for the list
@@ -114,6 +121,17 @@
 
     double cold_tokens = 0;
     Point cold_at;
+
+    uint32_t peers_out = 0;  // the other instances' work out, as they told it
+    uint32_t told_out = 0;   // own work out, as it was told last
+};
+
+// What another instance told. Lives until it has been silent for long.
+struct Peer {
+    std::vector<uint8_t> out;  // by upstream
+    uint32_t outstanding = 0;
+    std::vector<double> rates;  // by tenant
+    Point heard;
 };
 
 // Events a second over the recent past; low until it has seen some of it.
@@ -138,6 +156,7 @@
 
 struct OperationView {
     double usual = 0;  // seconds, a slow mean of answer times
+    double quick = 0;  // seconds, a low quantile of them: next to no waiting
     double late = 0;   // seconds, a high quantile of them
 };
 
@@ -150,7 +169,8 @@
           out(outlet),
           chance(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 32))),
           ops(set.operations.size()),
-          own_part(1.0 / std::max(1u, set.balancers))
+          own_part(1.0 / std::max(1u, set.balancers)),
+          favour(std::exp(std::min(10.0, set.crossing_price * crossing_weighs)))
     {
         tenants.resize(set.quotas.size());
         for (size_t i = 0; i < tenants.size(); ++i) tenants[i].quota = set.quotas[i];
@@ -186,6 +206,7 @@
     double pressure = usual_calm, slow_pressure = 0;  // mean of answer time over latency objective
     double calm = usual_calm;                         // what it is with next to no load
     Point round_at;
+    std::vector<double> felts;
     double felt = 0, felt_n = 0, first_felt = 0, first_n = 0;
     double room = 0;              // upstreams' worth, see weigh_room
     double limit = 1e9;           // mean own outstanding work
@@ -196,9 +217,20 @@
     std::vector<Tenant> tenants;
     double own_part;
     Point share_at;
+    Point weighed_at{INT64_MIN / 2};
+    double stuck_out = 0;  // own work out that stands still
+    bool queues_told = false;
+
+    std::vector<Peer> peers;
+    double peers_out = 0;                              // outstanding work of all of them
+    size_t heard = 0;                                  // of them, lately
+    std::vector<std::pair<uint16_t, Tgt>> told_names;  // of upstreams in messages, in order
+    bool tell_due = false;
+    Point told_at{INT64_MIN / 2};
 
     std::vector<Tgt> near, far;  // all that have a place, each in this instance's own order of preference
     std::vector<std::pair<Tgt, double>> weights;
+    double favour;  // of the own zone, in the draw
 
     double roll() { return std::generate_canonical<double, 24>(chance); }
 
@@ -220,7 +252,7 @@
         return set.cold_share + (1 - set.cold_share) * age;
     }
 
-    bool is_far(const Upstream& u) const { return set.crossing_costs && u.listing.zone != set.zone; }
+    bool is_far(const Upstream& u) const { return set.crossing_price > 0 && u.listing.zone != set.zone; }
 
     // What this instance would send each upstream that it uses a second if none were cold, and no more than
     // it sends a warm one now. Guards against many instances that each see few warm ones left, and take all
@@ -306,6 +338,7 @@
         }
         if (u.out++ == 0) u.waiting_since = now;
         ++outstanding;
+        tell_soon();
         inv.forwards.push_back({.tgt = tgt, .sent = now, .rested = rested, .next = std::move(next)});
         out.forward(id, tgt, std::min(at_most, inv.leaves - now));
         return true;
@@ -370,6 +403,9 @@
         return through >= 1 ? 0 : 1 - through;
     }
 
+    static double fourth(double x) { return x * x * x * x; }
+    static double eighth(double x) { return fourth(x) * fourth(x); }
+
     static std::optional<double> load_of(const Report& r)
     {
         const double busy = r.utilisation ? *r.utilisation / std::max(0.05, 1.05 - *r.utilisation) : 0;
@@ -385,6 +421,7 @@
         if (const auto load = load_of(r)) {
             u.load = load;
             u.load_counts_own = !r.queue;
+            queues_told = queues_told || r.queue;
             u.load_at = now;
             u.out_at_report = u.out;
             if (r.queue && *r.queue > long_queue + well_above * mean_load) raise(u, step, false);
@@ -465,6 +502,8 @@
             case Result::succeeded:
                 if (op.usual <= 0) op.usual = op.late = t;
                 op.usual += 0.03 * (t - op.usual);
+                if (op.quick <= 0) op.quick = t;
+                op.quick *= t < op.quick ? 0.97 : 1.013;
                 op.late *= t > op.late ? 1.095 : 0.995;
                 late_any = late_any <= 0 ? t : late_any * (t > late_any ? 1.095 : 0.995);
                 judge(u, static_cast<float>(t / std::max(1e-6, op.usual)));
@@ -507,7 +546,10 @@
     // About two for each upstream from all instances together: less would leave them idle. Nor less than half
     // of what went well: where that does not bring the answer time down, load is not what keeps it up. Guards
     // against calls that hang in the tier below cutting the limit to nothing.
-    double two_each() const { return 2 * room / std::max(1u, set.balancers); }
+    double two_each() const { return 2 * room / (heard > 0 ? 1 : std::max(1u, set.balancers)); }
+
+    // Own work out; where the others tell theirs, all of it.
+    double held() const { return outstanding + peers_out; }
 
     // How many warm upstreams' worth of work all that are listed can take, by those lately used: a cold one
     // its share, one that stands still or is reduced by half none. The limit and what went well follow at
@@ -515,8 +557,12 @@
     // answer times tell both to a thin instance many seconds late.
     void weigh_room()
     {
+        if (now - weighed_at < weigh_every) return;
+        weighed_at = now;
         double ready = 0, used = 0, able = 0;
+        stuck_out = 0;
         for (const Upstream& u : ups) {
+            if (stalled(u)) stuck_out += u.out;
             if (u.listing.presence != Presence::ready) continue;
             ++ready;
             if (u.out == 0 && now - u.last_end >= lately && !is_cold(u)) continue;
@@ -544,6 +590,16 @@
         return std::max(never_pressed, std::min(calm * most_over_calm, calm + pressed * (1 - calm)));
     }
 
+    // Of the round. Guards, where instances are many and small, against a few upstreams in trouble of their
+    // own being taken for pressure on all.
+    double middle()
+    {
+        if (!queues_told && heard == 0) return felt / felt_n;
+        const auto half = felts.begin() + static_cast<std::ptrdiff_t>(felts.size() / 2);
+        std::nth_element(felts.begin(), half, felts.end());
+        return *half;
+    }
+
     // Each round of answers scales the limit by how far their mean time is from where it should be. Only
     // answers of that round count: a lagging mean would cut again and again for what an earlier cut has
     // already mended.
@@ -555,11 +611,13 @@
         if (inv.early || since_start < inv.op->latency_objective * 0.25)
             first_felt += of_objective, ++first_n;
         felt += of_objective;
+        felts.push_back(of_objective);
         // Guards against a limit cut by chance: answer times scatter so far that a few of them tell nothing.
         if (++felt_n < least_round || (felt_n < round_of && now - round_at < long_round)) return;
         round_at = now;
-        const double mean = felt / felt_n;
+        const double mean = middle();
         felt = felt_n = 0;
+        felts.clear();
         pressure = 0.5 * (pressure + mean);
         // What nothing is known of yet counts as usual. Guards against instances so seldom asked that they
         // would learn what is calm from a few answers, or not at all.
@@ -613,6 +671,12 @@
         weigh_own_part();
         Tenant& t = tenants[tenant];
         ++t.came;
+        if (heard > 0) {
+            double all = t.rate;
+            for (const Peer& p : peers)
+                if (tenant < p.rates.size()) all += p.rates[tenant];
+            return all > t.quota && roll() * all > t.quota;
+        }
         const double part = t.quota * own_part * (pressure > aim() ? aim() / pressure : 1);
         t.tokens = std::min(std::max(saved_up, 2 * part), t.tokens + (now - t.at).seconds() * part);
         t.at = now;
@@ -623,9 +687,7 @@
     bool too_busy(bool over_share)
     {
         if (set.tier > 0) return false;
-        double moving = outstanding;
-        for (const Upstream& u : ups)
-            if (stalled(u)) moving -= u.out;
+        const double moving = held() - stuck_out;
         // The limit is on the mean; own work swings about it by its root.
         const double most = std::min(limit, most_limit());
         return (moving + roll() >= most && around >= most) || moving + roll() >= most + 2 * std::sqrt(most) ||
@@ -641,6 +703,7 @@
     // each report is old, taking what has just started for as full as the rest, and its room lying idle.
     double expected_load(const Upstream& u) const
     {
+        if (heard > 0) return u.out + u.peers_out;
         const double own = u.out, usual = mean_load * warm_share(u);
         if (!u.load) return usual + own;
         const double fresh = std::exp2(-((now - u.load_at) / report_age));
@@ -657,15 +720,23 @@
 
     // Where crossing zones has a price, as much more is drawn for the own zone as a little more load there
     // undoes.
-    double nearness(const Upstream& u) const
-    {
-        return set.crossing_costs && !is_far(u) ? own_zone_favour : 1;
-    }
+    double nearness(const Upstream& u) const { return is_far(u) ? 1 : favour; }
 
     // As many upstreams as own traffic meets about once a second, and never fewer than a few. Guards against
     // evidence of each that is too thin and too old, where many instances share many upstreams.
     size_t width() const { return std::max(least_width, static_cast<size_t>(asked.rate(now) * meet_within)); }
 
+    // What it holds would keep an answer from coming in time, or is what slows an upstream down. Guards
+    // against work that is done for nothing.
+    bool crowded(const Invocation& inv, const Upstream& u) const
+    {
+        if (heard == 0 && !queues_told) return false;
+        const double quick = ops[inv.operation].quick;
+        const double in_time = quick > 0 ? (inv.useful - now).seconds() / quick : 1e9;
+        if (heard > 0) return expected_load(u) > std::min(in_time - 1, usual_crowd * warm_share(u));
+        return expected_load(u) > in_time - 1.5;
+    }
+
     // Weighted random among the first in the own order that the rules let through; reduced ones stay in and
     // the next in the order come beside them. Nullopt where there is none.
     template <class Keep>
@@ -673,6 +744,7 @@
     {
         double total = 0;
         weights.clear();
+        const bool slowness_says = mean_load < tells_load || median_latency <= 0;
         for (const auto* order : {&near, &far}) {
             size_t wanted = width();
             const double turn = set.self * 0.6180339887498949;  // spreads any run of numbers evenly
@@ -682,9 +754,10 @@
                 const Tgt t = (*order)[(first + n) % order->size()];
                 const Upstream& u = ups[t];
                 if (u.listing.presence != Presence::ready || !keep(t) || !may_send(inv, t)) continue;
+                if (crowded(inv, u)) continue;
                 const double idle = u.listing.size / (u.listing.size + expected_load(u));
-                const double weight = u.listing.size * warm_share(u) * std::pow(idle, 8) * nearness(u) /
-                                      (mean_load < tells_load ? std::pow(slowness(u), slow_power) : 1);
+                const double weight = u.listing.size * warm_share(u) * eighth(idle) * nearness(u) /
+                                      (slowness_says ? fourth(slowness(u)) : 1);
                 total += weight;
                 weights.emplace_back(t, weight);
                 if (reduction(u) < 0.5 && --wanted == 0) break;
@@ -745,12 +818,12 @@
             inv.useful = std::min(inv.leaves, now + inv.op->latency_objective);
         inv.over = false;
         weigh_room();
-        inv.early = outstanding < two_each();
+        inv.early = held() < two_each();
         inv.redirects = 0;
         inv.forwards.clear();
         asked.count(now);
-        met += outstanding, ++met_n;
-        around += (outstanding - around) / smooth;
+        met += held(), ++met_n;
+        around += (held() - around) / smooth;
         retry_tokens = std::min(most_retries, retry_tokens + retry_share);
         const bool over_share = beyond_share(ask.tenant);
         if (too_busy(over_share) || refused()) return finish(id, true, come_back());
@@ -797,6 +870,7 @@
         const bool stuck = stalled(u);
         --u.out;
         --outstanding;
+        tell_soon();
         if (result == Result::succeeded || result == Result::errored || result == Result::full ||
             result == Result::unusable)
             u.waiting_since = now;
@@ -822,21 +896,26 @@
         if (u.known && u.listing.id != l.id) {
             // Another one in the place of one that has gone. Guards against growing with all that ever were.
             std::erase(near, l.tgt), std::erase(far, l.tgt);
+            std::erase_if(told_names, [&](const auto& n) { return n.second == l.tgt; });
+            for (Peer& p : peers) hold(p, l.tgt, 0);
             u = Upstream{};
         }
         if (l.started && l.started != u.listing.started) {
             // A new life: what the last one showed says nothing of it.
-            const auto out_now = u.out;
-            const bool known = u.known;
-            u = Upstream{};
-            u.known = known;
-            u.out = out_now;
+            Upstream next;
+            next.known = u.known;
+            next.out = u.out, next.peers_out = u.peers_out, next.told_out = u.told_out;
+            u = next;
             u.cold_at = now;
             u.cold_tokens = roll();  // so that instances told together do not all send at once
         }
         u.listing = l;
         if (u.known) return;
         u.known = true;
+        if (set.may_tell) {
+            const std::pair<uint16_t, Tgt> name{told_name(l.id), l.tgt};
+            told_names.insert(std::lower_bound(told_names.begin(), told_names.end(), name), name);
+        }
         auto& order = is_far(u) ? far : near;
         const auto place = [this](Tgt t) { return ups[t].listing.id * 0x9e3779b97f4a7c15u; };
         order.insert(std::upper_bound(order.begin(), order.end(), l.tgt,
@@ -868,7 +947,8 @@
         born = share_at = now;
         for (Tenant& t : tenants) t.at = now;
         if (set.list_must_be_asked) later(now + first_backoff * roll(), [this] { out.watch_list(); });
-        if (set.reports_by_probe && set.may_probe) probe_later();
+        if (set.reports_by_probe && set.may_probe && !set.may_tell) probe_later();
+        if (set.may_tell) later(now + tell_all_every * roll(), [this] { tell_all(); });
     }
 
     void probe_later()
@@ -884,6 +964,105 @@
         });
     }
 
+    // ---- what the instances tell each other, where messages are allowed ----
+    // A message: 1 for all or 0 for changes; with all, the number of tenants and what each asks, in
+    // sixteenths a second; then a name of two bytes and the sender's work out, for each upstream. Numbers are
+    // little-endian. One that is lost is mended by the next that tells all; a name that is not on the own
+    // list says nothing.
+
+    static uint16_t told_name(uint64_t id) { return static_cast<uint16_t>((id * 0x9e3779b97f4a7c15u) >> 48); }
+
+    void tell_soon()
+    {
+        if (!set.may_tell || tell_due) return;
+        tell_due = true;
+        later(std::max(now, told_at + tell_every), [this] { tell_changes(false); });
+    }
+
+    void tell_changes(bool all)
+    {
+        tell_due = false;
+        told_at = now;
+        std::string message(1, all ? 1 : 0);
+        const auto put = [&](uint32_t n, int bytes) {
+            for (; bytes > 0; --bytes, n >>= 8) message.push_back(static_cast<char>(n & 0xff));
+        };
+        if (all) {
+            const size_t told = std::min<size_t>(tenants.size(), 40);
+            put(static_cast<uint32_t>(told), 1);
+            for (size_t i = 0; i < told; ++i)
+                put(static_cast<uint32_t>(std::min(65535.0, tenants[i].rate * 16)), 2);
+        }
+        for (const auto& [name, tgt] : told_names) {
+            Upstream& u = ups[tgt];
+            const uint32_t is = std::min<uint32_t>(u.out, 255);
+            if (all ? is == 0 : is == u.told_out) continue;
+            if (message.size() + 3 > 256) {
+                tell_soon();
+                break;
+            }
+            u.told_out = is;
+            put(name, 2), put(is, 1);
+        }
+        if (all || message.size() > 1) out.tell(message);
+    }
+
+    void tell_all()
+    {
+        weigh_own_part();
+        tell_changes(true);
+        heard = 0;
+        for (Peer& p : peers) {
+            if (now - p.heard < believed)
+                ++heard;
+            else
+                forget(p);
+        }
+        later(now + tell_all_every * (0.75 + 0.5 * roll()), [this] { tell_all(); });
+    }
+
+    void hold(Peer& p, Tgt tgt, uint8_t n)
+    {
+        if (p.out.size() <= tgt) p.out.resize(ups.size());
+        const uint32_t was = std::exchange(p.out[tgt], n);
+        ups[tgt].peers_out += n - was;
+        p.outstanding += n - was;
+        peers_out += static_cast<double>(n) - was;
+    }
+
+    void forget(Peer& p)
+    {
+        for (Tgt t = 0; t < p.out.size(); ++t)
+            if (p.out[t]) hold(p, t, 0);
+        p.rates.clear();
+    }
+
+    void told(uint32_t from, std::string_view message)
+    {
+        if (!set.may_tell || from >= most_peers || from == set.self || message.empty()) return;
+        if (from >= peers.size()) peers.resize(from + 1);
+        Peer& p = peers[from];
+        size_t at = 1;
+        const auto byte = [&](size_t i) {
+            return static_cast<uint32_t>(static_cast<unsigned char>(message[i]));
+        };
+        const auto two = [&](size_t i) { return byte(i) | byte(i + 1) << 8; };
+        if (byte(0) > 1) return;
+        if (byte(0) == 1) {
+            if (message.size() < 2 || message.size() < 2 + 2 * byte(1)) return;
+            forget(p);
+            for (at = 2; at < 2 + 2 * byte(1); at += 2) p.rates.push_back(two(at) / 16.0);
+        }
+        if (now - p.heard >= believed || heard == 0) ++heard;
+        p.heard = now;
+        for (; at + 3 <= message.size(); at += 3) {
+            const std::pair<uint16_t, Tgt> name{static_cast<uint16_t>(two(at)), 0};
+            const auto known = std::lower_bound(told_names.begin(), told_names.end(), name);
+            if (known != told_names.end() && known->first == name.first)
+                hold(p, known->second, static_cast<uint8_t>(byte(at + 2)));
+        }
+    }
+
     void wake(uint64_t name)
     {
         const auto at = sleeping.find(name);
@@ -950,6 +1129,12 @@
     if (result == Result::succeeded) state_->reported(state_->ups[tgt], report);
 }
 
+void Balancer::told(Point now, uint32_t peer, std::string_view message)
+{
+    state_->now = now;
+    state_->told(peer, message);
+}
+
 void Balancer::woken(Point now, uint64_t name)
 {
     state_->now = now;
--- a/src/balance.h
+++ b/src/balance.h
@@ -10,6 +10,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "settings.h"
@@ -62,6 +64,7 @@
     virtual void probe(Tgt tgt) = 0;
     virtual void close_idle(Tgt tgt) = 0;  // connections
     virtual void watch_list() = 0;
+    virtual void tell(const std::string& message) = 0;  // every other instance; it may be lost
 };
 
 class Balancer
@@ -80,6 +83,7 @@
     void client_left(Point now, Inv inv);
     void probed(Point now, Tgt tgt, Result result, const Report& report);
     void woken(Point now, uint64_t name);
+    void told(Point now, uint32_t peer, std::string_view message);  // by another instance
 
   private:
     struct State;
--- a/src/decode_settings.cpp
+++ b/src/decode_settings.cpp
@@ -136,12 +136,13 @@
     s.self = static_cast<uint32_t>(in.number("self_index", s.self));
     s.tier = static_cast<uint32_t>(in.number("tier", s.tier));
     s.zone = static_cast<uint32_t>(in.number("zone", s.zone));
-    s.crossing_costs = in.number("prices.cross_zone", 0) > 0;
+    s.crossing_price = in.number("prices.cross_zone", s.crossing_price);
     s.reports_by_probe = in.text("telemetry.source") == "pull";
     s.list_must_be_asked = in.text("registry_mode") == "subscribe";
     s.may_cancel = in.flag("policy_limits.cancel");
     s.may_overlap = in.flag("policy_limits.may_duplicate");
     s.may_probe = in.flag("policy_limits.may_probe");
+    s.may_tell = in.flag("policy_limits.peers");
     s.max_forwards = static_cast<uint32_t>(in.number("policy_limits.max_forwards", s.max_forwards));
     if (in.flag("policy_limits.retry_after"))
         s.max_come_back = in.span("policy_limits.max_retry_after_us", s.max_come_back);
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -169,6 +169,7 @@
     void probe(Tgt tgt) override;
     void close_idle(Tgt tgt) override;
     void watch_list() override;
+    void tell(const std::string&) override {}  // no other instance is known here
 
     const Setup& setup_;
     Point now_;
--- a/src/settings.h
+++ b/src/settings.h
@@ -28,12 +28,13 @@
     uint32_t self = 0;  // the number of this one among them
     uint32_t tier = 0;
     uint32_t zone = 0;
-    bool crossing_costs = false;  // forwards to other zones have a price
+    double crossing_price = 0;  // of a forward to another zone, as a part of what an invocation is worth
     bool reports_by_probe = false;
     bool list_must_be_asked = false;
     bool may_cancel = false;
     bool may_overlap = false;
     bool may_probe = false;
+    bool may_tell = false;  // messages to the other balancers
     uint32_t max_forwards = 1;
     Span max_come_back;  // zero: clients are not told
     Span ask_within = seconds(10);
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -20,7 +20,7 @@
     {
         auto settings = Stage::settings(Stage::op(Repeat::idempotent));
         settings.balancers = balancers;
-        settings.crossing_costs = true;
+        settings.crossing_price = 0.015;
         settings.cold = seconds(20);
         settings.cold_share = 0.16;
         settings.fall = seconds(1);
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -105,6 +105,7 @@
     Tgt last_tgt = 0;
     bool quiet = false;
     int throttled = 0, closed = 0;
+    std::vector<std::string> told;  // to the other instances
     Balancer balancer;
 
   private:
@@ -135,6 +136,7 @@
     void probe(Tgt tgt) override { line("probe u%u\n", tgt); }
     void close_idle(Tgt tgt) override { ++closed, line("close idle connections of u%u\n", tgt); }
     void watch_list() override { line("watch the list\n"); }
+    void tell(const std::string& message) override { told.push_back(message); }
 
     std::map<Inv, uint32_t> sent;
     std::map<uint64_t, Point> timers;
