--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -39,10 +39,11 @@
 constexpr Span tell_every = seconds(0.1);    // changes of own work out, where messages are allowed
 constexpr Span tell_all_every = seconds(2);  // about: all of it, and what tenants ask
 constexpr Span believed = seconds(5);        // what another instance told, after its last message
-constexpr size_t most_told = 80;             // upstreams in a message
+constexpr double most_spent = 0.02;          // on messages, as a part of what an invocation is worth
+constexpr size_t least_message = 8, most_message = 256;  // bytes, as counted and as sent
 constexpr uint32_t most_peers = 4096;
 constexpr Span weigh_every = seconds(0.02);
-constexpr double usual_crowd = 4;  // held by an upstream: more is left to others, where that is known
+constexpr double usual_crowd = 5;  // held by an upstream: more is left to others, where that is known
 constexpr Span rate_over = seconds(4);
 constexpr double cold_spend = 0.7;            // of the multiple that would push a cold upstream over
 constexpr Span first_backoff = seconds(0.5);  // of asking for the list
@@ -170,7 +171,8 @@
           chance(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 32))),
           ops(set.operations.size()),
           own_part(1.0 / std::max(1u, set.balancers)),
-          favour(std::exp(std::min(10.0, set.crossing_price * crossing_weighs)))
+          near_met(std::exp(std::min(10.0, set.crossing_price * crossing_weighs))),
+          near_told(std::pow(near_met, 3.0 / 8))
     {
         tenants.resize(set.quotas.size());
         for (size_t i = 0; i < tenants.size(); ++i) tenants[i].quota = set.quotas[i];
@@ -226,11 +228,12 @@
     size_t heard = 0;                                  // of them, lately
     std::vector<std::pair<uint16_t, Tgt>> told_names;  // of upstreams in messages, in order
     bool tell_due = false;
+    double may_spend = 0;  // bytes delivered to others
     Point told_at{INT64_MIN / 2};
 
     std::vector<Tgt> near, far;  // all that have a place, each in this instance's own order of preference
     std::vector<std::pair<Tgt, double>> weights;
-    double favour;  // of the own zone, in the draw
+    double near_met, near_told;  // the own zone's favour in the draw
 
     double roll() { return std::generate_canonical<double, 24>(chance); }
 
@@ -404,7 +407,6 @@
     }
 
     static double fourth(double x) { return x * x * x * x; }
-    static double eighth(double x) { return fourth(x) * fourth(x); }
 
     static std::optional<double> load_of(const Report& r)
     {
@@ -718,9 +720,14 @@
         return 1 + (u.slowness - 1) * std::exp2(-((now - u.slowness_at) / slowness_age));
     }
 
-    // Where crossing zones has a price, as much more is drawn for the own zone as a little more load there
-    // undoes.
-    double nearness(const Upstream& u) const { return is_far(u) ? 1 : favour; }
+    // Sharp, since what is known of each is old and seldom the same at two instances. Where all are told the
+    // same of all, gently: else all send to the same few. Where crossing zones has a price, as much more is
+    // drawn for the own zone as a little more load there undoes.
+    double evenness(double idle, const Upstream& u) const
+    {
+        const double favour = is_far(u) ? 1 : heard > 0 ? near_told : near_met;
+        return favour * (heard > 0 ? idle * idle * idle : fourth(idle) * fourth(idle));
+    }
 
     // As many upstreams as own traffic meets about once a second, and never fewer than a few. Guards against
     // evidence of each that is too thin and too old, where many instances share many upstreams.
@@ -756,8 +763,8 @@
                 if (u.listing.presence != Presence::ready || !keep(t) || !may_send(inv, t)) continue;
                 if (crowded(inv, u)) continue;
                 const double idle = u.listing.size / (u.listing.size + expected_load(u));
-                const double weight = u.listing.size * warm_share(u) * eighth(idle) * nearness(u) /
-                                      (slowness_says ? fourth(slowness(u)) : 1);
+                const double slow = slowness_says ? fourth(slowness(u)) : 1;
+                const double weight = u.listing.size * warm_share(u) * evenness(idle, u) / slow;
                 total += weight;
                 weights.emplace_back(t, weight);
                 if (reduction(u) < 0.5 && --wanted == 0) break;
@@ -827,6 +834,8 @@
         retry_tokens = std::min(most_retries, retry_tokens + retry_share);
         const bool over_share = beyond_share(ask.tenant);
         if (too_busy(over_share) || refused()) return finish(id, true, come_back());
+        if (set.message_price > 0)
+            may_spend = std::min(may_spend + most_spent / set.message_price * most_message, 1e6);
         if (!over_share && ask.tenant < tenants.size()) tenants[ask.tenant].tokens -= 1;
         route(id);
     }
@@ -983,6 +992,7 @@
     {
         tell_due = false;
         told_at = now;
+        if (!all && set.message_price > 0 && may_spend < 0) return;
         std::string message(1, all ? 1 : 0);
         const auto put = [&](uint32_t n, int bytes) {
             for (; bytes > 0; --bytes, n >>= 8) message.push_back(static_cast<char>(n & 0xff));
@@ -997,14 +1007,17 @@
             Upstream& u = ups[tgt];
             const uint32_t is = std::min<uint32_t>(u.out, 255);
             if (all ? is == 0 : is == u.told_out) continue;
-            if (message.size() + 3 > 256) {
+            if (message.size() + 3 > most_message) {
                 tell_soon();
                 break;
             }
             u.told_out = is;
             put(name, 2), put(is, 1);
         }
-        if (all || message.size() > 1) out.tell(message);
+        if (!all && message.size() == 1) return;
+        may_spend -=
+            static_cast<double>(std::max(least_message, message.size()) * (std::max(2u, set.balancers) - 1));
+        out.tell(message);
     }
 
     void tell_all()
--- a/src/decode_settings.cpp
+++ b/src/decode_settings.cpp
@@ -137,6 +137,7 @@
     s.tier = static_cast<uint32_t>(in.number("tier", s.tier));
     s.zone = static_cast<uint32_t>(in.number("zone", s.zone));
     s.crossing_price = in.number("prices.cross_zone", s.crossing_price);
+    s.message_price = in.number("prices.peer", s.message_price);
     s.reports_by_probe = in.text("telemetry.source") == "pull";
     s.list_must_be_asked = in.text("registry_mode") == "subscribe";
     s.may_cancel = in.flag("policy_limits.cancel");
--- a/src/settings.h
+++ b/src/settings.h
@@ -34,7 +34,8 @@
     bool may_cancel = false;
     bool may_overlap = false;
     bool may_probe = false;
-    bool may_tell = false;  // messages to the other balancers
+    double message_price = 0;  // of 256 bytes to one of them, as a part of what an invocation is worth
+    bool may_tell = false;     // messages to the other balancers
     uint32_t max_forwards = 1;
     Span max_come_back;  // zero: clients are not told
     Span ask_within = seconds(10);
