--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -7,10 +7,13 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <random>
 #include <unordered_map>
 #include <utility>
 
+#include "told.h"
+
 namespace firtide
 {
 namespace
@@ -25,9 +28,8 @@
 constexpr Span report_age = seconds(0.5);   // a report's distance from the others' mean halves in about this
 constexpr Span slowness_age = seconds(8);   // what last answers took is half forgotten in this
 constexpr double tells_load = 0.25;         // a mean of reported loads that says something
-constexpr size_t recent = 16;               // answers an upstream is judged by
+constexpr size_t recent = 16;               // answers an upstream is judged by, about
 constexpr size_t enough = 5;                // fewer say nothing
-constexpr double judged_at = 0.8;           // the quantile of them
 constexpr double well_above = 1.8;          // times the fellows' median
 constexpr double long_queue = 3;            // and this many more, where the mean is next to none
 constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
@@ -40,7 +42,7 @@
 constexpr Span tell_all_every = seconds(2);  // about: all of it, and what tenants ask
 constexpr Span believed = seconds(5);        // what another instance told, after its last message
 constexpr double most_spent = 0.02;          // on messages, as a part of what an invocation is worth
-constexpr size_t least_message = 8, most_message = 256;  // bytes, as counted and as sent
+constexpr size_t least_message = 8;          // bytes, as counted
 constexpr uint32_t most_peers = 4096;
 constexpr Span weigh_every = seconds(0.02);
 constexpr double usual_crowd = 5;  // held by an upstream: more is left to others, where that is known
@@ -55,7 +57,6 @@
 constexpr double round_of = 60, least_round = 12;
 constexpr Span long_round = seconds(3);
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
-constexpr double typical_use = 1.25;    // a middling tenant's share over what it uses of it
 constexpr double never_pressed = 0.2;   // of the latency objective: a mean answer time under it is well
 constexpr double least_of_good = 0.5;   // the least limit, as a part of what went well
 constexpr double untried = 3;           // times two for each upstream: the limit until more went well
@@ -66,7 +67,6 @@
 constexpr double usual_calm = 0.2;      // of the latency objective, until more is known
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;          // below this, work beyond a tenant's share is welcome
-constexpr double saved_up = 4;  // invocations that a tenant under its share may save, where its part is thin
 
 bool proves_not_run(Result r)
 {
@@ -85,7 +85,9 @@
 
 // Lives from its acceptance until it is answered and nothing is out for it.
 struct Invocation {
-    const Operation* op = nullptr;
+    Operation op;  // as it was when it was accepted
+    bool may_overlap = false;
+    uint32_t max_forwards = 1;
     uint32_t operation = 0;
     Point arrived;
     Point leaves;  // the client's time is up
@@ -108,13 +110,12 @@
     bool known = false;
     Entry entry;
     std::optional<Point> unpaired;  // a timeout or reset that waits for its fellow
-    std::optional<double> load, latency_ms;
+    std::optional<double> load;
     bool load_counts_own = false;
     Point load_at;
     uint32_t out = 0, out_at_report = 0;
-    float answers[recent] = {};  // times, as multiples of the operation's usual one; negative: an error
     size_t answered = 0;
-    double quantile = 0, errors = 0;
+    double errors = 0;    // their share of the last answers
     double slowness = 1;  // mean of the last answers
     Point slowness_at;
     Point last_end{INT64_MIN / 2};
@@ -124,15 +125,14 @@
     Point cold_at;
 
     uint32_t peers_out = 0;  // the other instances' work out, as they told it
-    uint32_t told_out = 0;   // own work out, as it was told last
+    uint8_t told_out = 0;    // own work out, as it was told last
 };
 
 // What another instance told. Lives until it has been silent for long.
 struct Peer {
-    std::vector<uint8_t> out;  // by upstream
-    uint32_t outstanding = 0;
+    std::vector<uint8_t> out;   // by upstream
     std::vector<double> rates;  // by tenant
-    Point heard;
+    Point heard{INT64_MIN / 2};
 };
 
 // Events a second over the recent past; low until it has seen some of it.
@@ -150,8 +150,6 @@
 
 struct Tenant {
     double quota = 0;
-    double tokens = 1;
-    Point at;
     double came = 0, rate = 0;  // invocations
 };
 
@@ -169,19 +167,14 @@
         : set(std::move(settings)),
           out(outlet),
           chance(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 32))),
-          ops(set.operations.size()),
-          own_part(1.0 / std::max(1u, set.balancers)),
           near_met(std::exp(std::min(10.0, set.crossing_price * crossing_weighs))),
           near_told(std::pow(near_met, 3.0 / 8))
     {
-        tenants.resize(set.quotas.size());
-        for (size_t i = 0; i < tenants.size(); ++i) tenants[i].quota = set.quotas[i];
-        for (const Operation& op : set.operations)
-            slowest_objective = std::max(slowest_objective, op.latency_objective);
+        take_over({}, {});
         chance.discard(32);
     }
 
-    const Settings set;
+    Settings set;
     Outlet& out;
     std::ranlux24_base chance;
     Point now, born;
@@ -193,7 +186,7 @@
     std::unordered_map<uint64_t, std::function<void()>> sleeping;
     uint64_t next_name = 0;
 
-    double mean_load = 0, median_quantile = 1, mean_errors = 0, median_latency = 0;
+    double mean_load = 0, mean_errors = 0;
     Point fellows_at{INT64_MIN / 2};
 
     Rate warm_sends, asked;
@@ -209,7 +202,7 @@
     double calm = usual_calm;                         // what it is with next to no load
     Point round_at;
     std::vector<double> felts;
-    double felt = 0, felt_n = 0, first_felt = 0, first_n = 0;
+    double first_felt = 0, first_n = 0;
     double room = 0;              // upstreams' worth, see weigh_room
     double limit = 1e9;           // mean own outstanding work
     double good_outstanding = 0;  // the most it was while the aim was met, forgotten slowly
@@ -217,17 +210,16 @@
     double around = 0;          // the mean own work out that the last asks met
     double met = 0, met_n = 0;  // own outstanding work as asks met it since the last look
     std::vector<Tenant> tenants;
-    double own_part;
     Point share_at;
     Point weighed_at{INT64_MIN / 2};
-    double stuck_out = 0;  // own work out that stands still
-    bool queues_told = false;
+    double stuck_out = 0;                          // own work out that stands still
+    bool queues_told = false, times_told = false;  // by the upstreams
 
     std::vector<Peer> peers;
     double peers_out = 0;                              // outstanding work of all of them
     size_t heard = 0;                                  // of them, lately
     std::vector<std::pair<uint16_t, Tgt>> told_names;  // of upstreams in messages, in order
-    bool tell_due = false;
+    bool tell_due = false, telling = false, probing = false;
     double may_spend = 0;  // bytes delivered to others
     Point told_at{INT64_MIN / 2};
 
@@ -289,8 +281,8 @@
     bool in_group(const Invocation& inv, Tgt a, Tgt b) const
     {
         const auto &x = ups[a].listing, &y = ups[b].listing;
-        if (inv.op->group == Group::zone) return x.zone == y.zone;
-        if (inv.op->group == Group::cell) return x.cell == y.cell;
+        if (inv.op.group == Group::zone) return x.zone == y.zone;
+        if (inv.op.group == Group::cell) return x.cell == y.cell;
         return true;
     }
 
@@ -299,10 +291,10 @@
     {
         for (const Forward& f : inv.forwards) {
             if (f.proven_not_run) continue;
-            if (f.out && !set.may_overlap) return false;
-            if (inv.op->repeat == Repeat::idempotent) continue;
-            if (inv.op->repeat == Repeat::non_idempotent) return false;
-            if (!in_group(inv, f.tgt, tgt) || now - f.sent >= inv.op->window) return false;
+            if (f.out && !(inv.may_overlap && set.may_overlap)) return false;
+            if (inv.op.repeat == Repeat::idempotent) continue;
+            if (inv.op.repeat == Repeat::non_idempotent) return false;
+            if (!in_group(inv, f.tgt, tgt) || now - f.sent >= inv.op.window) return false;
         }
         return true;
     }
@@ -310,8 +302,8 @@
     bool may_throttle(const Invocation& inv) const
     {
         for (const Forward& f : inv.forwards) {
-            if (f.proven_not_run || inv.op->repeat == Repeat::idempotent) continue;
-            if (inv.op->repeat == Repeat::non_idempotent || inv.op->group != Group::all) return false;
+            if (f.proven_not_run || inv.op.repeat == Repeat::idempotent) continue;
+            if (inv.op.repeat == Repeat::non_idempotent || inv.op.group != Group::all) return false;
         }
         return true;
     }
@@ -319,7 +311,8 @@
     bool may_send(const Invocation& inv, Tgt tgt)
     {
         Upstream& u = ups[tgt];
-        return !inv.over && now < inv.leaves && inv.forwards.size() < set.max_forwards &&
+        return !inv.over && now < inv.leaves &&
+               inv.forwards.size() < std::min(inv.max_forwards, set.max_forwards) &&
                u.listing.presence == Presence::ready && effect_allows(inv, tgt) && cold_budget(u);
     }
 
@@ -428,9 +421,7 @@
             u.out_at_report = u.out;
             if (r.queue && *r.queue > long_queue + well_above * mean_load) raise(u, step, false);
         }
-        if (r.latency_ms) {
-            u.latency_ms = r.latency_ms;
-        }
+        times_told = times_told || r.latency_ms;
     }
 
     // What the others look like; often enough to follow, seldom enough to be cheap.
@@ -438,52 +429,25 @@
     {
         if (now - fellows_at < seconds(0.2)) return;
         fellows_at = now;
-        std::vector<double> quantiles, latencies;
         double load = 0, loads = 0, errors = 0, judged = 0;
         for (const Upstream& u : ups) {
             if (u.listing.presence != Presence::ready) continue;
             if (u.load) load += *u.load, ++loads;
-            if (u.latency_ms) latencies.push_back(*u.latency_ms);
-            if (u.answered < enough) continue;
-            quantiles.push_back(u.quantile);
-            errors += u.errors, ++judged;
+            if (u.answered >= enough) errors += u.errors, ++judged;
         }
-        const auto median = [](std::vector<double>& v, double absent) {
-            if (v.size() < 3) return absent;
-            std::nth_element(v.begin(), v.begin() + v.size() / 2, v.end());
-            return v[v.size() / 2];
-        };
         mean_load = loads > 0 ? load / loads : 0;
         mean_errors = judged > 0 ? errors / judged : 0;
-        median_quantile = median(quantiles, 1e9);
-        median_latency = median(latencies, 0);
     }
 
-    void judge(Upstream& u, float answer)
+    // By the time that an answer took over what its operation's usually take; none: an error.
+    void judge(Upstream& u, std::optional<double> time)
     {
-        u.answers[u.answered++ % recent] = answer;
-        if (answer >= 0)
-            u.slowness = slowness(u) + 0.25 * (std::min(answer, 5.0f) - slowness(u)), u.slowness_at = now;
-        const size_t n = std::min(u.answered, recent);
-        float times[recent];
-        size_t timed = 0;
-        for (size_t i = 0; i < n; ++i)
-            if (u.answers[i] >= 0) times[timed++] = u.answers[i];
-        u.errors = static_cast<double>(n - timed) / static_cast<double>(n);
-        if (timed) {
-            auto* at = times + static_cast<size_t>(judged_at * static_cast<double>(timed - 1));
-            std::nth_element(times, at, times + timed);
-            u.quantile = *at;
-        }
-        if (n < enough) return;
+        u.answered = std::min(recent, u.answered + 1);
+        u.errors += ((time ? 0 : 1) - u.errors) / static_cast<double>(u.answered);
+        if (time) u.slowness = slowness(u) + 0.25 * (std::min(*time, 5.0) - slowness(u)), u.slowness_at = now;
         // Guards against quick errors: they make an upstream look idle and draw work to it.
-        if (answer < 0 && u.errors > 0.25 + 2 * mean_errors) raise(u, sure_step, false);
-        // Guards against an upstream slowed by something of its own. Long work alone makes answers slow by
-        // chance; where service times are reported, they must say the same.
-        const bool reported_well = u.latency_ms && *u.latency_ms <= well_above * median_latency;
-        if (answer >= 0 && u.quantile > well_above * median_quantile && !reported_well &&
-            answer > median_quantile)
-            raise(u, step, false);
+        else if (u.answered >= enough && u.errors > 0.25 + 2 * mean_errors)
+            raise(u, sure_step, false);
     }
 
     // Guards against idle connections that died without a word: what is sent on one is never answered, or
@@ -508,9 +472,9 @@
                 op.quick *= t < op.quick ? 0.97 : 1.013;
                 op.late *= t > op.late ? 1.095 : 0.995;
                 late_any = late_any <= 0 ? t : late_any * (t > late_any ? 1.095 : 0.995);
-                judge(u, static_cast<float>(t / std::max(1e-6, op.usual)));
+                judge(u, t / std::max(1e-6, op.usual));
                 break;
-            case Result::errored: judge(u, -1); break;
+            case Result::errored: judge(u, {}); break;
             case Result::full:
                 raise(u, step, true);
                 // Guards against a tier that turns most away and answers the rest in time: seen by its answer
@@ -521,26 +485,17 @@
                 raise(u, 2 * sure_step, false);
                 break;
             case Result::timed_out:
-                if (op.usual > 0) judge(u, static_cast<float>(t / op.usual));
+                if (op.usual > 0) judge(u, t / op.usual);
                 [[fallthrough]];
             case Result::reset:
                 if (u.unpaired && now - *u.unpaired < expiry) raise(u, step, true);
                 u.unpaired = now;
                 break;
-            case Result::cancelled:
-                // Guards against a slow upstream deep in the chain: its callers give up first, so that all
-                // that is ever seen of it is work called off.
-                if (op.usual > 0 && t > op.late) {
-                    judge(u, static_cast<float>(t / op.usual));
-                    raise(u, 2 * sure_step, false);
-                }
-                return;
             default: return;
         }
         if (stuck) return;  // its own trouble, not load
-        if (inv.op->latency_objective > Span{} &&
-            (result == Result::succeeded || result == Result::timed_out))
-            feel(inv, took / inv.op->latency_objective);
+        if (inv.op.latency_objective > Span{} && (result == Result::succeeded || result == Result::timed_out))
+            feel(inv, took / inv.op.latency_objective);
     }
 
     // ---- own outstanding work against the latency objective ----
@@ -596,7 +551,8 @@
     // own being taken for pressure on all.
     double middle()
     {
-        if (!queues_told && heard == 0) return felt / felt_n;
+        if (!queues_told && heard == 0)
+            return std::accumulate(felts.begin(), felts.end(), 0.0) / static_cast<double>(felts.size());
         const auto half = felts.begin() + static_cast<std::ptrdiff_t>(felts.size() / 2);
         std::nth_element(felts.begin(), half, felts.end());
         return *half;
@@ -610,15 +566,13 @@
         of_objective = std::min(of_objective, 2.0);
         const Span since_start = inv.arrived - born;
         // Those accepted right after the start meet the least load; all of them count, the quick come first.
-        if (inv.early || since_start < inv.op->latency_objective * 0.25)
-            first_felt += of_objective, ++first_n;
-        felt += of_objective;
+        if (inv.early || since_start < inv.op.latency_objective * 0.25) first_felt += of_objective, ++first_n;
         felts.push_back(of_objective);
         // Guards against a limit cut by chance: answer times scatter so far that a few of them tell nothing.
-        if (++felt_n < least_round || (felt_n < round_of && now - round_at < long_round)) return;
+        const auto n = static_cast<double>(felts.size());
+        if (n < least_round || (n < round_of && now - round_at < long_round)) return;
         round_at = now;
         const double mean = middle();
-        felt = felt_n = 0;
         felts.clear();
         pressure = 0.5 * (pressure + mean);
         // What nothing is known of yet counts as usual. Guards against instances so seldom asked that they
@@ -644,45 +598,31 @@
         limit = std::min(limit, most_limit());
     }
 
-    // How much of the whole traffic comes to this instance, never less than an even part. Guards against
-    // fronts that give one instance more than its even part: what is inside a share there would be taken as
-    // beyond it.
-    void weigh_own_part()
+    void weigh_rates()
     {
         const double gone = (now - share_at).seconds();
         if (gone < 1) return;
         share_at = now;
-        std::vector<double> used;
         for (Tenant& t : tenants) {
             t.rate += (t.rate > 0 ? 0.3 : 1) * (t.came / gone - t.rate);
             t.came = 0;
-            if (t.quota > 0) used.push_back(t.rate / t.quota);
         }
-        const double even = 1.0 / std::max(1u, set.balancers);
-        own_part = even;
-        if (used.size() < 3) return;
-        std::nth_element(used.begin(), used.begin() + used.size() / 2, used.end());
-        const double seen = std::clamp(used[used.size() / 2] * typical_use, even, 1.4 * even);
-        if (pressure <= aim()) own_part += 0.2 * (seen - own_part);
     }
 
-    // True where the tenant has already had what this instance may give of its share.
+    // True, by chance, for what a tenant asks of all instances beyond its share. Guards against taking an
+    // even part of the share for this instance's own, where some carry many times what others do: without
+    // being told of the others nothing is beyond a share.
     bool beyond_share(uint32_t tenant)
     {
-        if (tenant >= tenants.size() || tenants[tenant].quota <= 0) return false;
-        weigh_own_part();
+        if (tenant >= tenants.size()) return false;
+        weigh_rates();
         Tenant& t = tenants[tenant];
         ++t.came;
-        if (heard > 0) {
-            double all = t.rate;
-            for (const Peer& p : peers)
-                if (tenant < p.rates.size()) all += p.rates[tenant];
-            return all > t.quota && roll() * all > t.quota;
-        }
-        const double part = t.quota * own_part * (pressure > aim() ? aim() / pressure : 1);
-        t.tokens = std::min(std::max(saved_up, 2 * part), t.tokens + (now - t.at).seconds() * part);
-        t.at = now;
-        return t.tokens + roll() < 1;
+        if (heard == 0 || t.quota <= 0) return false;
+        double all = t.rate;
+        for (const Peer& p : peers)
+            if (tenant < p.rates.size()) all += p.rates[tenant];
+        return roll() * all > t.quota;
     }
 
     // Only the first tier turns work away for being busy: deeper, the work done above would be lost with it.
@@ -751,7 +691,7 @@
     {
         double total = 0;
         weights.clear();
-        const bool slowness_says = mean_load < tells_load || median_latency <= 0;
+        const bool slowness_says = mean_load < tells_load || !times_told;
         for (const auto* order : {&near, &far}) {
             size_t wanted = width();
             const double turn = set.self * 0.6180339887498949;  // spreads any run of numbers evenly
@@ -816,13 +756,15 @@
     {
         if (id >= invs.size()) invs.resize(id + 1);
         Invocation& inv = invs[id];
-        inv.op = &set.operations[ask.operation];
+        inv.op = set.operations[ask.operation];
+        inv.may_overlap = set.may_overlap;
+        inv.max_forwards = set.max_forwards;
         inv.operation = ask.operation;
         inv.arrived = now;
         inv.leaves = now + ask.time_left;
         inv.useful = inv.leaves;
-        if (inv.op->latency_objective > Span{} && inv.op->late_billed_value <= 0)
-            inv.useful = std::min(inv.leaves, now + inv.op->latency_objective);
+        if (inv.op.latency_objective > Span{} && inv.op.late_billed_value <= 0)
+            inv.useful = std::min(inv.leaves, now + inv.op.latency_objective);
         inv.over = false;
         weigh_room();
         inv.early = held() < two_each();
@@ -836,7 +778,6 @@
         if (too_busy(over_share) || refused()) return finish(id, true, come_back());
         if (set.message_price > 0)
             may_spend = std::min(may_spend + most_spent / set.message_price * most_message, 1e6);
-        if (!over_share && ask.tenant < tenants.size()) tenants[ask.tenant].tokens -= 1;
         route(id);
     }
 
@@ -846,7 +787,7 @@
         if (!tgt) return finish(id, true, come_back());
         const Invocation& inv = invs[id];
         // Work that could still run is waited for to the end; work whose answer is worthless is given up.
-        const Span wait = (inv.op->repeat == Repeat::non_idempotent ? inv.leaves : inv.useful) - now;
+        const Span wait = (inv.op.repeat == Repeat::non_idempotent ? inv.leaves : inv.useful) - now;
         if (wait <= Span{} || !send(id, *tgt, wait, [this, id](Point, Result r) { after_forward(id, r); }))
             finish(id, true, come_back());
     }
@@ -861,7 +802,7 @@
         }
         if (result == Result::unusable) return finish(id, false);
         const double needed = ops[inv.operation].usual;
-        if (inv.op->repeat != Repeat::non_idempotent && retry_tokens >= 1 &&
+        if (inv.op.repeat != Repeat::non_idempotent && retry_tokens >= 1 &&
             (inv.useful - now).seconds() > needed) {
             retry_tokens -= 1;
             return route(id);
@@ -921,15 +862,18 @@
         u.listing = l;
         if (u.known) return;
         u.known = true;
-        if (set.may_tell) {
-            const std::pair<uint16_t, Tgt> name{told_name(l.id), l.tgt};
-            told_names.insert(std::lower_bound(told_names.begin(), told_names.end(), name), name);
-        }
-        auto& order = is_far(u) ? far : near;
-        const auto place = [this](Tgt t) { return ups[t].listing.id * 0x9e3779b97f4a7c15u; };
-        order.insert(std::upper_bound(order.begin(), order.end(), l.tgt,
-                                      [&](Tgt a, Tgt b) { return place(a) < place(b); }),
-                     l.tgt);
+        place(l.tgt);
+    }
+
+    void place(Tgt tgt)
+    {
+        const auto rank = [this](Tgt t) { return ups[t].listing.id * 0x9e3779b97f4a7c15u; };
+        const std::pair<uint16_t, Tgt> name{static_cast<uint16_t>(rank(tgt) >> 48), tgt};
+        told_names.insert(std::lower_bound(told_names.begin(), told_names.end(), name), name);
+        auto& order = is_far(ups[tgt]) ? far : near;
+        order.insert(std::upper_bound(order.begin(), order.end(), tgt,
+                                      [&](Tgt a, Tgt b) { return rank(a) < rank(b); }),
+                     tgt);
     }
 
     void list_is(const std::vector<Listing>& all)
@@ -954,15 +898,72 @@
     void start()
     {
         born = share_at = now;
-        for (Tenant& t : tenants) t.at = now;
         if (set.list_must_be_asked) later(now + first_backoff * roll(), [this] { out.watch_list(); });
-        if (set.reports_by_probe && set.may_probe && !set.may_tell) probe_later();
-        if (set.may_tell) later(now + tell_all_every * roll(), [this] { tell_all(); });
+        report_by_settings();
+    }
+
+    bool probes() const { return set.reports_by_probe && set.may_probe && !set.may_tell; }
+
+    void report_by_settings()
+    {
+        if (probes() && !std::exchange(probing, true)) probe_later();
+        if (set.may_tell && !std::exchange(telling, true))
+            later(now + tell_all_every * roll(), [this] { tell_all(); });
+    }
+
+    static void stricter(Operation& op, const Operation& other)
+    {
+        op.repeat = std::max(op.repeat, other.repeat);
+        op.group = std::max(op.group, other.group);
+        op.window = std::min(op.window, other.window);
+    }
+
+    // What is learnt of operations and tenants follows them to their new places; what is open of an operation
+    // that is no more is learnt of in the last place, which nothing asks.
+    void take_over(const Places& operations, const Places& tenants_were)
+    {
+        auto ops_were = std::exchange(ops, std::vector<OperationView>(set.operations.size() + 1));
+        auto told_were = std::exchange(tenants, std::vector<Tenant>(set.quotas.size()));
+        const auto gone = static_cast<uint32_t>(set.operations.size());
+        std::vector<uint32_t> now_at(ops_were.size(), gone);
+        for (uint32_t i = 0; i < operations.size(); ++i)
+            if (const auto was = operations[i]; was && *was < ops_were.size())
+                ops[i] = ops_were[*was], now_at[*was] = i;
+        for (Invocation& inv : invs)
+            if ((inv.operation = now_at[inv.operation]) < gone)
+                stricter(inv.op, set.operations[inv.operation]);
+        for (uint32_t i = 0; i < tenants.size(); ++i) {
+            if (i < tenants_were.size() && tenants_were[i] && *tenants_were[i] < told_were.size())
+                tenants[i] = told_were[*tenants_were[i]];
+            tenants[i].quota = set.quotas[i];
+        }
+        slowest_objective = {};
+        for (const Operation& op : set.operations)
+            slowest_objective = std::max(slowest_objective, op.latency_objective);
+        near_met = std::exp(std::min(10.0, set.crossing_price * crossing_weighs));
+        near_told = std::pow(near_met, 3.0 / 8);
+    }
+
+    void settings_are(Settings settings, const Places& operations, const Places& tenants_were)
+    {
+        const bool asked_before = set.list_must_be_asked;
+        set = std::move(settings);
+        take_over(operations, tenants_were);
+        queues_told = times_told = false;
+        // Tenants have other places, and the others may have other settings yet: what they tell comes anew.
+        for (Peer& p : peers) forget(p), p.heard = Point{INT64_MIN / 2};
+        heard = 0;
+        near.clear(), far.clear(), told_names.clear();
+        for (Tgt t = 0; t < ups.size(); ++t)
+            if (ups[t].known) place(t);
+        if (set.list_must_be_asked && !asked_before) out.watch_list();
+        report_by_settings();
     }
 
     void probe_later()
     {
         later(now + probe_every * (0.75 + 0.5 * roll()), [this] {
+            if (!(probing = probes())) return;
             // Guards against hundreds of instances that probe what they do not use.
             for (Tgt t = 0; t < ups.size(); ++t) {
                 const Upstream& u = ups[t];
@@ -974,12 +975,7 @@
     }
 
     // ---- what the instances tell each other, where messages are allowed ----
-    // A message: 1 for all or 0 for changes; with all, the number of tenants and what each asks, in
-    // sixteenths a second; then a name of two bytes and the sender's work out, for each upstream. Numbers are
-    // little-endian. One that is lost is mended by the next that tells all; a name that is not on the own
-    // list says nothing.
-
-    static uint16_t told_name(uint64_t id) { return static_cast<uint16_t>((id * 0x9e3779b97f4a7c15u) >> 48); }
+    // What is lost is mended by the next that tells all; a name that is not on the own list says nothing.
 
     void tell_soon()
     {
@@ -991,38 +987,36 @@
     void tell_changes(bool all)
     {
         tell_due = false;
+        if (!set.may_tell) return;
         told_at = now;
         if (!all && set.message_price > 0 && may_spend < 0) return;
-        std::string message(1, all ? 1 : 0);
-        const auto put = [&](uint32_t n, int bytes) {
-            for (; bytes > 0; --bytes, n >>= 8) message.push_back(static_cast<char>(n & 0xff));
-        };
+        Told message{all, {}, {}};
         if (all) {
-            const size_t told = std::min<size_t>(tenants.size(), 40);
-            put(static_cast<uint32_t>(told), 1);
-            for (size_t i = 0; i < told; ++i)
-                put(static_cast<uint32_t>(std::min(65535.0, tenants[i].rate * 16)), 2);
+            // The others forget what does not fit in here: it follows as changes.
+            for (Upstream& u : ups) u.told_out = 0;
+            for (const Tenant& t : tenants) message.rates.push_back(t.rate);
         }
         for (const auto& [name, tgt] : told_names) {
             Upstream& u = ups[tgt];
-            const uint32_t is = std::min<uint32_t>(u.out, 255);
-            if (all ? is == 0 : is == u.told_out) continue;
-            if (message.size() + 3 > most_message) {
+            const auto is = static_cast<uint8_t>(std::min<uint32_t>(u.out, UINT8_MAX));
+            if (is == u.told_out) continue;
+            if (!message.room()) {
                 tell_soon();
                 break;
             }
-            u.told_out = is;
-            put(name, 2), put(is, 1);
+            message.out.emplace_back(name, u.told_out = is);
         }
-        if (!all && message.size() == 1) return;
+        if (!all && message.out.empty()) return;
+        const auto bytes = encode_told(message);
         may_spend -=
-            static_cast<double>(std::max(least_message, message.size()) * (std::max(2u, set.balancers) - 1));
-        out.tell(message);
+            static_cast<double>(std::max(least_message, bytes.size()) * (std::max(2u, set.balancers) - 1));
+        out.tell(bytes);
     }
 
     void tell_all()
     {
-        weigh_own_part();
+        if (!(telling = set.may_tell)) return;
+        weigh_rates();
         tell_changes(true);
         heard = 0;
         for (Peer& p : peers) {
@@ -1039,7 +1033,6 @@
         if (p.out.size() <= tgt) p.out.resize(ups.size());
         const uint32_t was = std::exchange(p.out[tgt], n);
         ups[tgt].peers_out += n - was;
-        p.outstanding += n - was;
         peers_out += static_cast<double>(n) - was;
     }
 
@@ -1050,29 +1043,18 @@
         p.rates.clear();
     }
 
-    void told(uint32_t from, std::string_view message)
+    void told(uint32_t from, std::string_view bytes)
     {
-        if (!set.may_tell || from >= most_peers || from == set.self || message.empty()) return;
+        const auto message = decode_told(bytes);
+        if (!set.may_tell || from >= most_peers || from == set.self || !message) return;
         if (from >= peers.size()) peers.resize(from + 1);
         Peer& p = peers[from];
-        size_t at = 1;
-        const auto byte = [&](size_t i) {
-            return static_cast<uint32_t>(static_cast<unsigned char>(message[i]));
-        };
-        const auto two = [&](size_t i) { return byte(i) | byte(i + 1) << 8; };
-        if (byte(0) > 1) return;
-        if (byte(0) == 1) {
-            if (message.size() < 2 || message.size() < 2 + 2 * byte(1)) return;
-            forget(p);
-            for (at = 2; at < 2 + 2 * byte(1); at += 2) p.rates.push_back(two(at) / 16.0);
-        }
+        if (message->all) forget(p), p.rates = message->rates;
         if (now - p.heard >= believed || heard == 0) ++heard;
         p.heard = now;
-        for (; at + 3 <= message.size(); at += 3) {
-            const std::pair<uint16_t, Tgt> name{static_cast<uint16_t>(two(at)), 0};
-            const auto known = std::lower_bound(told_names.begin(), told_names.end(), name);
-            if (known != told_names.end() && known->first == name.first)
-                hold(p, known->second, static_cast<uint8_t>(byte(at + 2)));
+        for (const auto& [name, n] : message->out) {
+            const auto known = std::lower_bound(told_names.begin(), told_names.end(), std::pair(name, Tgt{}));
+            if (known != told_names.end() && known->first == name) hold(p, known->second, n);
         }
     }
 
@@ -1093,65 +1075,66 @@
 
 Balancer::~Balancer() = default;
 
-void Balancer::started(Point now)
+Balancer::State& Balancer::at(Point now)
 {
     state_->now = now;
-    state_->start();
+    return *state_;
+}
+
+void Balancer::started(Point now)
+{
+    at(now).start();
+}
+
+void Balancer::settings_are(Point now, Settings settings, const Places& operations, const Places& tenants)
+{
+    at(now).settings_are(std::move(settings), operations, tenants);
 }
 
 void Balancer::list_is(Point now, const std::vector<Listing>& all)
 {
-    state_->now = now;
-    state_->list_is(all);
+    at(now).list_is(all);
 }
 
 void Balancer::list_changed(Point now, const std::vector<Listing>& changes)
 {
-    state_->now = now;
-    for (const Listing& l : changes) state_->list(l);
+    for (const Listing& l : changes) at(now).list(l);
 }
 
 void Balancer::list_answered(Point now, bool well)
 {
-    state_->now = now;
-    state_->list_answered(well);
+    at(now).list_answered(well);
 }
 
 void Balancer::accept(Point now, Inv inv, const Ask& ask)
 {
-    state_->now = now;
-    state_->accept(inv, ask);
+    at(now).accept(inv, ask);
 }
 
 void Balancer::ended(Point now, Inv inv, uint32_t forward, Result result, Span took, bool over,
                      const Report& report)
 {
-    state_->now = now;
-    state_->ended(inv, forward, result, took, over, report);
+    at(now).ended(inv, forward, result, took, over, report);
 }
 
 void Balancer::client_left(Point now, Inv inv)
 {
-    state_->now = now;
-    if (!state_->invs[inv].over) state_->close(inv);
+    if (!at(now).invs[inv].over) state_->close(inv);
 }
 
 void Balancer::probed(Point now, Tgt tgt, Result result, const Report& report)
 {
-    state_->now = now;
-    if (result == Result::succeeded) state_->reported(state_->ups[tgt], report);
+    if (result == Result::succeeded) at(now).reported(state_->ups[tgt], report);
 }
 
 void Balancer::told(Point now, uint32_t peer, std::string_view message)
 {
-    state_->now = now;
-    state_->told(peer, message);
+    at(now).told(peer, message);
 }
 
 void Balancer::woken(Point now, uint64_t name)
 {
-    state_->now = now;
-    state_->wake(name);
+    at(now).wake(name);
 }
 
 }  // namespace firtide
--- a/src/balance.h
+++ b/src/balance.h
@@ -51,6 +51,9 @@
     Span time_left;
 };
 
+// Where each of some things was before; none: it is new.
+using Places = std::vector<std::optional<uint32_t>>;
+
 class Outlet
 {
   public:
@@ -74,6 +77,9 @@
     ~Balancer();
 
     void started(Point now);
+    // New settings, from now on. What is open finishes under its operation as it was when accepted, and under
+    // the stricter of both settings where these differ.
+    void settings_are(Point now, Settings settings, const Places& operations, const Places& tenants);
     void list_is(Point now, const std::vector<Listing>& all);
     void list_changed(Point now, const std::vector<Listing>& changes);
     void list_answered(Point now, bool well);
@@ -87,6 +93,7 @@
 
   private:
     struct State;
+    State& at(Point now);
     std::unique_ptr<State> state_;
 };
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -10,6 +10,7 @@
 namespace firtide
 {
 
+// Each from the least strict to the strictest.
 enum class Repeat { idempotent, deduplicated, non_idempotent };
 enum class Group { all, zone, cell };
 
