New settings in a running program, forth and back; tests of what instances tell and of the switch

SIGHUP now loads new settings too: the module is told through its interface, what it has learnt stays, open invocations keep the stricter of both settings, and a file that is wrong, cut in half, missing or that changes what cannot change live (listen, name, limits, tier, registry mode) leaves all as it was. Words of telemetry.source, registry_mode and weights are checked.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -43,7 +43,6 @@
 constexpr Span believed = seconds(5);        // what another instance told, after its last message
 constexpr double most_spent = 0.02;          // on messages, as a part of what an invocation is worth
 constexpr size_t least_message = 8;          // bytes, as counted
-constexpr uint32_t most_peers = 4096;
 constexpr Span weigh_every = seconds(0.02);
 constexpr double usual_crowd = 5;  // held by an upstream: more is left to others, where that is known
 constexpr Span rate_over = seconds(4);
@@ -249,9 +248,8 @@
 
     bool is_far(const Upstream& u) const { return set.crossing_price > 0 && u.listing.zone != set.zone; }
 
-    // What this instance would send each upstream that it uses a second if none were cold, and no more than
-    // it sends a warm one now. Guards against many instances that each see few warm ones left, and take all
-    // of their traffic over those few for what every upstream bears.
+    // What it would send each upstream in use a second if none were cold, no more than it sends a warm one
+    // now. Guards against many that each see few warm ones left, and take what these bear for the usual.
     double even_rate() const
     {
         double warm = 0;
@@ -450,9 +448,8 @@
             raise(u, sure_step, false);
     }
 
-    // Guards against idle connections that died without a word: what is sent on one is never answered, or
-    // reset at once, whatever the upstream. It shows where forwards after a rest hang and others to the same
-    // upstreams do not.
+    // Guards against idle connections that died without a word: forwards after a rest hang or are reset at
+    // once, whatever the upstream, and others to the same ones are not.
     void watch_idle(bool rested, bool broke)
     {
         double& share = rested ? broke_rested : broke_busy;
@@ -500,18 +497,17 @@
 
     // ---- own outstanding work against the latency objective ----
 
-    // About two for each upstream from all instances together: less would leave them idle. Nor less than half
-    // of what went well: where that does not bring the answer time down, load is not what keeps it up. Guards
-    // against calls that hang in the tier below cutting the limit to nothing.
+    // About two for each upstream from all instances together: less would leave them idle. (The least limit
+    // is also half of what went well. Guards against calls that hang in the tier below cutting it to
+    // nothing.)
     double two_each() const { return 2 * room / (heard > 0 ? 1 : std::max(1u, set.balancers)); }
 
     // Own work out; where the others tell theirs, all of it.
     double held() const { return outstanding + peers_out; }
 
-    // How many warm upstreams' worth of work all that are listed can take, by those lately used: a cold one
-    // its share, one that stands still or is reduced by half none. The limit and what went well follow at
-    // once. Guards against a lost zone's work pressing the survivors, and a lasting limit once it is back:
-    // answer times tell both to a thin instance many seconds late.
+    // How many warm upstreams' worth of work the listed ones can take, by those lately used. The limit and
+    // what went well follow at once. Guards against a lost zone's work pressing the survivors, and a lasting
+    // limit once it is back: answer times tell both to a thin instance many seconds late.
     void weigh_room()
     {
         if (now - weighed_at < weigh_every) return;
@@ -539,9 +535,8 @@
 
     double least_limit() const { return std::max(two_each(), least_of_good * good_outstanding); }
 
-    // The mean answer time that is still well, over the latency objective.
-    // Guards against a ratchet: throttling makes answers quicker, and quicker answers would lower what is
-    // calm.
+    // The mean answer time that is still well, over the latency objective. Guards against a ratchet:
+    // throttling makes answers quicker, and quicker answers would lower what is calm.
     double aim() const
     {
         return std::max(never_pressed, std::min(calm * most_over_calm, calm + pressed * (1 - calm)));
@@ -558,9 +553,8 @@
         return *half;
     }
 
-    // Each round of answers scales the limit by how far their mean time is from where it should be. Only
-    // answers of that round count: a lagging mean would cut again and again for what an earlier cut has
-    // already mended.
+    // Each round of answers scales the limit by how far their mean time is from where it should be. Only that
+    // round counts: a lagging mean would cut again and again for what an earlier cut has already mended.
     void feel(const Invocation& inv, double of_objective)
     {
         of_objective = std::min(of_objective, 2.0);
@@ -582,8 +576,7 @@
         slow_pressure += 0.1 * (mean - slow_pressure);
         calm = slow_pressure < calm ? slow_pressure : calm + 0.0003 * (slow_pressure - calm);
         // Guards against a start under overload, from which calm is learnt too high: under lasting pressure
-        // both it and what counts as good give way, until a limit at its floor shows that this brings no
-        // more.
+        // it and what counts as good give way, until a limit at its floor shows that this brings no more.
         const double mean_out = met / std::max(1.0, met_n);
         met = met_n = 0;
         good_outstanding *= 0.99;
@@ -603,15 +596,13 @@
         const double gone = (now - share_at).seconds();
         if (gone < 1) return;
         share_at = now;
-        for (Tenant& t : tenants) {
-            t.rate += (t.rate > 0 ? 0.3 : 1) * (t.came / gone - t.rate);
-            t.came = 0;
-        }
+        for (Tenant& t : tenants)
+            t.rate += (t.rate > 0 ? 0.3 : 1) * (std::exchange(t.came, 0) / gone - t.rate);
     }
 
     // True, by chance, for what a tenant asks of all instances beyond its share. Guards against taking an
-    // even part of the share for this instance's own, where some carry many times what others do: without
-    // being told of the others nothing is beyond a share.
+    // even part of it for the own one, where some carry many times what others do: untold, nothing is beyond
+    // it.
     bool beyond_share(uint32_t tenant)
     {
         if (tenant >= tenants.size()) return false;
@@ -640,9 +631,8 @@
 
     // ---- the pick ----
 
-    // The last report, drifting to the others' mean with age, and own sends out since less those answered.
-    // A cold one's part of that mean: its budget keeps it from more. Guards against thin instances, to whom
-    // each report is old, taking what has just started for as full as the rest, and its room lying idle.
+    // The last report, drifting to the others' mean with age (a cold one's part of it: else what has just
+    // started is taken for as full as the rest), and own sends out since less those answered.
     double expected_load(const Upstream& u) const
     {
         if (heard > 0) return u.out + u.peers_out;
@@ -660,9 +650,8 @@
         return 1 + (u.slowness - 1) * std::exp2(-((now - u.slowness_at) / slowness_age));
     }
 
-    // Sharp, since what is known of each is old and seldom the same at two instances. Where all are told the
-    // same of all, gently: else all send to the same few. Where crossing zones has a price, as much more is
-    // drawn for the own zone as a little more load there undoes.
+    // Sharp, since what is known is old and seldom the same at two instances; gently where all are told the
+    // same: else all send to the same few. A little more load undoes the favour of the own zone.
     double evenness(double idle, const Upstream& u) const
     {
         const double favour = is_far(u) ? 1 : heard > 0 ? near_told : near_met;
@@ -677,7 +666,7 @@
     // against work that is done for nothing.
     bool crowded(const Invocation& inv, const Upstream& u) const
     {
-        if (heard == 0 && !queues_told) return false;
+        if (set.tier > 0 || (heard == 0 && !queues_told)) return false;
         const double quick = ops[inv.operation].quick;
         const double in_time = quick > 0 ? (inv.useful - now).seconds() / quick : 1e9;
         if (heard > 0) return expected_load(u) > std::min(in_time - 1, usual_crowd * warm_share(u));
@@ -911,30 +900,26 @@
             later(now + tell_all_every * roll(), [this] { tell_all(); });
     }
 
-    static void stricter(Operation& op, const Operation& other)
-    {
-        op.repeat = std::max(op.repeat, other.repeat);
-        op.group = std::max(op.group, other.group);
-        op.window = std::min(op.window, other.window);
-    }
-
     // What is learnt of operations and tenants follows them to their new places; what is open of an operation
-    // that is no more is learnt of in the last place, which nothing asks.
+    // that is no more is learnt of in the last place, which nothing asks. What is open keeps the stricter of
+    // what it was accepted with and the new: guards against an effect twice where either forbids it.
     void take_over(const Places& operations, const Places& tenants_were)
     {
-        auto ops_were = std::exchange(ops, std::vector<OperationView>(set.operations.size() + 1));
-        auto told_were = std::exchange(tenants, std::vector<Tenant>(set.quotas.size()));
+        const auto ops_were = std::exchange(ops, std::vector<OperationView>(set.operations.size() + 1));
+        const auto told_were = std::exchange(tenants, std::vector<Tenant>(set.quotas.size()));
         const auto gone = static_cast<uint32_t>(set.operations.size());
         std::vector<uint32_t> now_at(ops_were.size(), gone);
         for (uint32_t i = 0; i < operations.size(); ++i)
-            if (const auto was = operations[i]; was && *was < ops_were.size())
-                ops[i] = ops_were[*was], now_at[*was] = i;
-        for (Invocation& inv : invs)
-            if ((inv.operation = now_at[inv.operation]) < gone)
-                stricter(inv.op, set.operations[inv.operation]);
+            if (const auto was = operations[i]) ops[i] = ops_were[*was], now_at[*was] = i;
+        for (Invocation& inv : invs) {
+            if ((inv.operation = now_at[inv.operation]) == gone) continue;
+            const Operation& op = set.operations[inv.operation];
+            inv.op.repeat = std::max(inv.op.repeat, op.repeat);
+            inv.op.group = std::max(inv.op.group, op.group);
+            inv.op.window = std::min(inv.op.window, op.window);
+        }
         for (uint32_t i = 0; i < tenants.size(); ++i) {
-            if (i < tenants_were.size() && tenants_were[i] && *tenants_were[i] < told_were.size())
-                tenants[i] = told_were[*tenants_were[i]];
+            if (i < tenants_were.size() && tenants_were[i]) tenants[i] = told_were[*tenants_were[i]];
             tenants[i].quota = set.quotas[i];
         }
         slowest_objective = {};
@@ -1019,12 +1004,7 @@
         weigh_rates();
         tell_changes(true);
         heard = 0;
-        for (Peer& p : peers) {
-            if (now - p.heard < believed)
-                ++heard;
-            else
-                forget(p);
-        }
+        for (Peer& p : peers) now - p.heard < believed ? static_cast<void>(++heard) : forget(p);
         later(now + tell_all_every * (0.75 + 0.5 * roll()), [this] { tell_all(); });
     }
 
@@ -1046,7 +1026,7 @@
     void told(uint32_t from, std::string_view bytes)
     {
         const auto message = decode_told(bytes);
-        if (!set.may_tell || from >= most_peers || from == set.self || !message) return;
+        if (!set.may_tell || from >= set.balancers || from == set.self || !message) return;
         if (from >= peers.size()) peers.resize(from + 1);
         Peer& p = peers[from];
         if (message->all) forget(p), p.rates = message->rates;
--- a/src/decode_settings.cpp
+++ b/src/decode_settings.cpp
@@ -138,8 +138,10 @@
     s.zone = static_cast<uint32_t>(in.number("zone", s.zone));
     s.crossing_price = in.number("prices.cross_zone", s.crossing_price);
     s.message_price = in.number("prices.peer", s.message_price);
-    s.reports_by_probe = in.text("telemetry.source") == "pull";
-    s.list_must_be_asked = in.text("registry_mode") == "subscribe";
+    s.reports_by_probe =
+        in.choice<bool>("telemetry.source", {{"piggyback", false}, {"pull", true}, {"silent", false}}, false);
+    s.list_must_be_asked =
+        in.choice<bool>("registry_mode", {{"automatic", false}, {"subscribe", true}}, false);
     s.may_cancel = in.flag("policy_limits.cancel");
     s.may_overlap = in.flag("policy_limits.may_duplicate");
     s.may_probe = in.flag("policy_limits.may_probe");
@@ -149,11 +151,13 @@
         s.max_come_back = in.span("policy_limits.max_retry_after_us", s.max_come_back);
     s.ask_within = in.span("contract.ask_within_us", s.ask_within);
     s.cold_share = in.number("contract.cold_share", s.cold_share);
+    if (s.cold_share > 1) throw BadSetting("contract.cold_share: 1 at most is expected");
+    if (s.balancers < 1) throw BadSetting("balancers: 1 or more is expected");
     s.cold = in.span("contract.cold_us", s.cold);
     s.fall_multiple = in.number("contract.fall_multiple", s.fall_multiple);
     s.fall = in.span("contract.fall_us", s.fall);
-    const auto weights = in.text("weights");
-    out.sizes_listed = weights == "nominal" || weights == "rough";
+    out.sizes_listed = in.choice<bool>(
+        "weights", {{"silent", false}, {"nominal", true}, {"rough", true}, {"live", false}}, false);
     out.report_names = in.names("telemetry.fields");
     for (const auto& name : out.report_names) out.report.push_back(report_field(name));
     return out;
--- a/src/decode_settings.h
+++ b/src/decode_settings.h
@@ -23,6 +23,7 @@
 
 struct Setup {
     Settings settings;
+    uint32_t edition = 0;  // counts what was loaded since the start
     std::vector<std::string>
         report_names;                 // of the figures of a load report, in the order in which they come
     std::vector<ReportField> report;  // and where each goes
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <utility>
 
 namespace firtide::net
 {
@@ -119,7 +120,12 @@
     out.bodies = std::max(least_bodies, ((memory_mb << 20) - std::min(memory_mb << 20, own)) / 2);
     const auto settings = in.find("settings");
     if (settings == in.end() || !settings->is_object()) throw BadConfig("settings: an object is expected");
-    out.fixed = settings->dump() + in.value("limits", json::object()).dump();
+    out.settings = settings->dump();
+    out.fixed = {{"listen", text_of(out.listen)},
+                 {"name", out.name},
+                 {"limits", in.value("limits", json::object()).dump()},
+                 {"settings.tier", settings->value("tier", json()).dump()},
+                 {"settings.registry_mode", settings->value("registry_mode", json()).dump()}};
     Flat flat;
     flatten(*settings, "", flat);
     try {
@@ -135,11 +141,21 @@
         throw BadConfig("settings.policy_limits.conn_idle_us: must be over 0");
     if (out.setup.connect_timeout <= Span{})
         throw BadConfig("settings.policy_limits.connect_timeout_us: must be over 0");
+    if (!out.setup.zones.empty() && out.setup.settings.zone >= out.setup.zones.size())
+        throw BadConfig("settings.zone: a place in settings.dcs is expected");
+    out.peers = std::exchange(out.setup.settings.may_tell, false);
     if (const auto known = in.find("known"); known != in.end() && !known->is_null())
         out.known = known->dump();
     return out;
 }
 
+void check_may_follow(const Config& running, const Config& next)
+{
+    for (size_t i = 0; i < running.fixed.size(); ++i)
+        if (running.fixed[i].second != next.fixed[i].second)
+            throw BadConfig(running.fixed[i].first + ": cannot change in a running program");
+}
+
 Config read_config(const std::string& path)
 {
     std::ifstream file(path);
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -25,14 +25,20 @@
     size_t descriptors = 1024;
     size_t bodies = 0;  // bytes that callers may have here together, out of limits.memory_mb
     Setup setup;
-    std::string fixed;  // the parts of the file that hold from start to end, as text
-    std::string known;  // the list as it was last had, in discovery's form; empty: none
+    // What holds from start to end, by key, and the settings that may change while serving, as text.
+    std::vector<std::pair<std::string, std::string>> fixed;
+    std::string settings;
+    bool peers = false;  // messages to other balancers are allowed; they are not carried on sockets
+    std::string known;   // the list as it was last had, in discovery's form; empty: none
 };
 
 // What the environment says (NODE_NAME, NODE_LISTEN, NODE_DISCOVERY) fills what the file leaves out.
 Config read_config(const std::string& path);
 Config decode_config(const std::string& text);
 
+// Throws BadConfig with the key of what cannot change in a running program.
+void check_may_follow(const Config& running, const Config& next);
+
 std::string text_of(const Address& address);
 Address decode_address(const std::string& text, const std::string& key);
 
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -122,14 +122,20 @@
     return path == std::string_view::npos ? "/" : std::string(target.substr(path));
 }
 
+std::optional<uint32_t> decode_operation(const Setup& setup, std::string_view target)
+{
+    target.remove_prefix(std::min<size_t>(1, target.size()));
+    return place(setup.operations, target.substr(0, target.find_first_of("/?")));
+}
+
 std::optional<Unacceptable> decode_request(const Setup& setup, Headers headers, Request& into)
 {
     if (into.target.empty() || into.target.front() != '/' || !plain(into.target))
         return Unacceptable{400, "unreadable target"};
-    const auto path = std::string_view(into.target).substr(1);
-    const auto operation = place(setup.operations, path.substr(0, path.find_first_of("/?")));
+    const auto operation = decode_operation(setup, into.target);
     if (!operation) return Unacceptable{404, "no such operation"};
     into.operation = *operation;
+    into.edition = setup.edition;
     into.time_left = setup.client_timeouts[*operation];
     const auto nobody = static_cast<uint32_t>(setup.tenants.size());
     into.tenant = nobody;  // what no tenant is named for counts against nobody's share
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -25,6 +25,7 @@
     Span time_left;
     Headers passed_on;
     std::string body;
+    uint32_t edition = 0;  // of the settings that it was decoded with
 };
 
 struct Response {
@@ -50,6 +51,7 @@
 };
 
 std::string origin_form(std::string_view target);  // without scheme and host, where a target has them
+std::optional<uint32_t> decode_operation(const Setup& setup, std::string_view target);
 std::optional<Unacceptable> decode_request(const Setup& setup, Headers headers, Request& into);
 std::string encode_request(const Request& request, std::string_view host, Span wait);
 std::string encode_response(const Response& response, bool last_on_connection);
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -47,7 +47,7 @@
 
 }  // namespace
 
-Reducer::Reducer(const Setup& setup, uint64_t seed, std::string discovery)
+Reducer::Reducer(Setup& setup, uint64_t seed, std::string discovery)
     : setup_(setup), discovery_(std::move(discovery)), balancer_(setup.settings, seed, *this)
 {
 }
@@ -143,6 +143,16 @@
 
 void Reducer::on(Arrived& arrived)
 {
+    // Guards against a request whose head was read under other settings being taken for another operation.
+    if (arrived.request.edition != setup_.edition) {
+        const auto operation = decode_operation(setup_, arrived.request.target);
+        if (!operation) {
+            effects_.push_back(Answer{arrived.caller, plain_answer(404, "no such operation\n"), true});
+            return;
+        }
+        arrived.request.operation = *operation;
+        arrived.request.tenant = static_cast<uint32_t>(setup_.tenants.size());  // nobody
+    }
     // Guards against two forwards under one id, of which an upstream would take the second for a copy.
     if (!open_ids_.insert(arrived.request.id).second) {
         effects_.push_back(Answer{arrived.caller, plain_answer(409, "this id is open\n"), true});
@@ -234,10 +244,31 @@
     stopped_ = now_;
 }
 
-// The list, and what is known of its upstreams, stays as it is until the new address has told its own.
+// What is open finishes as the module says; its answers come from upstreams that stay the same.
+void Reducer::settings_are(Setup setup)
+{
+    const auto places = [](const std::vector<std::string>& now, const std::vector<std::string>& before) {
+        Places were;
+        for (const auto& name : now) {
+            const auto at = std::find(before.begin(), before.end(), name);
+            were.emplace_back();
+            if (at != before.end()) were.back() = static_cast<uint32_t>(at - before.begin());
+        }
+        return were;
+    };
+    const auto operations = places(setup.operations, setup_.operations);
+    const auto tenants = places(setup.tenants, setup_.tenants);
+    setup.edition = setup_.edition + 1;
+    setup_ = std::move(setup);
+    balancer_.settings_are(now_, setup_.settings, operations, tenants);
+}
+
+// The list, and what is known of its upstreams, stays as it is until the new address has told its own. With
+// new settings the list is asked for anew as a whole: its zones may have other places.
 void Reducer::on(Reread& read)
 {
-    if (read.discovery == discovery_) return;
+    if (read.discovery == discovery_ && !read.setup) return;
+    if (read.setup) settings_are(std::move(*read.setup));
     discovery_ = read.discovery;
     effects_.push_back(MoveWatch{std::move(read.discovery)});
 }
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -64,6 +64,7 @@
 };
 struct Reread {  // the configuration, while serving
     std::string discovery;
+    std::optional<Setup> setup;  // where the settings are others
 };
 using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Connected,
                            Answered, Failed, Woken, Stopping, Reread>;
@@ -104,7 +105,8 @@
 class Reducer : private Outlet
 {
   public:
-    Reducer(const Setup& setup, uint64_t seed, std::string discovery);
+    // The setup is the one that all parts read; new settings are put there.
+    Reducer(Setup& setup, uint64_t seed, std::string discovery);
 
     // The effects are to be carried out in their order.
     std::vector<Effect> reduce(Point now, Event event);
@@ -152,6 +154,7 @@
     void on(Stopping);
     void on(Reread& read);
 
+    void settings_are(Setup setup);
     Tgt place_of(const std::string& uid);
     std::vector<Listing> listings(const std::vector<Entry>& entries, bool all);
     void dial(AttemptId id, Attempt attempt);
@@ -171,7 +174,7 @@
     void watch_list() override;
     void tell(const std::string&) override {}  // no other instance is known here
 
-    const Setup& setup_;
+    Setup& setup_;
     Point now_;
     std::vector<Effect> effects_;
     std::deque<AttemptId> cancelled_;  // told to the module once it has returned
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -16,7 +16,9 @@
 constexpr Span wait_on = seconds(2.9);      // and no longer for a caller that does not finish its request
 constexpr Span look_every = seconds(0.02);  // whether all is answered
 constexpr Span tell_every = seconds(1);     // of the same trouble in the log
-constexpr size_t kept_back = 32;            // descriptors for the loop, the log, discovery and the listener
+constexpr const char* no_peers =
+    "settings.policy_limits.peers: messages are not carried on sockets; serving without";
+constexpr size_t kept_back = 32;  // descriptors for the loop, the log, discovery and the listener
 // Of the others, at most; together more than all, for either may need the room that the other leaves.
 constexpr double part_of_upstreams = 0.4, part_of_callers = 0.85;
 
@@ -149,6 +151,7 @@
 {
     spdlog::info("serving on {}:{}, tier {}, balancer {} of {}", config_.listen.host, config_.listen.port,
                  config_.setup.settings.tier, config_.setup.settings.self, config_.setup.settings.balancers);
+    if (config_.peers) spdlog::warn(no_peers);
     post(Started{});
     if (!config_.known.empty()) {
         if (auto list = decode_list(config_.setup, config_.known, epoch_))
@@ -165,11 +168,12 @@
 void Service::reread()
 {
     try {
-        const Config read = read_again_();
-        if (read.fixed != config_.fixed || text_of(read.listen) != text_of(config_.listen))
-            spdlog::warn("configuration: all but discovery takes a restart to change");
-        spdlog::info("configuration read again");
-        post(Reread{text_of(read.discovery)});
+        Config read = read_again_();
+        check_may_follow(config_, read);
+        const bool others = read.settings != std::exchange(config_.settings, read.settings);
+        spdlog::info("configuration read again{}", others ? ", new settings in force" : "");
+        if (read.peers) spdlog::warn(no_peers);
+        post(Reread{text_of(read.discovery), others ? std::optional(std::move(read.setup)) : std::nullopt});
     } catch (const std::exception& e) {
         spdlog::error("configuration kept as it was: {}", e.what());
     }
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -32,7 +32,7 @@
     void stop_accepting();
     void leave_if_done();
 
-    const Config config_;
+    Config config_;  // its settings change with the reducer
     const std::function<Config()> read_again_;
     // The loop's time at Unix time zero, taken once: the same start of an upstream is the same point ever
     // after.
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -517,6 +517,67 @@
     std::printf("exit status %d\n", firtide.stop().status);
 }
 
+// New settings under load, forth and back, with files between that are wrong, cut in half or not there.
+// Guards against losing, answering or sending twice what was taken in.
+void switching(const std::string& discovery)
+{
+    Running firtide(discovery);
+    std::mutex lock;
+    std::map<std::string, int> effects;
+    upstream_does = [&](Wire& w, const std::string& request) {
+        const auto at = request.find("Req-Id: ");
+        {
+            const std::lock_guard hold(lock);
+            ++effects[request.substr(at, request.find('\r', at) - at)];
+        }
+        pause(60), w.send(http(ok, "done"));
+    };
+    std::atomic<bool> on{true};
+    std::atomic<int> served{0}, other{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 6; ++i)
+        callers.emplace_back([&, i] {
+            for (Wire w(firtide.port); on;)
+                ++(first_line(w.ask(i % 2 ? post("x", "b") : get("x"))) == ok ? served : other);
+        });
+    const std::string was = R"("max_forwards":3)", is = R"("max_forwards":2,"may_duplicate":true)";
+    const std::string last = "\"conn_idle_us\":400000,";
+    for (int i = 0; i < 5; ++i) {
+        pause(80), firtide.reread(was, is);
+        pause(40), firtide.reread(last, "\"conn_idle_us\":\"soon\",");  // wrong
+        pause(40), firtide.reread("\"conn_idle_us\":\"soon\",", last);
+        const auto whole = firtide.text;
+        pause(40), firtide.reread(whole.substr(whole.size() / 2), "");  // cut in half
+        firtide.text = whole;
+        pause(40);
+        unlink(firtide.file.c_str()), kill(firtide.process, SIGHUP);  // not there
+        pause(40), firtide.reread(is, was);
+    }
+    pause(100);
+    on = false;
+    for (auto& c : callers) c.join();
+    int twice = 0;
+    for (const auto& [id, n] : effects) twice += n > 1;
+    std::printf(
+        "switched five times forth and back: %s served, %d not, %d effects for an answer too many, %d "
+        "twice\n",
+        served > 50 ? "all" : "few", other.load(), static_cast<int>(effects.size()) - served, twice);
+    Wire caller(firtide.port);
+    const std::string safe = R"({"name":"safe","repeat":"free","client_timeout_us":1000000},)";
+    firtide.reread(safe, ""), pause(50);
+    tell("an operation that is no more", caller.ask(get("x")));
+    Wire again(firtide.port);
+    tell("the other one", again.ask(post("x", "b")));
+    firtide.reread("[\n", "[" + safe + "\n"), pause(50);
+    Wire back(firtide.port);
+    tell("it is back", back.ask(get("x")));
+    firtide.text.replace(firtide.text.find(safe), safe.size(), "");
+    firtide.reread("\"127.0.0.1:" + std::to_string(firtide.port), "\"127.0.0.1:1");
+    pause(50);
+    tell("another address to listen at: refused as a whole", back.ask(get("x")));
+    std::printf("exit status %d\n", firtide.stop().status);
+}
+
 void stopping(const std::string& discovery)
 {
     Running firtide(discovery);
@@ -629,6 +690,8 @@
         listed(f, upstream);
     });
     play("the configuration is read again", [&] { reloading(discovery.endpoint()); });
+    list_is(target("u", upstream.endpoint(), "ready"));
+    play("new settings", [&] { switching(discovery.endpoint()); });
     play("stopping", [&] { stopping(discovery.endpoint()); });
     play("a crowd", [&] {
         crowd(discovery.endpoint(), 150, "64", "");
--- /dev/null
+++ b/tests/told.cpp
@@ -0,0 +1,132 @@
+// What instances tell each other, where messages are allowed; and what waits at upstreams, where they report
+// it.
+#include "src/told.h"
+
+#include "trace.h"
+
+using namespace firtide;
+
+static Settings one_of_two(uint32_t self)
+{
+    auto settings = Stage::settings(Stage::op(Repeat::idempotent));
+    settings.balancers = 2;
+    settings.self = self;
+    settings.may_tell = true;
+    return settings;
+}
+
+// Hands on what one has told since the last time.
+static void pass(Stage& from, Stage& to, uint32_t self)
+{
+    for (const auto& bytes : std::exchange(from.told, {})) to.balancer.told(to.now, self, bytes);
+}
+
+static void wire()
+{
+    std::printf("-- on the wire\n");
+    const Told all{true, {2.5, 1e9}, {{0x1234, 7}}};
+    const auto bytes = encode_told(all);
+    for (const unsigned char c : bytes) std::printf("%02x ", c);
+    std::printf("\n");
+    for (size_t n = 0; n <= bytes.size(); ++n)
+        std::printf("%zu bytes of it: %s\n", n, decode_told(bytes.substr(0, n)) ? "read" : "nothing");
+    std::printf("another kind: %s\n", decode_told("\x02") ? "read" : "nothing");
+    std::printf("too long: %s\n", decode_told(std::string(257, '\0')) ? "read" : "nothing");
+}
+
+static void loads()
+{
+    Stage a(one_of_two(0)), b(one_of_two(1));
+    a.list(4), b.list(5);
+    a.say("another holds much at one upstream: less is sent there, and none to one that it alone knows");
+    b.quiet = true;
+    // Eight at u1, and one at u4, which the first instance does not know.
+    std::map<Tgt, Inv> held;
+    int at_one = 0, at_four = 0;
+    for (Inv inv = 0; at_one < 4 || at_four < 1; ++inv) {
+        b.accept(inv, seconds(60));
+        int* count = b.last_tgt == 1 ? &at_one : b.last_tgt == 4 ? &at_four : nullptr;
+        if (count && ++*count <= (count == &at_one ? 4 : 1)) continue;
+        b.end(inv, Result::succeeded);
+    }
+    Stage::print("before", a.many(200));
+    b.wake();
+    pass(b, a, 1);
+    Stage::print("told", a.many(200));
+    a.say("what cannot be read, or names nobody, changes nothing");
+    for (const char* bytes : {"", "\x05", "\x01", "\x01\x40"}) a.balancer.told(a.now, 1, bytes);
+    a.balancer.told(a.now, 7, encode_told({true, {}, {{1, 200}, {2, 200}}}));
+    a.balancer.told(a.now, 0, encode_told({true, {}, {{1, 200}, {2, 200}}}));
+    Stage::print("the same", a.many(200));
+    a.say("silent for long: what it told is forgotten");
+    a.wait(seconds(6));
+    a.quiet = true, a.wake();
+    Stage::print("after", a.many(200));
+}
+
+static void shares()
+{
+    auto settings = one_of_two(0);
+    settings.quotas = {40, 40};
+    Stage a(settings);
+    a.list(4);
+    a.say("a tenant asks for half its share here: how many of 200 are throttled");
+    const auto ask = [&](uint32_t tenant) {
+        a.quiet = true;
+        const int before = a.throttled;
+        for (int i = 0; i < 200; ++i) {
+            a.wait(seconds(0.05));
+            a.accept(5, seconds(2), tenant);
+            if (a.is_out(5)) a.end(5, Result::succeeded, seconds(0.3));
+        }
+        return a.throttled - before;
+    };
+    std::printf("not told of the others: %d\n", ask(0));
+    const auto tell = [&](double rate) { a.balancer.told(a.now, 1, encode_told({true, {rate, 0}, {}})); };
+    tell(10);
+    std::printf("a quarter of it elsewhere: %d\n", ask(0));
+    a.wait(seconds(4));
+    tell(60);
+    std::printf("half as much again elsewhere: %s\n", ask(0) > 60 ? "many" : "few");
+}
+
+static void queues()
+{
+    Stage s(Stage::settings(Stage::op(Repeat::idempotent)));
+    s.list(3);
+    s.say("answers take 0.3 s of an objective of 1 s: an upstream where three wait gets nothing");
+    s.quiet = true;
+    std::map<Tgt, int> got;
+    for (int i = 0; i < 300; ++i) {
+        s.wait(seconds(0.02));
+        s.last_tgt = ~0u;
+        s.accept(0);
+        if (s.last_tgt == ~0u) continue;
+        ++got[s.last_tgt];
+        Report r;
+        r.queue = s.last_tgt == 0 ? 3 : 0;
+        s.end(0, Result::succeeded, seconds(0.3), r);
+    }
+    Stage::print("got", got);
+    s.say("three wait at each: throttled now, not when it is too late");
+    s.throttled = 0;
+    s.quiet = true;
+    for (int i = 0; i < 300; ++i) {
+        s.wait(seconds(0.02));
+        s.last_tgt = ~0u;
+        s.accept(0);
+        if (s.last_tgt == ~0u) continue;
+        Report r;
+        r.queue = 6;
+        s.end(0, Result::succeeded, seconds(0.3), r);
+    }
+    std::printf("throttled: %s\n", s.throttled > 150 ? "most" : "few");
+}
+
+int main()
+{
+    wire();
+    loads();
+    shares();
+    queues();
+}
