--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -727,16 +727,14 @@
     // Refusal of the design: every ready server's entry was raised by full answers or pairs.
     bool refused()
     {
-        double smallest = 1;
-        bool any = false;
+        double smallest = 2;
         for (const Upstream& u : ups) {
             if (u.listing.presence != Presence::ready) continue;
             const double r = entry_reduction(u);
             if (r <= 0 || !u.entry.hard) return false;
             smallest = std::min(smallest, r);
-            any = true;
         }
-        return any && roll() < smallest;
+        return smallest <= 1 && roll() < smallest;
     }
 
     // ---- the steps of an invocation ----
@@ -1005,8 +1003,10 @@
         if (!(telling = set.may_tell)) return;
         weigh_rates();
         tell_changes(true);
-        heard = 0;
-        for (Peer& p : peers) now - p.heard < believed ? static_cast<void>(++heard) : forget(p);
+        const auto silent = [&](const Peer& p) { return now - p.heard >= believed; };
+        for (Peer& p : peers)
+            if (silent(p)) forget(p);
+        heard = peers.size() - static_cast<size_t>(std::count_if(peers.begin(), peers.end(), silent));
         later(now + tell_all_every * (0.75 + 0.5 * roll()), [this] { tell_all(); });
     }
 
