A cold upstream is taken only within the few in use, however many before it are crowded

The draw passes over crowded upstreams and so reached all 242 from each of 117 instances, while the cold budget is worked out for the few in use. Change: beyond the few, cold ones are passed over.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -133,7 +133,6 @@
     Point heard{INT64_MIN / 2};
 };
 
-// Events a second over the recent past.
 class Rate
 {
   public:
@@ -680,19 +679,20 @@
     {
         double total = 0;
         weights.clear();
-        const bool slowness_says = mean_load < tells_load || !times_told;
         for (const auto* order : {&near, &far}) {
-            size_t wanted = width();
+            size_t wanted = width(), reach = wanted;
             const double turn = set.self * 0.6180339887498949;  // spreads any run of numbers evenly
             const auto first =
                 static_cast<size_t>((turn - std::floor(turn)) * static_cast<double>(order->size()));
             for (size_t n = 0; n < order->size(); ++n) {
                 const Tgt t = (*order)[(first + n) % order->size()];
                 const Upstream& u = ups[t];
-                if (u.listing.presence != Presence::ready || !keep(t) || !may_send(inv, t)) continue;
-                if (crowded(inv, u)) continue;
+                // Guards against the budgets of all for one cold upstream, where those before it are crowded.
+                const bool near_enough = reach > 0 && reach--;
+                if (u.listing.presence != Presence::ready || !keep(t)) continue;
+                if ((is_cold(u) && !near_enough) || crowded(inv, u) || !may_send(inv, t)) continue;
                 const double idle = u.listing.size / (u.listing.size + expected_load(u));
-                const double slow = slowness_says ? fourth(slowness(u)) : 1;
+                const double slow = mean_load < tells_load || !times_told ? fourth(slowness(u)) : 1;
                 const double weight = u.listing.size * warm_share(u) * evenness(idle, u) / slow;
                 total += weight;
                 weights.emplace_back(t, weight);
