--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -688,7 +688,7 @@
                 const Tgt t = (*order)[(first + n) % order->size()];
                 const Upstream& u = ups[t];
                 // Guards against the budgets of all for one cold upstream, where those before it are crowded.
-                const bool near_enough = reach > 0 && reach--;
+                const bool near_enough = (reach > 0 && reach--) || (heard == 0 && !queues_told);
                 if (u.listing.presence != Presence::ready || !keep(t)) continue;
                 if ((is_cold(u) && !near_enough) || crowded(inv, u) || !may_send(inv, t)) continue;
                 const double idle = u.listing.size / (u.listing.size + expected_load(u));
