--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,6 +1,5 @@
-// All decisions of firtide. The interface and how a host calls it: balance.h. In short: one Balancer an
-// instance; tell it what happened, with the clock; it answers through its Outlet before the call returns. The
-// mechanism and its exceptions are told in docs/design.md.
+// All decisions of firtide. The interface and how a host calls it: balance.h. The mechanism and its
+// exceptions are told in docs/design.md.
 
 #include "balance.h"
 
@@ -454,8 +453,7 @@
             raise(u, sure_step, false);
     }
 
-    // Guards against idle connections that died without a word: forwards after a rest hang or are reset at
-    // once, whatever the upstream, and others to the same ones are not.
+    // Guards against idle connections that died without a word: forwards after a rest hang or are reset.
     void watch_idle(bool rested, bool broke)
     {
         double& share = rested ? broke_rested : broke_busy;
@@ -502,16 +500,14 @@
     // ---- own outstanding work against the latency objective ----
 
     // About two for each upstream from all instances together: less would leave them idle. (The least limit
-    // is also half of what went well. Guards against calls that hang in the tier below cutting it to
-    // nothing.)
+    // is also half of what went well, against calls that hang in the tier below.)
     double two_each() const { return 2 * room / (heard > 0 ? 1 : std::max(1u, set.balancers)); }
 
     // Own work out; where the others tell theirs, all of it.
     double held() const { return outstanding - overdue + peers_out; }
 
     // How many warm upstreams' worth of work the listed ones can take, by those lately used. The limit and
-    // what went well follow at once. Guards against a lost zone's work pressing the survivors, and a lasting
-    // limit once it is back: answer times tell both to a thin instance many seconds late.
+    // what went well follow at once: answer times tell a thin instance of a zone lost or back many late.
     void weigh_room()
     {
         if (now - weighed_at < seconds(0.02)) return;
@@ -557,8 +553,8 @@
         return *half;
     }
 
-    // Each round of answers scales the limit by how far their mean time is from where it should be. Only that
-    // round counts: a lagging mean would cut again and again for what an earlier cut has already mended.
+    // Each round of answers scales the limit by how far their mean time is from where it should be. A lagging
+    // mean would cut again for what an earlier cut has already mended.
     void feel(const Invocation& inv, double of_objective)
     {
         of_objective = std::min(of_objective, 2.0);
@@ -603,9 +599,8 @@
             t.rate += (t.rate > 0 ? 0.3 : 1) * (std::exchange(t.came, 0) / gone - t.rate);
     }
 
-    // True, by chance, for what a tenant asks of all instances beyond its share. Guards against taking an
-    // even part of it for the own one, where some carry many times what others do: untold, nothing is beyond
-    // it.
+    // True, by chance, for what a tenant asks of all instances beyond its share. Untold, nothing is beyond
+    // it: guards against taking an even part of it for the own one.
     bool beyond_share(uint32_t tenant)
     {
         if (tenant >= tenants.size()) return false;
@@ -634,8 +629,7 @@
 
     // ---- the pick ----
 
-    // The last report, drifting to the others' mean with age (a cold one's part of it: else what has just
-    // started is taken for as full as the rest), and own sends out since less those answered.
+    // The last report, drifting to the others' mean with age (a cold one's part of it), and own sends since.
     double expected_load(const Upstream& u) const
     {
         if (heard > 0) return u.out - u.overdue + u.peers_out;
@@ -652,8 +646,7 @@
         return 1 + (u.slowness - 1) * std::exp2(-((now - u.slowness_at) / slowness_age));
     }
 
-    // Sharp, since what is known is old and seldom the same at two instances; gently where all are told the
-    // same: else all send to the same few. A little more load undoes the favour of the own zone.
+    // Sharp, since what is known is old and seldom the same at two instances; gently where all are told it.
     double evenness(double idle, const Upstream& u) const
     {
         const double favour = is_far(u) ? 1 : heard > 0 ? near_told : near_met;
@@ -900,9 +893,8 @@
             later(now + tell_all_every * roll(), [this] { tell_all(); });
     }
 
-    // What is learnt of operations and tenants follows them to their new places; what is open of an operation
-    // that is no more is learnt of in the last place, which nothing asks. What is open keeps the stricter of
-    // what it was accepted with and the new: guards against an effect twice where either forbids it.
+    // What is learnt follows operations and tenants to their new places; of an operation that is no more to
+    // the last place, which nothing asks. What is open keeps the stricter rules, for rule 2.
     void take_over(const Places& operations, const Places& tenants_were)
     {
         const auto ops_were = std::exchange(ops, std::vector<OperationView>(set.operations.size() + 1));
@@ -1114,6 +1106,15 @@
     at(now).told(peer, message);
 }
 
+size_t Balancer::avoided(Point now)
+{
+    const State& s = at(now);
+    return static_cast<size_t>(std::count_if(s.ups.begin(), s.ups.end(), [&](const Upstream& u) {
+        if (u.listing.presence == Presence::ready) return s.reduction(u) >= 0.5;
+        return u.listing.presence == Presence::draining;
+    }));
+}
+
 void Balancer::woken(Point now, uint64_t name)
 {
     at(now).wake(name);
--- a/src/balance.h
+++ b/src/balance.h
@@ -90,6 +90,7 @@
     void probed(Point now, Tgt tgt, Result result, const Report& report);
     void woken(Point now, uint64_t name);
     void told(Point now, uint32_t peer, std::string_view message);  // by another instance
+    size_t avoided(Point now);  // upstreams of the list that get no new work, or less than half of it
 
   private:
     struct State;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -28,6 +28,7 @@
         auto config = firtide::net::read_config(path);
         if (check->parsed()) {
             firtide::net::check_known(config);
+            firtide::net::check_passed_socket(config);
             return std::puts("the configuration is well-formed") < 0;
         }
         if (!firtide::net::start_log(config.name, level))
--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -65,7 +65,10 @@
       crowded_(std::move(crowded)),
       tell_(std::move(tell))
 {
-    listen(config.listen);
+    if (config.passed_socket)
+        take_over(*config.passed_socket);
+    else
+        listen(config.listen);
     look_.reset(event_new(
         base_, -1, EV_PERSIST,
         [](evutil_socket_t, short, void* self) { static_cast<Callers*>(self)->look(); }, this));
@@ -82,16 +85,35 @@
     const auto text = text_of(address);
     if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&at), &length) != 0)
         throw BadConfig("listen: '" + text + "' is no numeric address");
-    listener_.reset(evconnlistener_new_bind(
-        base_,
-        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
-            static_cast<Callers*>(self)->accept(fd);
-        },
-        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, 1024,
-        reinterpret_cast<sockaddr*>(&at), length));
+    listener_.reset(evconnlistener_new_bind(base_, accepted, this,
+                                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+                                            1024, reinterpret_cast<sockaddr*>(&at), length));
     if (!listener_)
         throw BadConfig("listen: cannot listen on " + text + ": " +
                         evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+    heed_errors();
+}
+
+// The socket is the platform's and shared with another process of the same balancer: what this one cannot
+// serve yet is left to that one.
+void Callers::take_over(int fd)
+{
+    evutil_make_socket_nonblocking(fd);
+    listener_.reset(
+        evconnlistener_new(base_, accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0, fd));
+    if (!listener_) throw BadConfig("NODE_PASSED_SOCKET: cannot be listened on");
+    heed_errors();
+    evconnlistener_disable(listener_.get());
+    before_ready_ = true;
+}
+
+void Callers::accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self)
+{
+    static_cast<Callers*>(self)->accept(fd);
+}
+
+void Callers::heed_errors()
+{
     evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* arg) {
         auto* self = static_cast<Callers*>(arg);
         self->crowded_();
@@ -179,7 +201,10 @@
     const auto& request = at->reader.request();
     const size_t most = request.body.size() + at->reader.still_to_come();
     if (most > at->held) {
-        if (held_ - at->held + most > most_held_) return refuse(at, 503, "no room for the body");
+        if (held_ - at->held + most > most_held_) {
+            tell_(TurnedAway{request.operation, request.edition});
+            return refuse(at, 503, "no room for the body");
+        }
         hold(*at, most);
     }
     if (state == RequestReader::State::whole) return came(at);
@@ -274,6 +299,7 @@
             else
                 ended(at);
         }
+    if (before_ready_ && listener_ && ready_()) before_ready_ = false, evconnlistener_enable(listener_.get());
     if (!paused_ || !listener_) return;
     if (now - told_ > tell_every) {
         told_ = now;
@@ -299,19 +325,19 @@
     listener_.reset();
 }
 
-size_t Callers::close_idle()
+void Callers::close_idle(Span rested, Span silent)
 {
     // Guards against closing on a request that has come and was not looked at yet.
-    size_t closed = 0;
+    const Point now = monotonic_now();
     for (const auto phase : {resting, asking})
         for (Place at = in_[phase].begin(), next; at != in_[phase].end(); at = next) {
             next = std::next(at);
+            if (now - at->since < (phase == resting ? rested : silent)) break;
             pollfd unread{bufferevent_getfd(at->stream.get()), POLLIN, 0};
             const bool asks = at->reader.begun() || poll(&unread, 1, 0) > 0 ||
                               evbuffer_get_length(bufferevent_get_input(at->stream.get())) > 0;
-            if (!asks) close(at), ++closed;
+            if (!asks) close(at);
         }
-    return closed;
 }
 
 size_t Callers::make_room(size_t count)
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -28,7 +28,8 @@
     void answer(const Answer& answer);
     bool someone_waits() const;  // to be accepted
     void stop_listening();
-    size_t close_idle();  // how many connections there were
+    // Those at rest, and those that have connected and said nothing, for so long.
+    void close_idle(Span rested, Span silent);
     // Closes what rests longest, at most so many; nobody who has just come or just been answered.
     size_t make_room(size_t count);
     size_t open() const;
@@ -40,7 +41,10 @@
     // Leaving: has been given its last one.
     enum Phase { asking, resting, waiting, telling, leaving, phases };
 
+    static void accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self);
     void listen(const Address& address);
+    void take_over(int fd);
+    void heed_errors();
     void pause_listening();
     void accept(int fd);
     void enter(Place at, Phase phase);
@@ -62,7 +66,7 @@
     std::function<void()> crowded_;
     std::function<void(Event)> tell_;
     std::unique_ptr<evconnlistener, Freed<evconnlistener_free>> listener_;
-    bool paused_ = false;
+    bool paused_ = false, before_ready_ = false;
     Point told_;  // of no room, in the log
     Timer look_;
     CallerId next_ = 1;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,5 +1,7 @@
 #include "config.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
@@ -99,6 +101,39 @@
     throw BadConfig(key + ": address:port is expected, not '" + text + "'");
 }
 
+namespace
+{
+
+constexpr const char* passed_key = "NODE_PASSED_SOCKET";
+
+std::optional<int> passed_socket()
+{
+    const char* text = std::getenv(passed_key);
+    if (!text || !*text) return {};
+    int fd = -1;
+    const auto* end = text + std::char_traits<char>::length(text);
+    const auto [at, failed] = std::from_chars(text, end, fd);
+    if (failed != std::errc() || at != end || fd < 3)
+        throw BadConfig(std::string(passed_key) + ": a descriptor of 3 or more is expected, not '" + text +
+                        "'");
+    return fd;
+}
+
+}  // namespace
+
+void check_passed_socket(const Config& config)
+{
+    if (!config.passed_socket) return;
+    const auto is = [fd = *config.passed_socket](int what, int expected) {
+        int value = 0;
+        socklen_t size = sizeof value;
+        return getsockopt(fd, SOL_SOCKET, what, &value, &size) == 0 && value == expected;
+    };
+    if (!is(SO_TYPE, SOCK_STREAM) || !is(SO_ACCEPTCONN, 1))
+        throw BadConfig(std::string(passed_key) + ": descriptor " + std::to_string(*config.passed_socket) +
+                        " is no listening TCP socket");
+}
+
 Config decode_config(const std::string& text)
 {
     const auto in = json::parse(text, nullptr, false);
@@ -108,6 +143,9 @@
     if (const auto name = text_at(in, "name", "NODE_NAME"); !name.empty()) out.name = name;
     out.listen = decode_address(text_at(in, "listen", "NODE_LISTEN"), "listen");
     out.discovery = decode_address(text_at(in, "discovery", "NODE_DISCOVERY"), "discovery");
+    if (const auto door = text_at(in, "mgmt", "NODE_MGMT"); !door.empty())
+        out.door = decode_address(door, "mgmt");
+    out.passed_socket = passed_socket();
     out.seed = decode_seed(text_at(in, "seed", nullptr));
     if (const auto limits = in.find("limits"); limits != in.end()) {
         if (!limits->is_object()) throw BadConfig("limits: an object is expected");
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -21,6 +21,8 @@
 struct Config {
     std::string name = "firtide";
     Address listen, discovery;
+    std::optional<Address> door;       // for operators
+    std::optional<int> passed_socket;  // the callers' listening socket, where the platform holds it
     uint64_t seed = 0;
     size_t descriptors = 1024;
     size_t bodies = 0;  // bytes that callers may have here together, out of limits.memory_mb
@@ -40,6 +42,8 @@
 void check_may_follow(const Config& running, const Config& next);
 
 std::string text_of(const Address& address);
+// Throws BadConfig where the descriptor is no listening TCP socket.
+void check_passed_socket(const Config& config);
 Address decode_address(const std::string& text, const std::string& key);
 
 }  // namespace firtide::net
--- a/src/net/event.h
+++ b/src/net/event.h
@@ -3,9 +3,11 @@
 
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <memory>
+#include <utility>
 
 #include "src/time.h"
 
@@ -25,6 +27,27 @@
 using Timer = std::unique_ptr<event, Freed<event_free>>;
 using Stream = std::unique_ptr<bufferevent, Freed<bufferevent_free>>;
 
+// A descriptor of its own.
+class Socket
+{
+  public:
+    explicit Socket(int fd = -1) : fd_(fd) {}
+    Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+    Socket& operator=(Socket&& other) noexcept
+    {
+        std::swap(fd_, other.fd_);
+        return *this;
+    }
+    ~Socket()
+    {
+        if (fd_ >= 0) ::close(fd_);
+    }
+    int fd() const { return fd_; }
+
+  private:
+    int fd_;
+};
+
 inline timeval to_timeval(Span span)
 {
     const auto us = span.us < 0 ? 0 : span.us;
--- /dev/null
+++ b/src/net/management.cpp
@@ -0,0 +1,166 @@
+#include "management.h"
+
+#include <event2/util.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+#include "log.h"
+
+namespace firtide::net
+{
+namespace
+{
+
+constexpr size_t most_open = 16;   // the longest silent goes first
+constexpr size_t most_line = 256;  // bytes
+constexpr Span whole_line = seconds(5);
+constexpr Span lets_go = seconds(1);  // to be read to its end by the caller
+constexpr int first_priority = 0;
+
+const char* name_of(Life life)
+{
+    switch (life) {
+        case Life::starting: return "starting";
+        case Life::ready: return "ready";
+        case Life::draining: return "draining";
+        default: return "stopping";
+    }
+}
+
+void figure(std::string& out, std::string_view name, uint64_t value, char kind)
+{
+    out.append("node.").append(name).append(":").append(std::to_string(value)).append("|");
+    out.push_back(kind);
+    out.push_back('\n');
+}
+
+}  // namespace
+
+std::optional<Order> decode_order(std::string_view line)
+{
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    if (line == "ready") return Order::ready;
+    if (line == "show-stat") return Order::show_stat;
+    if (line == "drain") return Order::drain;
+    if (line == "resume") return Order::resume;
+    return {};
+}
+
+std::string encode_obeyed(const Obeyed& obeyed)
+{
+    std::string out = obeyed.success ? "SUCCESS " : "FAILURE ";
+    out.append(name_of(obeyed.life)).append("\n");
+    if (!obeyed.figures) return out;
+    const Figures& f = *obeyed.figures;
+    for (const auto& [name, n] : f.of_operation) {
+        figure(out, "success." + name, n.success, 'c');
+        figure(out, "busy." + name, n.busy, 'c');
+        figure(out, "failure." + name, n.failure, 'c');
+    }
+    figure(out, "backend_calls", f.backend_calls, 'c');
+    figure(out, "inflight", f.inflight, 'g');
+    figure(out, "hosts_listed", f.hosts_listed, 'g');
+    figure(out, "hosts_down", f.hosts_down, 'g');
+    return out.append("EOT\n");
+}
+
+// Lives as long as the connection.
+struct Management::Connection {
+    Management* owner = nullptr;
+    Place self;
+    Socket socket;
+    Timer reading;
+    std::string line;
+    OperatorId caller = 0;  // its line has come
+    bool answered = false;
+};
+
+Management::Management(event_base* base, const Address& address, std::function<void(Event)> tell)
+    : base_(base), tell_(std::move(tell))
+{
+    sockaddr_storage at{};
+    int length = sizeof at;
+    const auto text = text_of(address);
+    if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&at), &length) != 0)
+        throw BadConfig("mgmt: '" + text + "' is no numeric address");
+    listener_ = Socket(socket(at.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const int on = 1;
+    if (listener_.fd() < 0 || setsockopt(listener_.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+        bind(listener_.fd(), reinterpret_cast<sockaddr*>(&at), static_cast<socklen_t>(length)) != 0 ||
+        listen(listener_.fd(), 64) != 0)
+        throw BadConfig("mgmt: cannot listen on " + text + ": " +
+                        evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+    accepting_.reset(event_new(
+        base_, listener_.fd(), EV_READ | EV_PERSIST,
+        [](evutil_socket_t, short, void* self) { static_cast<Management*>(self)->accept(); }, this));
+    event_priority_set(accepting_.get(), first_priority);
+    event_add(accepting_.get(), nullptr);
+}
+
+Management::~Management() = default;
+
+void Management::accept()
+{
+    for (size_t n = 0; n < most_open; ++n) {
+        Socket socket(accept4(listener_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (socket.fd() < 0) return;
+        // Guards against callers that connect and say nothing: the others are let in all the same.
+        if (open_.size() >= most_open) open_.pop_front();
+        open_.emplace_back();
+        const Place at = std::prev(open_.end());
+        at->owner = this;
+        at->self = at;
+        at->socket = std::move(socket);
+        at->reading.reset(event_new(
+            base_, at->socket.fd(), EV_READ | EV_TIMEOUT | EV_PERSIST,
+            [](evutil_socket_t, short what, void* arg) {
+                auto* c = static_cast<Connection*>(arg);
+                if (what & EV_READ) return c->owner->readable(c->self);
+                if (c->answered) return (void)c->owner->open_.erase(c->self);
+                c->owner->reply(c->self, "FAILURE no line came\n");
+            },
+            &*at));
+        event_priority_set(at->reading.get(), first_priority);
+        const auto wait = to_timeval(whole_line);
+        event_add(at->reading.get(), &wait);
+    }
+}
+
+void Management::readable(Place at)
+{
+    char bytes[512];
+    const auto n = recv(at->socket.fd(), bytes, sizeof bytes, 0);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
+    if (n <= 0 && (at->line.empty() || at->caller || at->answered)) return (void)open_.erase(at);
+    if (at->answered || at->caller) return;  // what comes behind the line is nothing
+    if (n > 0) at->line.append(bytes, static_cast<size_t>(n));
+    const auto end = at->line.find('\n');
+    if (end == std::string::npos && n > 0 && at->line.size() <= most_line) return;
+    if (std::min(end, at->line.size()) > most_line) return reply(at, "FAILURE the line is too long\n");
+    const auto order = decode_order(std::string_view(at->line).substr(0, end));
+    if (!order) return reply(at, "FAILURE unknown call; known are ready, show-stat, drain, resume\n");
+    at->caller = next_++;
+    tell_(Ordered{at->caller, *order});
+}
+
+void Management::answer(const Obeyed& obeyed)
+{
+    const auto at = std::find_if(open_.begin(), open_.end(),
+                                 [&](const Connection& c) { return c.caller == obeyed.caller; });
+    if (at != open_.end()) reply(at, encode_obeyed(obeyed));
+}
+
+// An answer is small: what the kernel does not take at once has no reader.
+void Management::reply(Place at, const std::string& text)
+{
+    (void)!send(at->socket.fd(), text.data(), text.size(), MSG_NOSIGNAL);
+    shutdown(at->socket.fd(), SHUT_WR);
+    // Guards against an answer that is lost to a reset: what still comes is read for a moment.
+    at->answered = true;
+    const auto wait = to_timeval(lets_go);
+    event_add(at->reading.get(), &wait);
+}
+
+}  // namespace firtide::net
--- /dev/null
+++ b/src/net/management.h
@@ -0,0 +1,44 @@
+// The door for operators: one line in, one answer, and the end. Lines are decoded here once and answers
+// encoded once; what they tell and change is the reducer's. On plain events of the first priority: whatever
+// the callers' side has to do comes after it.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <string>
+#include <string_view>
+
+#include "config.h"
+#include "event.h"
+
+namespace firtide::net
+{
+
+std::optional<Order> decode_order(std::string_view line);
+std::string encode_obeyed(const Obeyed& obeyed);
+
+class Management
+{
+  public:
+    Management(event_base* base, const Address& address, std::function<void(Event)> tell);
+    ~Management();
+
+    void answer(const Obeyed& obeyed);
+
+  private:
+    struct Connection;
+    using Place = std::list<Connection>::iterator;
+
+    void accept();
+    void readable(Place at);
+    void reply(Place at, const std::string& text);
+
+    event_base* base_;
+    std::function<void(Event)> tell_;
+    Socket listener_;
+    Timer accepting_;
+    OperatorId next_ = 1;
+    std::list<Connection> open_;  // the longest open first
+};
+
+}  // namespace firtide::net
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -8,7 +8,8 @@
 {
 
 constexpr Span probe_waits = seconds(0.25);
-constexpr Span serve_on = seconds(2);     // after the signal to stop, on connections that are there
+constexpr Span serve_on = seconds(2);          // after the signal to stop, on connections that are there
+constexpr Span front_sends_on = seconds(0.4);  // to a balancer that drains, until it has noticed
 constexpr Span answer_by = seconds(3.4);  // after it, what has come meanwhile: then the process may be killed
 
 // The same at every instance, whatever the order in which upstreams are met.
@@ -50,6 +51,7 @@
 Reducer::Reducer(Setup& setup, uint64_t seed, std::string discovery)
     : setup_(setup), discovery_(std::move(discovery)), balancer_(setup.settings, seed, *this)
 {
+    for (const auto& name : setup.operations) outcomes_[name];
 }
 
 std::vector<Effect> Reducer::reduce(Point now, Event event)
@@ -153,8 +155,11 @@
         arrived.request.operation = *operation;
         arrived.request.tenant = static_cast<uint32_t>(setup_.tenants.size());  // nobody
     }
+    ++taken_;
+    Outcomes& outcomes = outcomes_of(arrived.request.operation);
     // Guards against two forwards under one id, of which an upstream would take the second for a copy.
     if (!open_ids_.insert(arrived.request.id).second) {
+        ++outcomes.failure;
         effects_.push_back(Answer{arrived.caller, plain_answer(409, "this id is open\n"), true});
         return;
     }
@@ -168,7 +173,7 @@
     if (stopped_)
         arrived.request.time_left = std::min(arrived.request.time_left, *stopped_ + answer_by - now_);
     const Ask ask{arrived.request.operation, arrived.request.tenant, arrived.request.time_left};
-    invocations_[inv] = {arrived.caller, false, std::move(arrived.request), {}, {}};
+    invocations_[inv] = {arrived.caller, false, std::move(arrived.request), {}, {}, &outcomes};
     balancer_.accept(now_, inv, ask);
 }
 
@@ -177,6 +182,7 @@
     const auto at = invocation_of_.find(left.caller);
     if (at == invocation_of_.end() || invocations_[at->second].over) return;
     over(invocations_[at->second]);
+    ++left_;
     balancer_.client_left(now_, at->second);
 }
 
@@ -205,13 +211,38 @@
                                        : encode_probe(host, setup_.settings.reports_by_probe)});
 }
 
+// Counted once, where the last byte has left: what came back may be heard of before that.
+void Reducer::count_written(Attempt& attempt)
+{
+    if (attempt.inv && !std::exchange(attempt.counted, true)) ++backend_calls_;
+}
+
+void Reducer::on(Written written)
+{
+    if (const auto at = attempts_.find(written.attempt); at != attempts_.end()) count_written(at->second);
+}
+
+void Reducer::on(TurnedAway turned)
+{
+    if (turned.edition != setup_.edition) return;
+    ++taken_;
+    ++outcomes_of(turned.operation).busy;
+}
+
+Outcomes& Reducer::outcomes_of(uint32_t operation)
+{
+    return outcomes_[setup_.operations[operation]];
+}
+
 void Reducer::on(Answered& answered)
 {
+    on(Written{answered.attempt});
     ended(answered.attempt, result_of(answered.response), &answered.response);
 }
 
 void Reducer::on(Failed failed)
 {
+    if (failed.broken.progress >= Progress::written) on(Written{failed.attempt});
     ended(failed.attempt, result_of(failed.broken), nullptr);
 }
 
@@ -239,9 +270,44 @@
     balancer_.woken(now_, woken.name);
 }
 
-void Reducer::on(Stopping)
+void Reducer::on(Stopping stopping)
 {
     stopped_ = now_;
+    another_serves_ = stopping.another_serves;
+}
+
+// A second drain changes nothing, nor does a resume where nothing drains. What stops does so for good.
+void Reducer::on(Ordered ordered)
+{
+    Obeyed obeyed{ordered.caller, true, {}, {}};
+    switch (ordered.order) {
+        case Order::ready: obeyed.success = ready(); break;
+        case Order::show_stat: obeyed.figures = figures(); break;
+        case Order::drain:
+            if (!drained_) drained_ = now_;
+            break;
+        case Order::resume:
+            obeyed.success = !stopped_;
+            drained_.reset();
+            break;
+    }
+    obeyed.life = life();
+    effects_.push_back(std::move(obeyed));
+}
+
+Life Reducer::life() const
+{
+    if (stopped_) return Life::stopping;
+    if (drained_) return Life::draining;
+    return listed_ ? Life::ready : Life::starting;
+}
+
+Figures Reducer::figures()
+{
+    Figures f{outcomes_, backend_calls_, taken_, left_, open_ids_.size(), 0, 0};
+    for (const Upstream& u : upstreams_) f.hosts_listed += u.presence != Presence::gone;
+    f.hosts_down = balancer_.avoided(now_);
+    return f;
 }
 
 // What is open finishes as the module says; its answers come from upstreams that stay the same.
@@ -260,6 +326,7 @@
     const auto tenants = places(setup.tenants, setup_.tenants);
     setup.edition = setup_.edition + 1;
     setup_ = std::move(setup);
+    for (const auto& name : setup_.operations) outcomes_[name];
     balancer_.settings_are(now_, setup_.settings, operations, tenants);
 }
 
@@ -275,7 +342,8 @@
 
 bool Reducer::turns_out(Point now) const
 {
-    return stopped_ && now >= *stopped_ + serve_on;
+    if (stopped_) return another_serves_ || now >= *stopped_ + serve_on;
+    return drained_ && now >= *drained_ + front_sends_on;
 }
 
 void Reducer::over(Invocation& i)
@@ -290,6 +358,9 @@
     Invocation& i = invocations_[inv];
     if (i.over) return;
     over(i);
+    ++(response.status == 200   ? i.outcomes->success
+       : response.status == 503 ? i.outcomes->busy
+                                : i.outcomes->failure);
     effects_.push_back(Answer{i.caller, std::move(response), turns_out(now_)});
 }
 
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -15,8 +15,28 @@
 namespace firtide::net
 {
 
-using CallerId = uint64_t;   // one request of a caller
-using AttemptId = uint64_t;  // one forward or probe
+using CallerId = uint64_t;    // one request of a caller
+using AttemptId = uint64_t;   // one forward or probe
+using OperatorId = uint64_t;  // one call at the operators' door
+
+// One lifecycle, which all that tells or asks of it reads.
+enum class Life { starting, ready, draining, stopping };
+
+// What operators may ask for.
+enum class Order { ready, show_stat, drain, resume };
+
+// Requests of one operation, from the start of this process.
+struct Outcomes {
+    uint64_t success = 0, busy = 0, failure = 0;
+};
+
+// Taken is the sum of all outcomes, of what is in flight and of what its caller left.
+struct Figures {
+    std::map<std::string, Outcomes> of_operation;
+    uint64_t backend_calls = 0;  // forwards written whole; probes are none
+    uint64_t taken = 0, left = 0;
+    size_t inflight = 0, hosts_listed = 0, hosts_down = 0;
+};
 
 // A line of the list of upstreams.
 struct Entry {
@@ -57,17 +77,28 @@
     AttemptId attempt;
     Broken broken;
 };
+struct Written {  // its last byte has left
+    AttemptId attempt;
+};
+struct TurnedAway {  // at the door, with its head read: there was no room for it
+    uint32_t operation = 0, edition = 0;
+};
+struct Ordered {
+    OperatorId caller;
+    Order order;
+};
 struct Woken {
     uint64_t name;
 };
 struct Stopping {
+    bool another_serves = false;  // at the same listening socket
 };
 struct Reread {  // the configuration, while serving
     std::string discovery;
     std::optional<Setup> setup;  // where the settings are others
 };
 using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Connected,
-                           Answered, Failed, Woken, Stopping, Reread>;
+                           Answered, Failed, Written, TurnedAway, Ordered, Woken, Stopping, Reread>;
 
 // Effects.
 struct Answer {
@@ -100,7 +131,13 @@
 struct MoveWatch {  // to another address; what the last one says from now on is nothing
     std::string discovery;
 };
-using Effect = std::variant<Answer, Dial, Write, HangUp, CloseIdle, Wake, WatchList, MoveWatch>;
+struct Obeyed {  // or not, as the answer to an operator
+    OperatorId caller;
+    bool success = false;
+    Life life = Life::starting;
+    std::optional<Figures> figures;
+};
+using Effect = std::variant<Answer, Dial, Write, HangUp, CloseIdle, Wake, WatchList, MoveWatch, Obeyed>;
 
 class Reducer : private Outlet
 {
@@ -111,9 +148,11 @@
     // The effects are to be carried out in their order.
     std::vector<Effect> reduce(Point now, Event event);
 
-    bool ready() const { return listed_ && !stopped_; }
-    // Stopping for so long that each answer is the last on its connection and idle ones may go.
+    Life life() const;
+    bool ready() const { return life() == Life::ready; }
+    // Draining or stopping for so long that each answer is the last on its connection and idle ones may go.
     bool turns_out(Point now) const;
+    Figures figures();
     size_t places() const { return upstreams_.size(); }  // for upstreams
     size_t in_flight() const { return invocation_of_.size(); }
 
@@ -125,6 +164,7 @@
         Request request;
         std::vector<AttemptId> attempts;
         std::vector<Tgt> met;  // upstreams it was forwarded to
+        Outcomes* outcomes = nullptr;
     };
     // Lives as long as one forward or probe.
     struct Attempt {
@@ -133,6 +173,7 @@
         Tgt tgt = 0;
         std::string endpoint;
         Point sent, until;
+        bool counted = false;  // as written whole
     };
     // Lives until its place is wanted for another, and nothing refers to it any more.
     struct Upstream {
@@ -150,8 +191,11 @@
     void on(Connected connected);
     void on(Answered& answered);
     void on(Failed failed);
+    void on(Written written);
+    void on(TurnedAway turned);
+    void on(Ordered ordered);
     void on(Woken woken);
-    void on(Stopping);
+    void on(Stopping stopping);
     void on(Reread& read);
 
     void settings_are(Setup setup);
@@ -159,6 +203,8 @@
     std::vector<Listing> listings(const std::vector<Entry>& entries, bool all);
     void dial(AttemptId id, Attempt attempt);
     bool may_write(const Attempt& attempt) const;
+    void count_written(Attempt& attempt);
+    Outcomes& outcomes_of(uint32_t operation);
     void ended(AttemptId id, Result result, Response* response);
     void answer(Inv inv, Response response);
     void over(Invocation& i);
@@ -187,7 +233,10 @@
     std::vector<Upstream> upstreams_;
     std::unordered_map<std::string, Tgt> upstream_of_;
     bool listed_ = false;
-    std::optional<Point> stopped_;  // since then
+    std::optional<Point> stopped_, drained_;  // since then
+    bool another_serves_ = false;
+    std::map<std::string, Outcomes> outcomes_;
+    uint64_t backend_calls_ = 0, taken_ = 0, left_ = 0;
     std::string discovery_;
     Balancer balancer_;
 };
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -15,17 +15,24 @@
 constexpr Span accept_on = seconds(0.5);    // after SIGTERM: callers go on coming for a moment
 constexpr Span wait_on = seconds(2.9);      // and no longer for a caller that does not finish its request
 constexpr Span look_every = seconds(0.02);  // whether all is answered
-constexpr Span tell_every = seconds(1);     // of the same trouble in the log
+// While others serve the same callers: who has been at rest this long hardly asks just now, and who has come
+// and said nothing yet will hardly do so.
+constexpr Span rested = seconds(0.3), silent = seconds(1);
+constexpr Span tell_every = seconds(1);  // of the same trouble in the log
 constexpr const char* no_peers =
     "settings.policy_limits.peers: messages are not carried on sockets; serving without";
-constexpr size_t kept_back = 32;  // descriptors for the loop, the log, discovery and the listener
+constexpr size_t kept_back = 48;  // descriptors for the loop, the log, discovery, the listener and the door
 // Of the others, at most; together more than all, for either may need the room that the other leaves.
 constexpr double part_of_upstreams = 0.4, part_of_callers = 0.85;
 
 Base make_base()
 {
-    Base base(event_base_new());
-    if (!base) throw std::runtime_error("no event loop");
+    // Guards against an operator who waits behind all that callers have sent meanwhile.
+    const std::unique_ptr<event_config, Freed<event_config_free>> config(event_config_new());
+    const auto between = to_timeval(seconds(0.005));
+    event_config_set_max_dispatch_interval(config.get(), &between, 16, 1);
+    Base base(event_base_new_with_config(config.get()));
+    if (!base || event_base_priority_init(base.get(), 2) != 0) throw std::runtime_error("no event loop");
     return base;
 }
 
@@ -78,6 +85,12 @@
           [this](Event e) { post(std::move(e)); })
 {
     std::signal(SIGPIPE, SIG_IGN);
+    if (config_.door) door_.emplace(base_.get(), *config_.door, [this](Event e) { post(std::move(e)); });
+    look_.reset(event_new(
+        base_.get(), -1, EV_PERSIST,
+        [](evutil_socket_t, short, void* self) { static_cast<Service*>(self)->look(); }, this));
+    const auto every = to_timeval(look_every);
+    event_add(look_.get(), &every);
     const auto stop = [](evutil_socket_t, short, void* self) { static_cast<Service*>(self)->stop(); };
     on_signal(SIGTERM, stop);
     on_signal(SIGINT, stop);
@@ -133,6 +146,7 @@
 void Service::carry_out(Effect& effect)
 {
     if (auto* answer = std::get_if<Answer>(&effect)) return callers_.answer(*answer);
+    if (auto* obeyed = std::get_if<Obeyed>(&effect)) return door_->answer(*obeyed);
     if (auto* dial = std::get_if<Dial>(&effect)) return upstreams_.dial(*dial);
     if (auto* write = std::get_if<Write>(&effect)) return upstreams_.write(*write);
     if (auto* up = std::get_if<HangUp>(&effect)) return upstreams_.hang_up(up->attempt);
@@ -184,23 +198,20 @@
     if (stopping_) return;
     stopping_ = true;
     spdlog::info("stopping: {} in flight", reducer_.in_flight());
-    post(Stopping{});
+    post(Stopping{config_.passed_socket.has_value()});
+    if (config_.passed_socket) return stop_accepting();
     stop_accepting_.reset(evtimer_new(
         base_.get(), [](evutil_socket_t, short, void* arg) { static_cast<Service*>(arg)->stop_accepting(); },
         this));
     const auto on = to_timeval(accept_on);
     event_add(stop_accepting_.get(), &on);
-    look_.reset(event_new(
-        base_.get(), -1, EV_PERSIST,
-        [](evutil_socket_t, short, void* self) { static_cast<Service*>(self)->leave_if_done(); }, this));
-    const auto every = to_timeval(look_every);
-    event_add(look_.get(), &every);
 }
 
-// Whoever the system has let in by now is still served.
+// Whoever the system has let in by now is still served; where the listening socket goes on without this
+// process, by the other one.
 void Service::stop_accepting()
 {
-    if (callers_.someone_waits()) {
+    if (!config_.passed_socket && callers_.someone_waits()) {
         const auto soon = to_timeval(look_every);
         event_add(stop_accepting_.get(), &soon);
         return;
@@ -209,13 +220,15 @@
     stopped_accepting_ = monotonic_now();
 }
 
-void Service::leave_if_done()
+// Who rests is closed while turned out; once stopped and done, the loop is left.
+void Service::look()
 {
-    if (!stopped_accepting_) return;
     // Guards against turning callers out while the next balancer of a rolling restart is not back yet: those
     // that are here are served for as long as their answers can still come in time.
     if (!reducer_.turns_out(monotonic_now())) return;
-    callers_.close_idle();
+    const bool gentle = !stopping_ || config_.passed_socket;
+    callers_.close_idle(gentle ? rested : Span{}, gentle ? silent : Span{});
+    if (!stopped_accepting_) return;
     const Span since = monotonic_now() - *stopped_accepting_;
     if (reducer_.in_flight() > 0) return;
     // Guards against a caller that stops within a request and would hold the whole restart up.
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -6,6 +6,7 @@
 
 #include "callers.h"
 #include "discovery.h"
+#include "management.h"
 #include "upstreams.h"
 
 namespace firtide::net
@@ -30,7 +31,7 @@
     void reread();
     void on_signal(int number, void (*what)(evutil_socket_t, short, void*));
     void stop_accepting();
-    void leave_if_done();
+    void look();
 
     Config config_;  // its settings change with the reducer
     const std::function<Config()> read_again_;
@@ -43,6 +44,7 @@
     Upstreams upstreams_;
     Discovery discovery_;
     Callers callers_;
+    std::optional<Management> door_;
     std::deque<Event> events_;
     bool reducing_ = false, stopping_ = false;
     Point told_of_no_room_;
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -128,7 +128,10 @@
             auto* c = static_cast<Connection*>(arg);
             c->owner->readable(c->self);
         },
-        nullptr,
+        [](bufferevent*, void* arg) {
+            auto* c = static_cast<Connection*>(arg);
+            c->owner->written(c->self);
+        },
         [](bufferevent*, short what, void* arg) {
             auto* c = static_cast<Connection*>(arg);
             c->owner->ended(c->self, what);
@@ -297,6 +300,12 @@
     tell_(Answered{attempt, std::move(response)});
 }
 
+// libevent also says so of a new connection, and after a write that left another one behind it.
+void Upstreams::written(Place at)
+{
+    if (at->attempt && at->progress() >= Progress::written) tell_(Written{at->attempt});
+}
+
 void Upstreams::ended(Place at, short what)
 {
     if (what & BEV_EVENT_CONNECTED) {
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -40,6 +40,7 @@
     void fail(Place at, Cause cause);
     void close(Place at);
     void readable(Place at);
+    void written(Place at);
     void ended(Place at, short what);
 
     event_base* base_;
