--- a/drill/instance.h
+++ b/drill/instance.h
@@ -46,6 +46,7 @@
     void throttle(Inv inv, Span come_back) override;
     void error(Inv inv) override;
     void cancel(Inv inv, uint32_t forward) override;
+    void limit(Inv, uint32_t, Span) override {}  // requests come whole here
     void released(Inv inv) override;
     void wake(Point at, uint64_t name) override;
     void probe(Tgt tgt) override;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -26,8 +26,7 @@
 constexpr Span report_age = seconds(0.5);   // a report's distance from the others' mean halves in about this
 constexpr Span slowness_age = seconds(8);   // what last answers took is half forgotten in this
 constexpr double tells_load = 0.25;         // a mean of reported loads that says something
-constexpr size_t recent = 16;               // answers an upstream is judged by, about
-constexpr size_t enough = 5;                // fewer say nothing
+constexpr size_t recent = 16, enough = 5;   // answers an upstream is judged by, about; fewer say nothing
 constexpr double well_above = 1.8;          // times the fellows' median
 constexpr double long_queue = 3;            // and this many more, where the mean is next to none
 constexpr Span distrust_for = seconds(10);  // idle connections, once they were seen to hang
@@ -40,28 +39,27 @@
 constexpr Span tell_all_every = seconds(2);  // about: all of it, and what tenants ask
 constexpr Span believed = seconds(5);        // what another instance told, after its last message
 constexpr double overdue_at = 2;             // high quantiles of answer times: no more counted as held
-constexpr double most_spent = 0.02;          // on messages, as a part of what an invocation is worth
+constexpr double most_spent = 0.02;          // on messages, of what an invocation is worth
 constexpr size_t least_message = 8;          // bytes, as counted
 constexpr double usual_crowd = 5;  // held by an upstream: more is left to others, where that is known
 constexpr Span rate_over = seconds(4);
-constexpr double cold_spend = 0.7;            // of the multiple that would push a cold upstream over
-constexpr Span first_backoff = seconds(0.5);  // of asking for the list
-constexpr double retry_share = 0.1;           // second tries, as a share of own traffic
-constexpr double most_retries = 5;            // saved up
-constexpr uint32_t most_redirects = 3;        // after answers that prove nothing ran
+constexpr Span may_send_for = seconds(3600);           // a request that is still coming: who reads it ends it
+constexpr double cold_spend = 0.7;                     // of the multiple that would push a cold upstream over
+constexpr Span first_backoff = seconds(0.5);           // of asking for the list
+constexpr double retry_share = 0.1, most_retries = 5;  // second tries: of own traffic, and saved up
+constexpr uint32_t most_redirects = 3;                 // after answers that prove nothing ran
 
 // Between two looks at the limit of outstanding work: so many answers, or fewer if they took long to come.
 constexpr double round_of = 60, least_round = 12;
 constexpr Span long_round = seconds(3);
 constexpr double pressed = 0.2;  // of the way from the calm answer time to the latency objective: the aim
-constexpr double never_pressed = 0.2;   // of the latency objective: a mean answer time under it is well
-constexpr double least_of_good = 0.5;   // the least limit, as a part of what went well
-constexpr double untried = 3;           // times two for each upstream: the limit until more went well
-constexpr double least_able = 0.25;     // of the upstreams, as the limit takes them
-constexpr double over_good = 1.15;      // the greatest limit, times what went well
-constexpr double for_chance = 0.35;     // and this much more
-constexpr double smooth = 10;           // asks over which the limit binds the mean
-constexpr double usual_calm = 0.2;      // of the latency objective, until more is known
+constexpr double never_pressed = 0.2;  // of the latency objective: a mean answer time under it is well
+constexpr double least_of_good = 0.5;  // the least limit, as a part of what went well
+constexpr double untried = 3;          // times two for each upstream: the limit until more went well
+constexpr double least_able = 0.25;    // of the upstreams, as the limit takes them
+constexpr double over_good = 1.15, for_chance = 0.35;  // the greatest limit: times what went well, and more
+constexpr double smooth = 10;                          // asks over which the limit binds the mean
+constexpr double usual_calm = 0.2;                     // of the latency objective, until more is known
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double spare = -0.1;          // below this, work beyond a tenant's share is welcome
 
@@ -74,8 +72,7 @@
 struct Forward {
     Tgt tgt = 0;
     Point sent;
-    bool out = true, overdue = false;
-    bool proven_not_run = false;
+    bool out = true, overdue = false, proven_not_run = false;
     bool rested = false;  // sent to an upstream that nothing was out to for longer than an answer takes
     std::function<void(Point, Result)> next;  // what to do with its result
 };
@@ -86,9 +83,7 @@
     bool may_overlap = false;
     uint32_t max_forwards = 1;
     uint32_t operation = 0;
-    Point arrived;
-    Point leaves;  // the client's time is up
-    Point useful;  // an answer after this is worth nothing
+    Point arrived, leaves, useful;  // the client's time is up; an answer later is worth nothing
     bool over = true;
     bool early = false;  // accepted while little was out
     uint32_t redirects = 0;
@@ -112,8 +107,7 @@
     Point load_at;
     uint32_t out = 0, overdue = 0, out_at_report = 0;
     size_t answered = 0;
-    double errors = 0;    // their share of the last answers
-    double slowness = 1;  // mean of the last answers
+    double errors = 0, slowness = 1;  // of the last answers: their share, the mean
     Point slowness_at;
     Point last_end{INT64_MIN / 2};
     Point waiting_since;  // the later of its last answer and the first send still out
@@ -145,13 +139,11 @@
 };
 
 struct Tenant {
-    double quota = 0;
-    double came = 0, rate = 0;  // invocations
+    double quota = 0, came = 0, rate = 0;  // invocations
 };
 
 struct OperationView {
-    double usual = 0;  // seconds, a slow mean of answer times
-    double quick = 0;  // seconds, a low quantile of them: next to no waiting
+    double usual = 0, quick = 0;  // seconds: a slow mean of answer times, and a low quantile
 };
 
 }  // namespace
@@ -195,7 +187,7 @@
     Span slowest_objective;
     double pressure = usual_calm, slow_pressure = 0;  // mean of answer time over latency objective
     double calm = usual_calm;                         // what it is with next to no load
-    Point round_at;
+    Point round_at, share_at, weighed_at{INT64_MIN / 2}, told_at{INT64_MIN / 2};
     std::vector<double> felts;
     double first_felt = 0, first_n = 0;
     double room = 0;              // upstreams' worth, see weigh_room
@@ -205,8 +197,6 @@
     double around = 0;          // the mean own work out that the last asks met
     double met = 0, met_n = 0;  // own outstanding work as asks met it since the last look
     std::vector<Tenant> tenants;
-    Point share_at;
-    Point weighed_at{INT64_MIN / 2};
     double stuck_out = 0;                          // own work out that stands still
     bool queues_told = false, times_told = false;  // by the upstreams
 
@@ -216,7 +206,6 @@
     std::vector<std::pair<uint16_t, Tgt>> told_names;  // of upstreams in messages, in order
     bool tell_due = false, telling = false, probing = false;
     double may_spend = 0;  // bytes delivered to others
-    Point told_at{INT64_MIN / 2};
 
     std::vector<Tgt> near, far;  // all that have a place, each in this instance's own order of preference
     std::vector<std::pair<Tgt, double>> weights;
@@ -260,8 +249,7 @@
         return warm > 0 ? std::min(even, warm_sends.rate(now) / warm) : even;
     }
 
-    // Rule 4. A cold upstream gets a part of what its share of a warm one's work would allow in every window.
-    // Guards against a restarted upstream being pushed over by all instances at once.
+    // Rule 4. Guards against a restarted upstream being pushed over by all: it gets part of its share.
     bool cold_budget(Upstream& u)
     {
         if (!is_cold(u)) return true;
@@ -499,8 +487,7 @@
 
     // ---- own outstanding work against the latency objective ----
 
-    // About two for each upstream from all instances together: less would leave them idle. (The least limit
-    // is also half of what went well, against calls that hang in the tier below.)
+    // About two for each upstream from all instances together: less would leave them idle.
     double two_each() const { return 2 * room / (heard > 0 ? 1 : std::max(1u, set.balancers)); }
 
     // Own work out; where the others tell theirs, all of it.
@@ -535,15 +522,13 @@
 
     double least_limit() const { return std::max(two_each(), least_of_good * good_outstanding); }
 
-    // The mean answer time that is still well, over the latency objective. Guards against a ratchet:
-    // throttling makes answers quicker, and quicker answers would lower what is calm.
+    // The mean answer time that is still well. Guards against a ratchet: throttling makes answers quicker.
     double aim() const
     {
         return std::max(never_pressed, std::min(calm * most_over_calm, calm + pressed * (1 - calm)));
     }
 
-    // Of the round. Guards, where instances are many and small, against a few upstreams in trouble of their
-    // own being taken for pressure on all.
+    // Of the round. Guards, where instances are small, against a few bad upstreams being taken for pressure.
     double middle()
     {
         if (!queues_told && heard == 0)
@@ -599,8 +584,8 @@
             t.rate += (t.rate > 0 ? 0.3 : 1) * (std::exchange(t.came, 0) / gone - t.rate);
     }
 
-    // True, by chance, for what a tenant asks of all instances beyond its share. Untold, nothing is beyond
-    // it: guards against taking an even part of it for the own one.
+    // True, by chance, for what a tenant asks of all instances beyond its share; untold, nothing is beyond
+    // it.
     bool beyond_share(uint32_t tenant)
     {
         if (tenant >= tenants.size()) return false;
@@ -740,11 +725,7 @@
         inv.may_overlap = set.may_overlap;
         inv.max_forwards = set.max_forwards;
         inv.operation = ask.operation;
-        inv.arrived = now;
-        inv.leaves = now + ask.time_left;
-        inv.useful = inv.leaves;
-        if (inv.op.latency_objective > Span{} && inv.op.late_billed_value <= 0)
-            inv.useful = std::min(inv.leaves, now + inv.op.latency_objective);
+        count_time(inv, ask.sending ? may_send_for : ask.time_left, !ask.sending);
         inv.over = false;
         weigh_room();
         inv.early = held() < two_each();
@@ -761,13 +742,32 @@
         route(id);
     }
 
+    void count_time(Invocation& inv, Span left, bool by_objective)
+    {
+        inv.arrived = now;
+        inv.useful = inv.leaves = now + left;
+        if (by_objective && inv.op.latency_objective > Span{} && inv.op.late_billed_value <= 0)
+            inv.useful = std::min(inv.leaves, now + inv.op.latency_objective);
+    }
+
+    // Work that could still run is waited for to the end; work whose answer is worthless is given up.
+    Span waits(const Invocation& inv) const
+    {
+        return (inv.op.repeat == Repeat::non_idempotent ? inv.leaves : inv.useful) - now;
+    }
+
+    void sent(Inv id, Span left)
+    {
+        count_time(invs[id], left, true);
+        for (uint32_t i = 0; i < invs[id].forwards.size(); ++i)
+            if (invs[id].forwards[i].out) out.limit(id, i, waits(invs[id]));
+    }
+
     void route(Inv id)
     {
         const auto tgt = pick(invs[id]);
         if (!tgt) return finish(id, true, come_back());
-        const Invocation& inv = invs[id];
-        // Work that could still run is waited for to the end; work whose answer is worthless is given up.
-        const Span wait = (inv.op.repeat == Repeat::non_idempotent ? inv.leaves : inv.useful) - now;
+        const Span wait = waits(invs[id]);
         if (wait <= Span{} || !send(id, *tgt, wait, [this, id](Point, Result r) { after_forward(id, r); }))
             finish(id, true, come_back());
     }
@@ -1106,6 +1106,11 @@
     at(now).told(peer, message);
 }
 
+void Balancer::sent(Point now, Inv inv, Span time_left)
+{
+    at(now).sent(inv, time_left);
+}
+
 size_t Balancer::avoided(Point now)
 {
     const State& s = at(now);
--- a/src/balance.h
+++ b/src/balance.h
@@ -48,7 +48,8 @@
 struct Ask {
     uint32_t operation = 0;
     uint32_t tenant = 0;
-    Span time_left;
+    Span time_left;        // from its last byte
+    bool sending = false;  // that has not come yet: sent() will tell of it
 };
 
 // Where each of some things was before; none: it is new.
@@ -62,6 +63,7 @@
     virtual void throttle(Inv inv, Span come_back) = 0;
     virtual void error(Inv inv) = 0;
     virtual void cancel(Inv inv, uint32_t forward) = 0;
+    virtual void limit(Inv inv, uint32_t forward, Span limit) = 0;  // of one that is out, anew
     virtual void released(Inv inv) = 0;
     virtual void wake(Point at, uint64_t name) = 0;
     virtual void probe(Tgt tgt) = 0;
@@ -84,6 +86,7 @@
     void list_changed(Point now, const std::vector<Listing>& changes);
     void list_answered(Point now, bool well);
     void accept(Point now, Inv inv, const Ask& ask);
+    void sent(Point now, Inv inv, Span time_left);  // the last byte of a request has come
     void ended(Point now, Inv inv, uint32_t forward, Result result, Span took, bool over,
                const Report& report);
     void client_left(Point now, Inv inv);
--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -15,15 +15,21 @@
 namespace
 {
 
-// How long a connection may stay in each phase: for a whole request from its first byte (of a new connection:
-// from connecting), between requests, for an answer, to take one, and to close after its last.
-constexpr std::array<Span, 5> at_most = {seconds(2.5), seconds(60), seconds(3600), seconds(10), seconds(1)};
+// How long a connection may stay in each phase: for a request from its first byte (of a new connection: from
+// connecting; for each part of its body there is a little more), for more of a large one, between requests,
+// for an answer, to take the next part of one, and to close after its last.
+constexpr std::array<Span, 6> at_most = {seconds(2.5),  seconds(2.5), seconds(60),
+                                         seconds(3600), seconds(10),  seconds(1)};
+constexpr double slowest_body = 24 * 1024;  // bytes a second
 constexpr Span may_rest = seconds(2);       // whatever room is needed
 constexpr Span asks_within = seconds(0.2);  // the same for a new connection or a request begun
 constexpr size_t some = 16;                 // connections to make room for at a time
 constexpr Span tell_every = seconds(1);     // of the same trouble in the log
 constexpr Span look_every = seconds(0.05);
 constexpr size_t read_ahead = 8 * 1024;      // bytes of one connection that wait to be read
+constexpr size_t read_at_once = 64 * 1024;   // the same of a large body
+constexpr size_t nearly_taken = 16 * 1024;   // bytes of an answer left to send, when more of it is asked for
+constexpr size_t window = 128 * 1024;        // bytes held of a large message, about
 constexpr size_t most_ignored = 128 * 1024;  // bytes read and dropped behind a last answer
 constexpr uint32_t most_in_a_row = 16;       // requests sent before the last one's answer had come
 
@@ -49,8 +55,9 @@
     Point since;
     Stream stream;
     RequestReader reader;
-    CallerId caller = 0;  // of the request that waits for its answer
-    bool last = false;    // after the answer being sent
+    CallerId caller = 0;                                          // of the request that waits for its answer
+    bool last = false;                                            // after the answer being sent
+    bool in_pieces = false, chunked = false, to_the_end = false;  // the answer
     size_t held = 0, ignored = 0;
     uint32_t in_a_row = 0;
 };
@@ -195,11 +202,16 @@
     evbuffer_drain(input, at->reader.used());
     if (state == RequestReader::State::malformed) {
         const auto [status, why] = at->reader.why();
+        if (const auto caller = std::exchange(at->caller, 0)) {
+            waiting_.erase(caller);
+            tell_(CallerLeft{caller});
+        }
         return refuse(at, status, why);
     }
+    if (at->phase == bringing) return brought(at, state == RequestReader::State::whole);
     // Guards against running out of memory: where the bodies would not fit, that is said before they come.
     const auto& request = at->reader.request();
-    const size_t most = request.body.size() + at->reader.still_to_come();
+    const size_t most = at->reader.large() ? 2 * window : request.body.size() + at->reader.still_to_come();
     if (most > at->held) {
         if (held_ - at->held + most > most_held_) {
             tell_(TurnedAway{request.operation, request.edition});
@@ -207,12 +219,29 @@
         }
         hold(*at, most);
     }
-    if (state == RequestReader::State::whole) return came(at);
+    if (state == RequestReader::State::whole) return came(at, false);
+    if (at->reader.large()) {
+        bufferevent_setwatermark(at->stream.get(), EV_READ, 0, read_at_once);
+        if (request.body.size() >= most_body) return came(at, true);
+    }
     if (at->reader.expects_word() && request.body.empty())
         bufferevent_write(at->stream.get(), "HTTP/1.1 100 Continue\r\n\r\n", 25), at->reader.word_given();
 }
 
-void Callers::came(Place at)
+// More of a request that is passed on while it comes.
+void Callers::brought(Place at, bool last)
+{
+    enter(at, last ? waiting : bringing);
+    tell_(Brought{at->caller, at->reader.take_piece(), last, last ? unread(at) : Span{}});
+}
+
+// How long the last byte has waited here.
+Span Callers::unread(Place at) const
+{
+    return unread_for(bufferevent_getfd(at->stream.get()));
+}
+
+void Callers::came(Place at, bool more)
 {
     const auto input = evbuffer_get_length(bufferevent_get_input(at->stream.get()));
     at->in_a_row = input > 0 ? at->in_a_row + 1 : 0;
@@ -222,7 +251,13 @@
         return reply(at, {ready ? 200 : 503, false, {}, {}, ready ? "ready\n" : "not ready\n"}, !ready);
     }
     Request request = std::move(at->reader.request());
-    request.time_left = std::max(Span{}, request.time_left - unread_for(bufferevent_getfd(at->stream.get())));
+    request.more = more;
+    if (more) {
+        request.length = at->reader.length();
+        at->reader.take_piece();
+    } else {
+        request.time_left = std::max(Span{}, request.time_left - unread(at));
+    }
     enter(at, waiting);
     at->caller = next_++;
     waiting_[at->caller] = at;
@@ -240,9 +275,54 @@
     const auto found = waiting_.find(answer.caller);
     if (found == waiting_.end()) return;  // it has left
     const Place at = found->second;
-    waiting_.erase(found);
-    at->caller = 0;
-    reply(at, answer.response, answer.last_on_connection);
+    // What still comes of a request that has its answer is read in no other way.
+    const bool last = answer.last_on_connection || !at->reader.done();
+    if (answer.response.more) {
+        at->in_pieces = true;
+        at->chunked = !answer.response.length && !at->reader.old();
+        at->to_the_end = !answer.response.length && at->reader.old();
+        bufferevent_setwatermark(at->stream.get(), EV_WRITE, nearly_taken, 0);
+    } else {
+        waiting_.erase(found);
+        at->caller = 0;
+    }
+    reply(at, answer.response, last);
+}
+
+void Callers::pass(Pass& pass)
+{
+    const auto found = waiting_.find(pass.caller);
+    if (found == waiting_.end()) return;
+    const Place at = found->second;
+    const auto bytes = encode_piece(std::move(pass.bytes), at->chunked, pass.last);
+    if (pass.last) {
+        at->in_pieces = false;
+        bufferevent_setwatermark(at->stream.get(), EV_WRITE, 0, 0);
+    }
+    bufferevent_write(at->stream.get(), bytes.data(), bytes.size());
+    // Guards against a last piece that is empty, after which nothing more would be heard of the stream.
+    if (bytes.empty()) bufferevent_trigger(at->stream.get(), EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+// By a reset: its caller can tell that the answer is not whole, also where its end is the connection's.
+void Callers::cut(CallerId caller)
+{
+    const auto found = waiting_.find(caller);
+    if (found == waiting_.end()) return;
+    const linger none{1, 0};
+    setsockopt(bufferevent_getfd(found->second->stream.get()), SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    close(found->second);
+}
+
+void Callers::hear(const Hear& hear)
+{
+    const auto found = waiting_.find(hear.caller);
+    if (found == waiting_.end() || found->second->reader.done()) return;
+    const Place at = found->second;
+    if (at->phase != waiting && at->phase != bringing) return;
+    enter(at, hear.more ? bringing : waiting);
+    if (hear.more)
+        bufferevent_trigger(at->stream.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
 void Callers::reply(Place at, const Response& response, bool last)
@@ -250,9 +330,10 @@
     // Guards against callers who ask once and stay, by hundreds: what rests may not be closed at once.
     const bool crowded = open() > most_open_ / 4 * 3;
     at->last = at->last || last || crowded;
+    at->last = at->last || at->to_the_end;
+    const auto bytes = encode_response(response, at->last, at->reader.old());
     at->reader = RequestReader(config_.setup);
-    const auto bytes = encode_response(response, at->last);
-    hold(*at, bytes.size());
+    hold(*at, response.more ? window : bytes.size());
     enter(at, telling);
     bufferevent_write(at->stream.get(), bytes.data(), bytes.size());
 }
@@ -260,7 +341,18 @@
 void Callers::written(Place at)
 {
     // libevent also says so of a new connection, by when its first answer may be on its way.
-    if (at->phase != telling || evbuffer_get_length(bufferevent_get_output(at->stream.get())) > 0) return;
+    const size_t left = evbuffer_get_length(bufferevent_get_output(at->stream.get()));
+    if (at->phase != telling || left > (at->in_pieces ? nearly_taken : 0)) return;
+    if (at->in_pieces) {
+        enter(at, telling);
+        return tell_(Taken{at->caller});
+    }
+    if (const auto caller = std::exchange(at->caller, 0)) {
+        waiting_.erase(caller);
+        tell_(Taken{caller});
+    }
+    at->to_the_end = at->chunked = false;
+    bufferevent_setwatermark(at->stream.get(), EV_READ, 0, read_ahead);
     hold(*at, 0);
     if (at->last) {
         // Guards against an answer that is lost to a reset: what still comes is read for a moment.
@@ -292,9 +384,13 @@
 {
     const Point now = monotonic_now();
     for (size_t phase = 0; phase < phases; ++phase)
-        while (!in_[phase].empty() && now - in_[phase].front().since > at_most[phase]) {
-            const Place at = in_[phase].begin();
-            if (phase == asking && at->reader.begun())
+        for (Place at = in_[phase].begin(), next; at != in_[phase].end(); at = next) {
+            next = std::next(at);
+            if (now - at->since <= at_most[phase]) break;
+            const bool begun = phase == asking && at->reader.begun();
+            if (begun && now - at->since <= at_most[phase] + seconds(at->reader.come() / slowest_body))
+                continue;
+            if (begun)
                 refuse(at, 408, "the request took too long");
             else
                 ended(at);
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -26,6 +26,9 @@
     ~Callers();
 
     void answer(const Answer& answer);
+    void pass(Pass& pass);
+    void cut(CallerId caller);
+    void hear(const Hear& hear);
     bool someone_waits() const;  // to be accepted
     void stop_listening();
     // Those at rest, and those that have connected and said nothing, for so long.
@@ -37,9 +40,9 @@
   private:
     struct Connection;
     using Place = std::list<Connection>::iterator;
-    // Asking: has connected or begun a request. Resting: between requests. Telling: is given an answer.
-    // Leaving: has been given its last one.
-    enum Phase { asking, resting, waiting, telling, leaving, phases };
+    // Asking: has connected or begun a request. Bringing: more of one that is passed on already. Resting:
+    // between requests. Telling: is given an answer. Leaving: has been given its last one.
+    enum Phase { asking, bringing, resting, waiting, telling, leaving, phases };
 
     static void accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self);
     void listen(const Address& address);
@@ -49,7 +52,9 @@
     void accept(int fd);
     void enter(Place at, Phase phase);
     void readable(Place at);
-    void came(Place at);
+    void came(Place at, bool more);
+    void brought(Place at, bool last);
+    Span unread(Place at) const;
     void refuse(Place at, int status, const char* why);
     void reply(Place at, const Response& response, bool last);
     void written(Place at);
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <cstdio>
 #include <utility>
 
 namespace firtide::net
@@ -155,6 +156,34 @@
     return {};
 }
 
+namespace
+{
+
+// Of a message of which there is more than the bytes that go with its head.
+template <class Message>
+std::string framing_of(const Message& message)
+{
+    if (!message.length) return "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    return "\r\nContent-Length: " + std::to_string(*message.length) + "\r\n\r\n";
+}
+
+template <class Message>
+std::string first_piece(const Message& message)
+{
+    return encode_piece(message.body, !message.length, false);
+}
+
+}  // namespace
+
+std::string encode_piece(std::string bytes, bool chunked, bool last)
+{
+    if (!chunked) return bytes;
+    char size[24];
+    std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    if (!bytes.empty()) bytes.insert(0, size).append("\r\n");
+    return last ? bytes.append("0\r\n\r\n") : bytes;
+}
+
 std::string encode_request(const Request& request, std::string_view host, Span wait)
 {
     std::string out;
@@ -163,12 +192,13 @@
     for (const auto& [name, value] : request.passed_on)
         out.append("\r\n").append(name).append(": ").append(value);
     out.append("\r\nReq-Deadline-Ms: ").append(std::to_string(std::max<int64_t>(0, wait.us / 1000)));
+    if (request.more) return out.append(framing_of(request)).append(first_piece(request));
     if (!request.body.empty() || request.method != "GET")
         out.append("\r\nContent-Length: ").append(std::to_string(request.body.size()));
     return out.append("\r\n\r\n").append(request.body);
 }
 
-std::string encode_response(const Response& response, bool last_on_connection)
+std::string encode_response(const Response& response, bool last_on_connection, bool old)
 {
     std::string out;
     out.reserve(256 + response.body.size());
@@ -177,6 +207,8 @@
     for (const auto& [name, value] : response.passed_on)
         out.append("\r\n").append(name).append(": ").append(value);
     if (last_on_connection) out.append("\r\nConnection: close");
+    if (response.more && old && !response.length) return out.append("\r\n\r\n").append(response.body);
+    if (response.more) return out.append(framing_of(response)).append(first_piece(response));
     out.append("\r\nContent-Length: ").append(std::to_string(response.body.size()));
     return out.append("\r\n\r\n").append(response.body);
 }
@@ -204,7 +236,7 @@
     rest_.erase(0, at_);
     at_ = 0;
     used_ = bytes.size();
-    if (!ok || body().size() > most_body || head_bytes_ > most_head || rest_.size() > most_head + most_body)
+    if (!ok || come_ > most_message || head_bytes_ > most_head || rest_.size() > most_head + most_body)
         return State::malformed;
     if (part_ != Part::done) return State::more;
     used_ -= rest_.size();
@@ -212,6 +244,11 @@
     return State::whole;
 }
 
+bool MessageReader::large() const
+{
+    return head_read() && (come_ > most_body || (part_ != Part::done && length_.value_or(0) > most_body));
+}
+
 std::optional<std::string_view> MessageReader::line()
 {
     const auto end = rest_.find('\n', at_);
@@ -229,11 +266,18 @@
 // One part further; false where there is not enough yet or something is wrong.
 bool MessageReader::step(bool& ok)
 {
-    if (head_bytes_ > most_head || body().size() > most_body) return ok = false;
+    if (head_bytes_ > most_head || come_ > most_message) return ok = false;
+    if (part_ == Part::to_the_end) {
+        come_ += rest_.size() - at_;
+        body().append(rest_, at_);
+        at_ = rest_.size();
+        return false;
+    }
     if (part_ == Part::body || part_ == Part::chunk) {
         const auto n = std::min(wanted_, rest_.size() - at_);
         body().append(rest_, at_, n);
         at_ += n;
+        come_ += n;
         if ((wanted_ -= n) > 0) return false;
         part_ = part_ == Part::body ? Part::done : Part::chunk_end;
         return true;
@@ -253,7 +297,7 @@
         }
         case Part::chunk_size: {
             const auto size = number<size_t>(trimmed(text->substr(0, text->find(';'))), 16);
-            if (!size || *size > most_body) return ok = false;
+            if (!size || *size > most_message) return ok = false;
             wanted_ = *size;
             part_ = wanted_ > 0 ? Part::chunk : Part::trailers;
             return true;
@@ -284,7 +328,8 @@
 void MessageReader::body_follows()
 {
     wanted_ = length_.value_or(0);
-    body().reserve(wanted_);
+    come_ = 0;
+    body().reserve(std::min(wanted_, most_body));
     part_ = chunked_ ? Part::chunk_size : wanted_ > 0 ? Part::body : Part::done;
 }
 
@@ -324,7 +369,11 @@
         part_ = Part::done;
         return true;
     }
-    if ((!length_ && !chunked_) || length_.value_or(0) > most_body) return false;
+    if (length_.value_or(0) > most_message) return false;
+    if (!length_ && !chunked_) {
+        part_ = Part::to_the_end;
+        return !keeps_;
+    }
     body_follows();
     return true;
 }
@@ -337,7 +386,8 @@
 size_t RequestReader::still_to_come() const
 {
     if (part_ == Part::first_line || part_ == Part::headers) return 0;
-    return (chunked_ ? most_body : length_.value_or(0)) - request_.body.size();
+    return std::min(most_body, chunked_ ? most_body : length_.value_or(0)) -
+           std::min(most_body, request_.body.size());
 }
 
 bool RequestReader::refuse(int status, const char* why)
@@ -354,6 +404,7 @@
     const auto version = text.substr(two + 1);
     if (version.size() != 8 || version.substr(0, 7) != "HTTP/1.") return false;
     keeps_ = version[7] != '0';
+    old_ = !keeps_;
     request_.method = text.substr(0, one);
     if (request_.method != "GET" && request_.method != "POST") return refuse(501, "unknown method");
     request_.target = origin_form(text.substr(one + 1, two - one - 1));
@@ -370,7 +421,7 @@
 
 bool RequestReader::head_done()
 {
-    if (length_.value_or(0) > most_body) return refuse(413, "too much");
+    if (length_.value_or(0) > most_message) return refuse(413, "too much");
     if (!asks_whether_ready())
         if (const auto bad = decode_request(*setup_, std::move(headers_), request_))
             return refuse(bad->status, bad->why);
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -13,7 +13,8 @@
 namespace firtide::net
 {
 
-inline constexpr size_t most_body = 64 * 1024;
+inline constexpr size_t most_body = 64 * 1024;            // taken in whole; beyond, passed on in pieces
+inline constexpr size_t most_message = size_t{40} << 20;  // in all
 inline constexpr size_t most_head = 16 * 1024;
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
@@ -25,7 +26,9 @@
     Span time_left;
     Headers passed_on;
     std::string body;
-    uint32_t edition = 0;  // of the settings that it was decoded with
+    uint32_t edition = 0;               // of the settings that it was decoded with
+    bool more = false;                  // of the body is still to come
+    std::optional<size_t> length = {};  // of it in all, where it is known and more is to come
 };
 
 struct Response {
@@ -34,6 +37,8 @@
     Report report;
     Headers passed_on;
     std::string body;
+    bool more = false;                  // of the body follows in pieces
+    std::optional<size_t> length = {};  // of it in all, where it is known and more follows
 };
 
 // Why a request was not taken, as the status it is answered with.
@@ -54,7 +59,10 @@
 std::optional<uint32_t> decode_operation(const Setup& setup, std::string_view target);
 std::optional<Unacceptable> decode_request(const Setup& setup, Headers headers, Request& into);
 std::string encode_request(const Request& request, std::string_view host, Span wait);
-std::string encode_response(const Response& response, bool last_on_connection);
+// Old callers, of HTTP/1.0, read to the end of the connection what has no length.
+std::string encode_response(const Response& response, bool last_on_connection, bool old = false);
+// What follows a message's head and first bytes, where there was more.
+std::string encode_piece(std::string bytes, bool chunked, bool last);
 Report decode_report(const Setup& setup, std::string_view text);
 std::string encode_probe(std::string_view host, bool with_report);
 
@@ -62,8 +70,8 @@
 bool same_name(std::string_view a, std::string_view b);  // of headers: letter case is nothing
 bool goes_on(std::string_view header);                   // is not of one connection alone
 
-// Takes a message in as it comes, and nothing past its end: head, then a body of a stated length or in
-// chunks.
+// Takes a message in as it comes, and nothing past its end: head, then a body of a stated length, in chunks
+// or to the end of the connection.
 class MessageReader
 {
   public:
@@ -76,9 +84,18 @@
     size_t used() const { return used_; }
     bool begun() const { return begun_; }
     bool keeps_connection() const { return keeps_; }
+    bool head_read() const { return part_ != Part::first_line && part_ != Part::headers; }
+    // Too much to be taken in whole: what has come may be taken away in pieces.
+    bool large() const;
+    std::string take_piece() { return std::exchange(body(), {}); }
+    std::optional<size_t> length() const { return length_; }
+    size_t come() const { return come_; }  // of the body
+    bool done() const { return part_ == Part::done; }
+    // The connection has ended without a fault: whether that is the message's end.
+    bool ends_here() const { return part_ == Part::to_the_end; }
 
   protected:
-    enum class Part { first_line, headers, body, chunk_size, chunk, chunk_end, trailers, done };
+    enum class Part { first_line, headers, body, chunk_size, chunk, chunk_end, trailers, to_the_end, done };
 
     virtual bool first_line(std::string_view text) = 0;
     virtual bool header(std::string_view name, std::string_view value) = 0;
@@ -92,6 +109,7 @@
     Part part_ = Part::first_line;
     std::optional<size_t> length_;
     bool chunked_ = false, keeps_ = true, begun_ = false;
+    size_t come_ = 0;
 
   private:
     std::optional<std::string_view> line();
@@ -101,8 +119,8 @@
     size_t at_ = 0, wanted_ = 0, head_bytes_ = 0, used_ = 0;
 };
 
-// An answer of an upstream. Guards against answers cut short: only a whole one is ever handed out, and none
-// whose end is told by the end of the connection alone.
+// An answer of an upstream. Guards against answers cut short: up to the size that is taken in whole, only a
+// whole one is ever handed out, and one that is told by the end of the connection only if that was announced.
 class ResponseReader : public MessageReader
 {
   public:
@@ -132,6 +150,7 @@
     bool asks_whether_ready() const;
     size_t still_to_come() const;  // bytes of its body at most, once the head is there
     bool expects_word() const { return still_to_come() > 0 && expects_; }
+    bool old() const { return old_; }  // HTTP/1.0
     void word_given() { expects_ = false; }
 
   private:
@@ -145,7 +164,7 @@
     Request request_;
     Headers headers_;
     Unacceptable why_{400, "unreadable request"};
-    bool expects_ = false;
+    bool expects_ = false, old_ = false;
 };
 
 }  // namespace firtide::net
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -8,6 +8,7 @@
 {
 
 constexpr Span probe_waits = seconds(0.25);
+constexpr size_t most_on_way = 64 * 1024;      // of a message that is passed on, before its reader is held
 constexpr Span serve_on = seconds(2);          // after the signal to stop, on connections that are there
 constexpr Span front_sends_on = seconds(0.4);  // to a balancer that drains, until it has noticed
 constexpr Span answer_by = seconds(3.4);  // after it, what has come meanwhile: then the process may be killed
@@ -58,12 +59,13 @@
 {
     now_ = now;
     std::visit([this](auto& e) { on(e); }, event);
-    // The module is told of a cancelled forward only now: it may not be called while it decides.
-    while (!cancelled_.empty()) {
-        const auto id = cancelled_.front();
-        cancelled_.pop_front();
-        effects_.push_back(HangUp{id});
-        ended(id, Result::cancelled, nullptr);
+    // The module is told only now of a forward that was cancelled, or that could not be made: it may not be
+    // called while it decides.
+    while (!settled_.empty()) {
+        const auto [id, result] = settled_.front();
+        settled_.pop_front();
+        if (result == Result::cancelled) effects_.push_back(HangUp{id});
+        ended(id, result, nullptr);
     }
     return std::move(effects_);
 }
@@ -172,13 +174,98 @@
     invocation_of_.emplace(arrived.caller, inv);
     if (stopped_)
         arrived.request.time_left = std::min(arrived.request.time_left, *stopped_ + answer_by - now_);
-    const Ask ask{arrived.request.operation, arrived.request.tenant, arrived.request.time_left};
-    invocations_[inv] = {arrived.caller, false, std::move(arrived.request), {}, {}, &outcomes};
+    const Ask ask{arrived.request.operation, arrived.request.tenant, arrived.request.time_left,
+                  arrived.request.more};
+    Invocation& i = invocations_[inv] = {};
+    i.caller = arrived.caller;
+    i.over = false;
+    i.request = std::move(arrived.request);
+    i.outcomes = &outcomes;
     balancer_.accept(now_, inv, ask);
 }
 
+// More of a request that goes on while it comes. Until its last byte nothing has run; its time begins there.
+void Reducer::on(Brought& brought)
+{
+    const auto at = invocation_of_.find(brought.caller);
+    if (at == invocation_of_.end() || invocations_[at->second].over) return;
+    Invocation& i = invocations_[at->second];
+    if (!i.request.more) return;
+    i.request.body = {}, i.spent = true;
+    if (!i.goes_to) return;
+    i.on_way += brought.bytes.size();
+    i.request.more = !brought.last;
+    effects_.push_back(Write{
+        *i.goes_to, encode_piece(std::move(brought.bytes), !i.request.length, brought.last), i.request.more});
+    if (i.request.more) {
+        if (i.on_way > most_on_way) effects_.push_back(Hear{i.caller, false});
+        return;
+    }
+    i.request.time_left = std::max(Span{}, i.request.time_left - brought.waited);
+    if (stopped_) i.request.time_left = std::min(i.request.time_left, *stopped_ + answer_by - now_);
+    balancer_.sent(now_, at->second, i.request.time_left);
+}
+
+// The caller is heard only while its bytes have somewhere to go.
+void Reducer::hear(const Invocation& i)
+{
+    if (i.request.more) effects_.push_back(Hear{i.caller, true});
+}
+
+void Reducer::on(Taken taken)
+{
+    const auto at = relay_of_.find(taken.caller);
+    if (at == relay_of_.end()) return;
+    const AttemptId id = at->second;
+    Relay& r = relays_[id];
+    r.on_way = 0;
+    if (r.all_came) return relayed(id, &Outcomes::success);
+    if (std::exchange(r.held, false)) effects_.push_back(Read{id, true});
+}
+
+// From here on this attempt is the answer.
+void Reducer::bind(AttemptId id)
+{
+    const auto at = attempts_.find(id);
+    if (at == attempts_.end() || !at->second.inv) return;
+    Invocation& i = invocations_[*at->second.inv];
+    if (i.over) return;
+    i.bound = true;
+    relay_of_[i.caller] = id;
+    relays_[id] = {i.caller, i.request.id, i.outcomes, 0, false, false};
+}
+
+void Reducer::on(Came& came)
+{
+    const auto at = relays_.find(came.attempt);
+    if (at == relays_.end()) return;
+    Relay& r = at->second;
+    r.on_way += came.bytes.size();
+    r.all_came = came.last;
+    effects_.push_back(Pass{r.caller, std::move(came.bytes), came.last});
+    if (came.last || r.held || r.on_way <= most_on_way) return;
+    r.held = true;
+    effects_.push_back(Read{came.attempt, false});
+}
+
+// A relay is over, and counts as what it came to.
+void Reducer::relayed(AttemptId id, uint64_t Outcomes::*as)
+{
+    const Relay r = std::move(relays_[id]);
+    if (as) ++(r.outcomes->*as);
+    open_ids_.erase(r.id);
+    relay_of_.erase(r.caller);
+    relays_.erase(id);
+}
+
 void Reducer::on(CallerLeft left)
 {
+    if (const auto relay = relay_of_.find(left.caller); relay != relay_of_.end()) {
+        const AttemptId id = relay->second;
+        ++left_;
+        effects_.push_back(HangUp{id});
+        return relayed(id, nullptr);
+    }
     const auto at = invocation_of_.find(left.caller);
     if (at == invocation_of_.end() || invocations_[at->second].over) return;
     over(invocations_[at->second]);
@@ -193,7 +280,7 @@
     const Upstream& u = upstreams_[attempt.tgt];
     if (u.presence != Presence::ready || u.endpoint != attempt.endpoint || now_ >= attempt.until)
         return false;
-    return !attempt.inv || !invocations_[*attempt.inv].over;
+    return !attempt.inv || (!invocations_[*attempt.inv].over && !invocations_[*attempt.inv].spent);
 }
 
 void Reducer::on(Connected connected)
@@ -206,9 +293,14 @@
         return ended(connected.attempt, Result::unreachable, nullptr);
     }
     const auto& host = upstreams_[a.tgt].endpoint;
-    effects_.push_back(
-        Write{connected.attempt, a.inv ? encode_request(invocations_[*a.inv].request, host, a.until - now_)
-                                       : encode_probe(host, setup_.settings.reports_by_probe)});
+    if (!a.inv) {
+        const auto probe = encode_probe(host, setup_.settings.reports_by_probe);
+        return effects_.push_back(Write{connected.attempt, probe});
+    }
+    Invocation& i = invocations_[*a.inv];
+    const Span wait = i.request.more ? i.request.time_left : a.until - now_;
+    effects_.push_back(Write{connected.attempt, encode_request(i.request, host, wait), i.request.more});
+    if (i.request.more) i.goes_to = connected.attempt, i.on_way = i.request.body.size();
 }
 
 // Counted once, where the last byte has left: what came back may be heard of before that.
@@ -219,7 +311,16 @@
 
 void Reducer::on(Written written)
 {
-    if (const auto at = attempts_.find(written.attempt); at != attempts_.end()) count_written(at->second);
+    const auto at = attempts_.find(written.attempt);
+    if (at == attempts_.end() || !at->second.inv) return;
+    Invocation& i = invocations_[*at->second.inv];
+    if (i.request.more && i.goes_to == written.attempt) {
+        i.on_way = 0;
+        return hear(i);
+    }
+    // What took long to come took its caller's time, not the upstream's.
+    if (i.spent && !at->second.counted) at->second.sent = now_;
+    count_written(at->second);
 }
 
 void Reducer::on(TurnedAway turned)
@@ -236,12 +337,26 @@
 
 void Reducer::on(Answered& answered)
 {
-    on(Written{answered.attempt});
-    ended(answered.attempt, result_of(answered.response), &answered.response);
+    const auto result = result_of(answered.response);
+    if (const auto at = attempts_.find(answered.attempt); at != attempts_.end()) {
+        // An answer that comes before the request has gone is no more than a word on how it ended.
+        const bool early = at->second.inv && invocations_[*at->second.inv].request.more;
+        if (!early) on(Written{answered.attempt});
+        if (answered.response.more && result == Result::succeeded && !early) bind(answered.attempt);
+    }
+    if (answered.response.more && !relays_.count(answered.attempt)) {
+        effects_.push_back(HangUp{answered.attempt});
+        if (result == Result::succeeded) return ended(answered.attempt, Result::reset, nullptr);
+    }
+    ended(answered.attempt, result, &answered.response);
 }
 
 void Reducer::on(Failed failed)
 {
+    if (const auto at = relays_.find(failed.attempt); at != relays_.end()) {
+        effects_.push_back(Cut{at->second.caller});
+        return relayed(failed.attempt, &Outcomes::failure);
+    }
     if (failed.broken.progress >= Progress::written) on(Written{failed.attempt});
     ended(failed.attempt, result_of(failed.broken), nullptr);
 }
@@ -252,6 +367,11 @@
     if (at == attempts_.end()) return;  // called off before
     const Attempt a = at->second;
     attempts_.erase(at);
+    if (a.inv && invocations_[*a.inv].goes_to == id) {
+        Invocation& i = invocations_[*a.inv];
+        i.goes_to.reset();
+        if (i.request.more && !i.over) effects_.push_back(Hear{i.caller, false});
+    }
     if (!a.inv) {
         --upstreams_[a.tgt].referred;
         const bool asked = response && setup_.settings.reports_by_probe;
@@ -357,6 +477,10 @@
 {
     Invocation& i = invocations_[inv];
     if (i.over) return;
+    if (i.bound) {
+        i.over = true;
+        return effects_.push_back(Answer{i.caller, std::move(response), turns_out(now_)});
+    }
     over(i);
     ++(response.status == 200   ? i.outcomes->success
        : response.status == 503 ? i.outcomes->busy
@@ -378,7 +502,19 @@
     i.attempts.push_back(id);
     i.met.push_back(tgt);
     ++upstreams_[tgt].referred;
-    dial(id, {inv, nth, tgt, upstreams_[tgt].endpoint, now_, now_ + limit});
+    Attempt attempt{inv, nth, tgt, upstreams_[tgt].endpoint, now_, now_ + limit};
+    if (!i.spent) return dial(id, std::move(attempt));
+    // Guards against a request that lacks the bytes which were not held: there is nothing left to send.
+    attempts_.emplace(id, std::move(attempt));
+    settled_.emplace_back(id, Result::not_sent);
+}
+
+void Reducer::limit(Inv inv, uint32_t forward, Span limit)
+{
+    const auto at = attempts_.find(invocations_[inv].attempts[forward]);
+    if (at == attempts_.end()) return;
+    at->second.until = now_ + limit;
+    effects_.push_back(Limit{at->first, limit});
 }
 
 void Reducer::throttle(Inv inv, Span come_back)
@@ -395,7 +531,7 @@
 
 void Reducer::cancel(Inv inv, uint32_t forward)
 {
-    cancelled_.push_back(invocations_[inv].attempts[forward]);
+    settled_.emplace_back(invocations_[inv].attempts[forward], Result::cancelled);
 }
 
 void Reducer::released(Inv inv)
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -66,6 +66,16 @@
 struct CallerLeft {
     CallerId caller;
 };
+struct Brought {  // more of a request's body
+    CallerId caller;
+    std::string bytes;
+    bool last = false;
+    Span waited = {};  // the last byte, unread
+};
+struct Taken {  // by the caller: nearly all that was passed on to it; of an answer that was passed on whole,
+                // all
+    CallerId caller;
+};
 struct Connected {
     AttemptId attempt;
 };
@@ -73,11 +83,16 @@
     AttemptId attempt;
     Response response;
 };
+struct Came {  // more of the body of an answer that is passed on
+    AttemptId attempt;
+    std::string bytes;
+    bool last = false;
+};
 struct Failed {
     AttemptId attempt;
     Broken broken;
 };
-struct Written {  // its last byte has left
+struct Written {  // all that was handed over for it has left
     AttemptId attempt;
 };
 struct TurnedAway {  // at the door, with its head read: there was no room for it
@@ -97,8 +112,9 @@
     std::string discovery;
     std::optional<Setup> setup;  // where the settings are others
 };
-using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Connected,
-                           Answered, Failed, Written, TurnedAway, Ordered, Woken, Stopping, Reread>;
+using Event =
+    std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Brought, Taken,
+                 Connected, Answered, Came, Failed, Written, TurnedAway, Ordered, Woken, Stopping, Reread>;
 
 // Effects.
 struct Answer {
@@ -115,6 +131,27 @@
 struct Write {
     AttemptId attempt;
     std::string bytes;
+    bool more = false;  // of the request follows
+};
+struct Limit {  // of an attempt that is out, anew
+    AttemptId attempt;
+    Span limit;
+};
+struct Pass {  // a piece of an answer
+    CallerId caller;
+    std::string bytes;
+    bool last = false;
+};
+struct Cut {  // an answer that cannot be finished, so that its caller can tell
+    CallerId caller;
+};
+struct Hear {  // more of a request from its caller, or for now no more
+    CallerId caller;
+    bool more = false;
+};
+struct Read {  // more of an answer from its upstream, or for now no more
+    AttemptId attempt;
+    bool more = false;
 };
 struct HangUp {
     AttemptId attempt;
@@ -137,7 +174,8 @@
     Life life = Life::starting;
     std::optional<Figures> figures;
 };
-using Effect = std::variant<Answer, Dial, Write, HangUp, CloseIdle, Wake, WatchList, MoveWatch, Obeyed>;
+using Effect = std::variant<Answer, Pass, Cut, Hear, Dial, Write, Limit, Read, HangUp, CloseIdle, Wake,
+                            WatchList, MoveWatch, Obeyed>;
 
 class Reducer : private Outlet
 {
@@ -154,7 +192,7 @@
     bool turns_out(Point now) const;
     Figures figures();
     size_t places() const { return upstreams_.size(); }  // for upstreams
-    size_t in_flight() const { return invocation_of_.size(); }
+    size_t in_flight() const { return invocation_of_.size() + relays_.size(); }
 
   private:
     // Lives from arrival until the module lets go of it.
@@ -165,6 +203,20 @@
         std::vector<AttemptId> attempts;
         std::vector<Tgt> met;  // upstreams it was forwarded to
         Outcomes* outcomes = nullptr;
+        // Of a request that is passed on while it comes.
+        std::optional<AttemptId> goes_to;
+        size_t on_way = 0;
+        bool spent = false;  // bytes have gone that are not held any more: it cannot be sent again
+        bool bound = false;  // to an attempt whose answer is being passed on
+    };
+    // Lives while an answer is passed on that is too large to be taken in whole. The module knows it as
+    // succeeded: nothing but this attempt can be the answer any more.
+    struct Relay {
+        CallerId caller = 0;
+        std::string id;
+        Outcomes* outcomes = nullptr;
+        size_t on_way = 0;
+        bool held = false, all_came = false;
     };
     // Lives as long as one forward or probe.
     struct Attempt {
@@ -188,8 +240,11 @@
     void on(ListFailed);
     void on(Arrived& arrived);
     void on(CallerLeft left);
+    void on(Brought& brought);
+    void on(Taken taken);
     void on(Connected connected);
     void on(Answered& answered);
+    void on(Came& came);
     void on(Failed failed);
     void on(Written written);
     void on(TurnedAway turned);
@@ -207,12 +262,16 @@
     Outcomes& outcomes_of(uint32_t operation);
     void ended(AttemptId id, Result result, Response* response);
     void answer(Inv inv, Response response);
+    void hear(const Invocation& i);
+    void bind(AttemptId id);
+    void relayed(AttemptId id, uint64_t Outcomes::*as);
     void over(Invocation& i);
 
     void forward(Inv inv, Tgt tgt, Span limit) override;
     void throttle(Inv inv, Span come_back) override;
     void error(Inv inv) override;
     void cancel(Inv inv, uint32_t forward) override;
+    void limit(Inv inv, uint32_t forward, Span limit) override;
     void released(Inv inv) override;
     void wake(Point at, uint64_t name) override;
     void probe(Tgt tgt) override;
@@ -223,12 +282,14 @@
     Setup& setup_;
     Point now_;
     std::vector<Effect> effects_;
-    std::deque<AttemptId> cancelled_;  // told to the module once it has returned
+    std::deque<std::pair<AttemptId, Result>> settled_;  // here; told to the module once it has returned
     std::vector<Invocation> invocations_;
     std::vector<Inv> free_;
     std::unordered_map<CallerId, Inv> invocation_of_;
     std::unordered_set<std::string> open_ids_;  // of what is not answered yet
     std::unordered_map<AttemptId, Attempt> attempts_;
+    std::unordered_map<AttemptId, Relay> relays_;
+    std::unordered_map<CallerId, AttemptId> relay_of_;
     AttemptId next_attempt_ = 1;
     std::vector<Upstream> upstreams_;
     std::unordered_map<std::string, Tgt> upstream_of_;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -147,6 +147,11 @@
 {
     if (auto* answer = std::get_if<Answer>(&effect)) return callers_.answer(*answer);
     if (auto* obeyed = std::get_if<Obeyed>(&effect)) return door_->answer(*obeyed);
+    if (auto* pass = std::get_if<Pass>(&effect)) return callers_.pass(*pass);
+    if (auto* cut = std::get_if<Cut>(&effect)) return callers_.cut(cut->caller);
+    if (auto* hear = std::get_if<Hear>(&effect)) return callers_.hear(*hear);
+    if (auto* limit = std::get_if<Limit>(&effect)) return upstreams_.limit(*limit);
+    if (auto* read = std::get_if<Read>(&effect)) return upstreams_.read(*read);
     if (auto* dial = std::get_if<Dial>(&effect)) return upstreams_.dial(*dial);
     if (auto* write = std::get_if<Write>(&effect)) return upstreams_.write(*write);
     if (auto* up = std::get_if<HangUp>(&effect)) return upstreams_.hang_up(up->attempt);
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -20,9 +20,13 @@
 // crosses the close.
 constexpr double idle_part = 0.75;
 
-// An answer that has begun is whole by then. Guards against one whose head or body never ends: waiting for
+// An answer that has begun goes on within this. Guards against one whose head or body never ends: waiting for
 // more would use up the time that another forward needs.
-constexpr Span answer_within = seconds(0.5);
+constexpr Span goes_on_within = seconds(0.5);
+// The same where its caller has a part of it already, and for a request that is being sent: nothing is won by
+// haste.
+constexpr Span moves_within = seconds(4);
+constexpr size_t read_at_once = 64 * 1024;
 
 // Guards against blaming an upstream for what this machine lacks.
 Cause cause_of(int error)
@@ -56,7 +60,9 @@
     Point until;
     bool looked_again = false;  // past its time, for what the kernel has and the loop has not seen
     bool answering = false;
-    bool asked = false;  // the request was handed to the stream
+    bool asked = false;                    // the request, or a part of it, was handed to the stream
+    bool more = false;                     // of the request is still to be handed over
+    bool passed_on = false, held = false;  // its answer, in pieces; and nobody takes them now
     Point rests_since;
     ResponseReader reader;
 
@@ -65,7 +71,7 @@
     Progress progress() const
     {
         if (!connected) return Progress::not_connected;
-        if (!asked || evbuffer_get_length(bufferevent_get_output(stream.get())) > 0)
+        if (!asked || more || evbuffer_get_length(bufferevent_get_output(stream.get())) > 0)
             return Progress::partly_written;
         return reader.begun() ? Progress::answering : Progress::written;
     }
@@ -137,6 +143,7 @@
             c->owner->ended(c->self, what);
         },
         &*at);
+    bufferevent_setwatermark(at->stream.get(), EV_READ, 0, read_at_once);
     bufferevent_enable(at->stream.get(), EV_READ | EV_WRITE);
     at->connecting_until = give_up_after(*at, setup_.connect_timeout);
     // A refusal that is known at once comes through the callback all the same.
@@ -161,7 +168,7 @@
 void Upstreams::serve(Place at, AttemptId attempt, Span limit)
 {
     at->attempt = attempt;
-    at->asked = at->answering = at->looked_again = false;
+    at->asked = at->more = at->answering = at->passed_on = at->held = at->looked_again = false;
     at->until = monotonic_now() + limit;
     at->reader = ResponseReader(setup_);
     of_attempt_[attempt] = at;
@@ -172,8 +179,43 @@
 {
     const auto at = of_attempt_.find(write.attempt);
     if (at == of_attempt_.end()) return;
-    at->second->asked = true;
-    bufferevent_write(at->second->stream.get(), write.bytes.data(), write.bytes.size());
+    const Place place = at->second;
+    place->asked = true;
+    place->more = write.more;
+    bufferevent_write(place->stream.get(), write.bytes.data(), write.bytes.size());
+    // Guards against an upstream that does not read what is sent to it for longer than its caller sends.
+    if (write.more) wait_for(place, moves_within);
+}
+
+void Upstreams::wait_for(Place at, Span wait)
+{
+    at->looked_again = false;
+    at->waits_until = give_up_after(*at, wait);
+}
+
+void Upstreams::limit(const Limit& limit)
+{
+    const auto at = of_attempt_.find(limit.attempt);
+    if (at == of_attempt_.end() || at->second->answering) return;
+    at->second->until = monotonic_now() + limit.limit;
+    wait_for(at->second, limit.limit);
+}
+
+// Whoever takes the answer is slower than the upstream, or has caught up.
+void Upstreams::read(const Read& read)
+{
+    const auto found = of_attempt_.find(read.attempt);
+    if (found == of_attempt_.end()) return;
+    const Place at = found->second;
+    at->held = !read.more;
+    if (at->held) {
+        at->waits_until.reset();
+        bufferevent_disable(at->stream.get(), EV_READ);
+        return;
+    }
+    wait_for(at, moves_within);
+    bufferevent_enable(at->stream.get(), EV_READ);
+    bufferevent_trigger(at->stream.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
 // Gives an attempt up: what was begun on the connection can only be taken back by ending it.
@@ -191,7 +233,7 @@
 {
     at->attempt = 0;
     at->waits_until.reset();
-    at->asked = false;
+    at->asked = at->more = at->passed_on = at->held = false;
     at->reader = ResponseReader(setup_);
     at->rests_since = monotonic_now();
     const auto wait = to_timeval(setup_.idle_close * idle_part);
@@ -277,19 +319,38 @@
         if (size > 0) fail(at, Cause::malformed);  // an answer that nobody asked for
         return;
     }
+    if (at->held || size == 0) return;
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
     const auto state = at->reader.take({bytes, size});
     const bool more = at->reader.used() < size;  // than belongs to the answer
     evbuffer_drain(input, size);
-    if (state == ResponseReader::State::more) {
-        if (!at->reader.begun() || at->answering) return;
-        at->answering = true;
-        at->waits_until = give_up_after(*at, std::min(answer_within, at->until - monotonic_now()));
-        return;
-    }
     if (state == ResponseReader::State::malformed) return fail(at, Cause::malformed);
+    if (state == ResponseReader::State::whole) return whole(at, more);
+    if (!at->reader.begun()) return;
+    at->answering = true;
+    if (at->passed_on) {
+        wait_for(at, moves_within);
+        if (auto piece = at->reader.take_piece(); !piece.empty())
+            tell_(Came{at->attempt, std::move(piece), false});
+    } else if (at->reader.large() && at->reader.come() > 0) {
+        at->passed_on = true;
+        wait_for(at, moves_within);
+        auto& response = at->reader.response();
+        Response first = response;
+        response.body = {};
+        first.more = true;
+        first.length = at->reader.length();
+        tell_(Answered{at->attempt, std::move(first)});
+    } else {
+        wait_for(at, std::min(goes_on_within, at->until - monotonic_now()));
+    }
+}
+
+void Upstreams::whole(Place at, bool more)
+{
     const auto attempt = at->attempt;
-    const bool unwritten = evbuffer_get_length(bufferevent_get_output(at->stream.get())) > 0;
+    const bool unwritten = at->more || evbuffer_get_length(bufferevent_get_output(at->stream.get())) > 0;
+    const bool passed_on = at->passed_on;
     auto response = std::move(at->reader.response());
     const bool keep = at->reader.keeps_connection() && !unwritten && !more;
     of_attempt_.erase(attempt);
@@ -297,13 +358,19 @@
         rest(at);
     else
         at->attempt = 0, close(at);
-    tell_(Answered{attempt, std::move(response)});
+    if (passed_on)
+        tell_(Came{attempt, std::move(response.body), true});
+    else
+        tell_(Answered{attempt, std::move(response)});
 }
 
 // libevent also says so of a new connection, and after a write that left another one behind it.
 void Upstreams::written(Place at)
 {
-    if (at->attempt && at->progress() >= Progress::written) tell_(Written{at->attempt});
+    if (!at->attempt || !at->asked || evbuffer_get_length(bufferevent_get_output(at->stream.get())) > 0)
+        return;
+    if (at->more) at->waits_until.reset();  // now it is the caller who takes time
+    tell_(Written{at->attempt});
 }
 
 void Upstreams::ended(Place at, short what)
@@ -316,6 +383,7 @@
     }
     if (!at->attempt) return close(at);  // idle for long enough, or ended by the upstream
     if (!at->connected) return fail(at, cause_of(EVUTIL_SOCKET_ERROR()));
+    if ((what & BEV_EVENT_EOF) && at->asked && at->reader.ends_here()) return whole(at, false);
     fail(at, Cause::broken);
 }
 
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -21,6 +21,8 @@
 
     void dial(const Dial& dial);
     void write(const Write& write);
+    void limit(const Limit& limit);
+    void read(const Read& read);
     void hang_up(AttemptId attempt);
     void close_idle(Tgt tgt);
     size_t close_oldest_idle(size_t count);  // how many there were
@@ -38,6 +40,8 @@
     bool quiet(const Connection& c) const;
     void late(Place at);
     void fail(Place at, Cause cause);
+    void whole(Place at, bool more);
+    void wait_for(Place at, Span wait);
     void close(Place at);
     void readable(Place at);
     void written(Place at);
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -126,6 +126,10 @@
         line("inv %u throttled, come back in %s\n", inv, back > Span{} ? "a while" : "no stated time");
     }
     void error(Inv inv) override { line("inv %u errored\n", inv); }
+    void limit(Inv inv, uint32_t forward, Span limit) override
+    {
+        line("inv %u forward %u limit %.2f s\n", inv, forward, limit.seconds());
+    }
     void cancel(Inv inv, uint32_t forward) override { line("inv %u cancel forward %u\n", inv, forward); }
     void released(Inv inv) override
     {
