--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -893,8 +893,7 @@
             later(now + tell_all_every * roll(), [this] { tell_all(); });
     }
 
-    // What is learnt follows operations and tenants to their new places; of an operation that is no more to
-    // the last place, which nothing asks. What is open keeps the stricter rules, for rule 2.
+    // What is learnt follows operations and tenants; what is open keeps the stricter rules, for rule 2.
     void take_over(const Places& operations, const Places& tenants_were)
     {
         const auto ops_were = std::exchange(ops, std::vector<OperationView>(set.operations.size() + 1));
--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -267,6 +267,8 @@
 // What could not be read may have been framed otherwise than it was taken: nothing more is read there.
 void Callers::refuse(Place at, int status, const char* why)
 {
+    spdlog::debug("a caller gets {}, {}, {} ms after its request began, with {} bytes of its body come",
+                  status, why, (monotonic_now() - at->since).us / 1000, at->reader.come());
     reply(at, {status, false, {}, {}, std::string(why) + "\n"}, true);
 }
 
@@ -390,10 +392,13 @@
             const bool begun = phase == asking && at->reader.begun();
             if (begun && now - at->since <= at_most[phase] + seconds(at->reader.come() / slowest_body))
                 continue;
-            if (begun)
+            if (begun) {
                 refuse(at, 408, "the request took too long");
-            else
-                ended(at);
+                continue;
+            }
+            spdlog::debug("a caller is closed on in phase {}, {} ms after it entered it", phase,
+                          (now - at->since).us / 1000);
+            ended(at);
         }
     if (before_ready_ && listener_ && ready_()) before_ready_ = false, evconnlistener_enable(listener_.get());
     if (!paused_ || !listener_) return;
