--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -55,8 +55,9 @@
     Point since;
     Stream stream;
     RequestReader reader;
-    CallerId caller = 0;                                          // of the request that waits for its answer
-    bool last = false;                                            // after the answer being sent
+    CallerId caller = 0;  // of the request that waits for its answer
+    size_t due = 0;       // of its body, when it had its answer before all of it had come
+    bool last = false;    // after the answer being sent
     bool in_pieces = false, chunked = false, to_the_end = false;  // the answer
     size_t held = 0, ignored = 0;
     uint32_t in_a_row = 0;
@@ -191,7 +192,9 @@
     const size_t size = evbuffer_get_length(input);
     if (at->phase == leaving) {
         evbuffer_drain(input, size);
-        if ((at->ignored += size) > most_ignored) close(at);
+        if ((at->ignored += size) > most_ignored + at->due) return close(at);
+        // Guards against cutting off a caller that reads its answer only once all of its request is sent.
+        if (at->due > 0 && size > 0) enter(at, leaving);
         return;
     }
     // What comes early stays unread, and is little, until the answer before it is written.
@@ -279,6 +282,7 @@
     const Place at = found->second;
     // What still comes of a request that has its answer is read in no other way.
     const bool last = answer.last_on_connection || !at->reader.done();
+    if (!at->reader.done()) at->due = at->reader.length().value_or(most_message) - at->reader.come();
     if (answer.response.more) {
         at->in_pieces = true;
         at->chunked = !answer.response.length && !at->reader.old();
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -14,6 +14,7 @@
 {
 
 inline constexpr size_t most_body = 64 * 1024;            // taken in whole; beyond, passed on in pieces
+inline constexpr size_t most_untold = 8 * 1024;           // the same of an answer whose length is not told
 inline constexpr size_t most_message = size_t{40} << 20;  // in all
 inline constexpr size_t most_head = 16 * 1024;
 
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -332,7 +332,9 @@
         wait_for(at, moves_within);
         if (auto piece = at->reader.take_piece(); !piece.empty())
             tell_(Came{at->attempt, std::move(piece), false});
-    } else if (at->reader.large() && at->reader.come() > 0) {
+    } else if (at->reader.come() > (at->reader.length() ? 0 : most_untold) &&
+               (at->reader.large() || !at->reader.length())) {
+        // Guards against gathering an answer of no stated length, piece by piece, until its time is up.
         at->passed_on = true;
         wait_for(at, moves_within);
         auto& response = at->reader.response();
