Two processes of an upgrade halve their limits; tests of door, drain, upgrade, large messages

Each process holds a lock on its own file in the folder that both see; another locked one means half of memory and descriptors. A caller that is answered before all of its body has come is read to its end without being closed on.

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -67,12 +67,14 @@
                  std::function<void()> crowded, std::function<void(Event)> tell)
     : base_(base),
       config_(config),
+      all_open_(most_open),
       most_open_(most_open),
       most_held_(config.bodies),
       ready_(std::move(ready)),
       crowded_(std::move(crowded)),
       tell_(std::move(tell))
 {
+    check_passed_socket(config);
     if (config.passed_socket)
         take_over(*config.passed_socket);
     else
@@ -195,6 +197,7 @@
         if ((at->ignored += size) > most_ignored + at->due) return close(at);
         // Guards against cutting off a caller that reads its answer only once all of its request is sent.
         if (at->due > 0 && size > 0) enter(at, leaving);
+        if (at->due > 0 && at->ignored >= at->due) shutdown(bufferevent_getfd(at->stream.get()), SHUT_WR);
         return;
     }
     // What comes early stays unread, and is little, until the answer before it is written.
@@ -363,7 +366,7 @@
     if (at->last) {
         // Guards against an answer that is lost to a reset: what still comes is read for a moment.
         enter(at, leaving);
-        shutdown(bufferevent_getfd(at->stream.get()), SHUT_WR);
+        if (at->due == 0) shutdown(bufferevent_getfd(at->stream.get()), SHUT_WR);
     } else {
         enter(at, resting);
     }
@@ -445,6 +448,13 @@
         }
 }
 
+void Callers::share(size_t processes)
+{
+    most_open_ = all_open_ / processes;
+    most_held_ = config_.bodies / processes;
+    if (open() > most_open_) make_room(open() - most_open_);
+}
+
 size_t Callers::make_room(size_t count)
 {
     const Point now = monotonic_now();
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -36,6 +36,7 @@
     // Closes what rests longest, at most so many; nobody who has just come or just been answered.
     size_t make_room(size_t count);
     size_t open() const;
+    void share(size_t processes);  // what this balancer may have
 
   private:
     struct Connection;
@@ -65,7 +66,8 @@
 
     event_base* base_;
     const Config& config_;
-    const size_t most_open_, most_held_;
+    const size_t all_open_;
+    size_t most_open_, most_held_;
     size_t held_ = 0;  // bytes of bodies, taken in or promised
     std::function<bool()> ready_;
     std::function<void()> crowded_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -146,6 +146,7 @@
     if (const auto door = text_at(in, "mgmt", "NODE_MGMT"); !door.empty())
         out.door = decode_address(door, "mgmt");
     out.passed_socket = passed_socket();
+    if (const char* folder = std::getenv("TMPDIR"); folder && out.passed_socket) out.shared_folder = folder;
     out.seed = decode_seed(text_at(in, "seed", nullptr));
     if (const auto limits = in.find("limits"); limits != in.end()) {
         if (!limits->is_object()) throw BadConfig("limits: an object is expected");
--- a/src/net/event.h
+++ b/src/net/event.h
@@ -28,17 +28,17 @@
 using Stream = std::unique_ptr<bufferevent, Freed<bufferevent_free>>;
 
 // A descriptor of its own.
-class Socket
+class Descriptor
 {
   public:
-    explicit Socket(int fd = -1) : fd_(fd) {}
-    Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
-    Socket& operator=(Socket&& other) noexcept
+    explicit Descriptor(int fd = -1) : fd_(fd) {}
+    Descriptor(Descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+    Descriptor& operator=(Descriptor&& other) noexcept
     {
         std::swap(fd_, other.fd_);
         return *this;
     }
-    ~Socket()
+    ~Descriptor()
     {
         if (fd_ >= 0) ::close(fd_);
     }
--- a/src/net/management.cpp
+++ b/src/net/management.cpp
@@ -70,7 +70,7 @@
 struct Management::Connection {
     Management* owner = nullptr;
     Place self;
-    Socket socket;
+    Descriptor socket;
     Timer reading;
     std::string line;
     OperatorId caller = 0;  // its line has come
@@ -85,7 +85,7 @@
     const auto text = text_of(address);
     if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&at), &length) != 0)
         throw BadConfig("mgmt: '" + text + "' is no numeric address");
-    listener_ = Socket(socket(at.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    listener_ = Descriptor(socket(at.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     const int on = 1;
     if (listener_.fd() < 0 || setsockopt(listener_.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
         bind(listener_.fd(), reinterpret_cast<sockaddr*>(&at), static_cast<socklen_t>(length)) != 0 ||
@@ -104,7 +104,7 @@
 void Management::accept()
 {
     for (size_t n = 0; n < most_open; ++n) {
-        Socket socket(accept4(listener_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        Descriptor socket(accept4(listener_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (socket.fd() < 0) return;
         // Guards against callers that connect and say nothing: the others are let in all the same.
         if (open_.size() >= most_open) open_.pop_front();
--- a/src/net/management.h
+++ b/src/net/management.h
@@ -35,7 +35,7 @@
 
     event_base* base_;
     std::function<void(Event)> tell_;
-    Socket listener_;
+    Descriptor listener_;
     Timer accepting_;
     OperatorId next_ = 1;
     std::list<Connection> open_;  // the longest open first
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -15,6 +15,7 @@
 constexpr Span accept_on = seconds(0.5);    // after SIGTERM: callers go on coming for a moment
 constexpr Span wait_on = seconds(2.9);      // and no longer for a caller that does not finish its request
 constexpr Span look_every = seconds(0.02);  // whether all is answered
+constexpr Span count_every = seconds(0.2);  // processes of this balancer
 // While others serve the same callers: who has been at rest this long hardly asks just now, and who has come
 // and said nothing yet will hardly do so.
 constexpr Span rested = seconds(0.3), silent = seconds(1);
@@ -85,6 +86,7 @@
           [this](Event e) { post(std::move(e)); })
 {
     std::signal(SIGPIPE, SIG_IGN);
+    if (!config_.shared_folder.empty()) handover_.emplace(config_.shared_folder);
     if (config_.door) door_.emplace(base_.get(), *config_.door, [this](Event e) { post(std::move(e)); });
     look_.reset(event_new(
         base_.get(), -1, EV_PERSIST,
@@ -225,9 +227,24 @@
     stopped_accepting_ = monotonic_now();
 }
 
+// Two processes of one upgrade have half of what the balancer may have each.
+void Service::count_processes()
+{
+    const Point now = monotonic_now();
+    if (!handover_ || now - counted_processes_ < count_every) return;
+    counted_processes_ = now;
+    const size_t processes = handover_->another_runs() ? 2 : 1;
+    if (std::exchange(processes_, processes) == processes) return;
+    spdlog::info("{}", processes > 1 ? "another process of this balancer runs: half of memory and descriptors"
+                                     : "the only process of this balancer: all of memory and descriptors");
+    callers_.share(processes);
+    upstreams_.share(processes);
+}
+
 // Who rests is closed while turned out; once stopped and done, the loop is left.
 void Service::look()
 {
+    count_processes();
     // Guards against turning callers out while the next balancer of a rolling restart is not back yet: those
     // that are here are served for as long as their answers can still come in time.
     if (!reducer_.turns_out(monotonic_now())) return;
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -6,6 +6,7 @@
 
 #include "callers.h"
 #include "discovery.h"
+#include "handover.h"
 #include "management.h"
 #include "upstreams.h"
 
@@ -32,6 +33,7 @@
     void on_signal(int number, void (*what)(evutil_socket_t, short, void*));
     void stop_accepting();
     void look();
+    void count_processes();
 
     Config config_;  // its settings change with the reducer
     const std::function<Config()> read_again_;
@@ -45,6 +47,9 @@
     Discovery discovery_;
     Callers callers_;
     std::optional<Management> door_;
+    std::optional<Handover> handover_;
+    size_t processes_ = 1;  // of this balancer
+    Point counted_processes_;
     std::deque<Event> events_;
     bool reducing_ = false, stopping_ = false;
     Point told_of_no_room_;
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -78,12 +78,18 @@
 };
 
 Upstreams::Upstreams(event_base* base, const Setup& setup, size_t most_open, std::function<void(Event)> tell)
-    : base_(base), setup_(setup), most_open_(most_open), tell_(std::move(tell))
+    : base_(base), setup_(setup), all_open_(most_open), most_open_(most_open), tell_(std::move(tell))
 {
 }
 
 Upstreams::~Upstreams() = default;
 
+void Upstreams::share(size_t processes)
+{
+    most_open_ = all_open_ / processes;
+    if (all_.size() > most_open_) close_oldest_idle(all_.size() - most_open_);
+}
+
 void Upstreams::dial(const Dial& dial)
 {
     for (auto found = idle_.find(dial.tgt); found != idle_.end(); found = idle_.find(dial.tgt)) {
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -27,6 +27,7 @@
     void close_idle(Tgt tgt);
     size_t close_oldest_idle(size_t count);  // how many there were
     size_t open() const { return all_.size(); }
+    void share(size_t processes);  // what this balancer may have
 
   private:
     struct Connection;
@@ -49,6 +50,7 @@
 
     event_base* base_;
     const Setup& setup_;
+    const size_t all_open_;
     size_t most_open_;
     std::function<void(Event)> tell_;
     std::list<Connection> all_;
--- /dev/null
+++ b/tests/operation.cpp
@@ -0,0 +1,313 @@
+// Daily operation, on loopback: the operators' door, drain, an upgrade under load, large messages.
+#include <fcntl.h>
+#include <sys/stat.h>
+
+#include <cstring>
+#include <mutex>
+
+#include "trace.h"
+
+using namespace firtide;
+
+namespace
+{
+
+// The upstream answers by the last part of the path: so many bytes, in one of three forms, or what it got.
+void serve_upstream(Wire& wire);
+StandIn* upstream = nullptr;
+std::atomic<int> met{0};
+
+std::string an_id()
+{
+    static std::atomic<int> last{1};
+    return "Req-Id: " + std::to_string(++last) + "\r\n";
+}
+
+std::string get(const std::string& path)
+{
+    return "GET /safe/" + path + " HTTP/1.1\r\n" + an_id() + "\r\n";
+}
+
+size_t number_in(const std::string& text, const char* before)
+{
+    const auto at = text.find(before);
+    return at == std::string::npos ? 0 : std::stoul(text.substr(at + std::strlen(before)));
+}
+
+void send_many(Wire& wire, size_t bytes)
+{
+    const std::string block(65536, 'x');
+    for (size_t sent = 0; sent < bytes; sent += block.size())
+        wire.send(block.substr(0, std::min(block.size(), bytes - sent)));
+}
+
+void serve_upstream(Wire& wire)
+{
+    for (std::string head; wire.open() && !(head = wire.head()).empty();) {
+        ++met;
+        const size_t coming = number_in(head, "Content-Length: ");
+        const bool chunked = head.find("Transfer-Encoding: chunked") != std::string::npos;
+        const size_t came = chunked ? wire.chunks() : wire.skip(coming);
+        const size_t wanted = number_in(head, "/bytes/");
+        if (head.find("/slow") != std::string::npos) pause(150);
+        if (head.find("/cut") != std::string::npos) {
+            wire.send(ok + "\r\nContent-Length: " + std::to_string(wanted) + "\r\n\r\n");
+            send_many(wire, wanted / 2);
+            return;
+        }
+        if (head.find("/chunks") != std::string::npos) {
+            wire.send(ok + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+            const std::string block(50000, 'x');
+            for (size_t n = 0; n < wanted / block.size(); ++n) wire.send("c350;e=1\r\n" + block + "\r\n");
+            wire.send("0\r\nT: x\r\n\r\n");
+        } else if (head.find("/bytes/") != std::string::npos) {
+            wire.send(ok + "\r\nContent-Length: " + std::to_string(wanted) + "\r\n\r\n");
+            send_many(wire, wanted);
+        } else {
+            wire.send(http(ok, "got " + std::to_string(came)));
+        }
+    }
+}
+
+void serve_discovery(Wire& wire)
+{
+    for (std::string request; wire.open() && !(request = wire.message()).empty();) {
+        if (request.find("after=") != std::string::npos) pause(200);
+        wire.send(http(ok, R"({"rev":1,"all":true,"targets":[{"uid":"u","endpoint":")" +
+                               upstream->endpoint() + R"(","state":"ready"}]})"));
+    }
+}
+
+// One line at the door, and all that comes back.
+std::string order(uint16_t door, const std::string& line)
+{
+    Wire wire(door);
+    wire.send(line);
+    return wire.rest();
+}
+
+std::string one_line(std::string text)
+{
+    for (char& c : text)
+        if (c == '\n') c = ' ';
+    return text.empty() ? "(closed)" : text;
+}
+
+std::string figure(const std::string& all, const std::string& name)
+{
+    const auto at = all.find("node." + name + ":");
+    return at == std::string::npos ? name + " is missing" : all.substr(at, all.find('\n', at) - at);
+}
+
+void say(const char* what, const std::string& came)
+{
+    std::printf("%s: %s\n", what, one_line(came).c_str());
+}
+
+std::string door_key(uint16_t door)
+{
+    return R"(,"mgmt":"127.0.0.1:)" + std::to_string(door) + "\"";
+}
+
+void at_the_door(const std::string& discovery)
+{
+    const uint16_t door = free_port();
+    Running firtide(discovery, "64", door_key(door));
+    say("ready", order(door, "ready\n"));
+    say("with a carriage return", order(door, "ready\r\n"));
+    Wire caller(firtide.port);
+    for (int i = 0; i < 3; ++i) caller.ask(get("x"));
+    caller.ask("POST /once/x HTTP/1.1\r\n" + an_id() + "Content-Length: 1\r\n\r\nx");
+    say("show-stat", order(door, "show-stat\n"));
+    say("unknown", order(door, "hello\n"));
+    say("empty", order(door, "\n"));
+    say("noise", order(door, std::string("\0\xff\x01", 3) + "\n"));
+    say("too long", order(door, std::string(400, 'x')));
+    say("two lines: the first counts", order(door, "ready\nresume\n"));
+    // Guards against operators who wait behind callers: with all descriptors of their side in use, hundreds
+    // at the door that finish no line, and requests all the time.
+    std::vector<Wire> silent, crowd;
+    for (int i = 0; i < 200; ++i) crowd.emplace_back(firtide.port), crowd.back().send("GET /safe");
+    for (int i = 0; i < 100; ++i) silent.emplace_back(door), silent.back().send("rea");
+    const auto since = std::chrono::steady_clock::now();
+    const auto answer = order(door, "ready\n");
+    const bool soon = std::chrono::steady_clock::now() - since < std::chrono::seconds(1);
+    std::printf("in a crowd: %s%s\n", soon ? "within 1 s, " : "late, ", one_line(answer).c_str());
+    silent.clear(), crowd.clear();
+    std::printf("exit status %d\n", firtide.stop().status);
+}
+
+void draining(const std::string& discovery)
+{
+    const uint16_t door = free_port();
+    Running firtide(discovery, "1024", door_key(door));
+    say("resume without drain", order(door, "resume\n"));
+    Wire rests(firtide.port), busy(firtide.port), silent(firtide.port);
+    rests.ask(get("x"));
+    busy.send(get("slow"));
+    say("drain", order(door, "drain\n"));
+    say("drain again", order(door, "drain\n"));
+    const std::string is_ready = "GET /-/ready HTTP/1.1\r\n\r\n";
+    std::printf("/-/ready: %s\n", first_line(Wire(firtide.port).ask(is_ready)).c_str());
+    std::printf("what was in flight: %s\n", first_line(busy.message()).c_str());
+    std::printf("who still comes: %s\n", first_line(Wire(firtide.port).ask(get("x"))).c_str());
+    pause(500);
+    const auto late = Wire(firtide.port).ask(get("x"));
+    std::printf("who comes later: %s, %s\n", first_line(late).c_str(),
+                late.find("Connection: close") != std::string::npos ? "the last on its connection" : "kept");
+    std::printf("who rests is %s, who said nothing is %s\n", rests.ended() ? "closed" : "still there",
+                silent.ended() ? "closed" : "still there");
+    say("resume", order(door, "resume\n"));
+    Wire back(firtide.port);
+    std::printf("/-/ready: %s\n", first_line(back.ask(is_ready)).c_str());
+    std::printf("and then %s\n", back.ended(600) ? "closed" : "kept");
+    order(door, "drain\n");
+    kill(firtide.process, SIGTERM);
+    pause(50);
+    say("stopping, drained: resume", order(door, "resume\n"));
+    std::printf("exit status %d\n", firtide.stop().status);
+}
+
+void upgrading(const std::string& discovery)
+{
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    auto at = Wire::address(0);
+    bind(listener, reinterpret_cast<sockaddr*>(&at), sizeof at);
+    listen(listener, 128);
+    socklen_t size = sizeof at;
+    getsockname(listener, reinterpret_cast<sockaddr*>(&at), &size);
+    const uint16_t port = ntohs(at.sin_port);
+    char folder[] = "/tmp/firtide-test-XXXXXX";
+    if (!mkdtemp(folder)) return;
+    const std::string left_over = std::string(folder) + "/start-before.firtide";
+    close(open(left_over.c_str(), O_CREAT | O_WRONLY | O_CLOEXEC, 0600));
+    mkfifo((std::string(folder) + "/foreign.firtide").c_str(), 0600);
+    const auto inherits = [&] {
+        dup2(listener, 5);
+        setenv("NODE_PASSED_SOCKET", "5", 1), setenv("TMPDIR", folder, 1);
+    };
+    const uint16_t door = free_port(), new_door = free_port();
+    std::atomic<bool> on{true};
+    std::atomic<int> served{0}, other{0};
+    std::vector<std::thread> callers;
+    int status = 0;
+    {
+        auto old = std::make_unique<Running>(discovery, "1024", door_key(door), inherits, port);
+        for (int i = 0; i < 6; ++i)
+            callers.emplace_back([&, i] {
+                // Half of them open a new connection for each request, half keep theirs.
+                for (auto wire = std::make_unique<Wire>(port); on; pause(2)) {
+                    const auto answer = wire->ask(get("x"));
+                    ++(first_line(answer) == ok ? served : other);
+                    if (i % 2 || answer.find("Connection: close") != std::string::npos)
+                        wire = std::make_unique<Wire>(port);
+                }
+            });
+        pause(200);
+        Running next(discovery, "1024", door_key(new_door), inherits, port);
+        until([&] { return order(new_door, "ready\n") == "SUCCESS ready\n"; });
+        say("the new one", order(new_door, "ready\n"));
+        say("the old one beside it", order(door, "ready\n"));
+        status = old->stop().status;
+        std::printf("the old one ends with %d\n", status);
+        pause(200);
+        const auto figures = order(new_door, "show-stat\n");
+        std::printf("the new one serves: %s\n", number_in(figures, "node.success.safe:") > 20 ? "yes" : "no");
+        on = false;
+        for (auto& c : callers) c.join();
+        std::printf("requests throughout: %s served, %d not\n", served > 100 ? "all" : "few", other.load());
+        std::printf("the new one ends with %d\n", next.stop().status);
+    }
+    ::close(listener);
+    // Guards against a descriptor that is something else.
+    {
+        Running never(discovery, "1024", "", [] {
+            dup2(socket(AF_INET, SOCK_STREAM, 0), 5);
+            setenv("NODE_PASSED_SOCKET", "5", 1);
+        });
+        std::printf("not a listening socket: exit status %d\n", WEXITSTATUS(never.stop().status));
+    }
+    for (const char* name : {"/start-before.firtide", "/foreign.firtide"})
+        unlink((std::string(folder) + name).c_str());
+    std::printf("the folder is left %s\n", rmdir(folder) == 0 ? "as it was" : "with something in it");
+}
+
+void large(const std::string& discovery)
+{
+    const uint16_t door = free_port();
+    Running firtide(discovery, "256,\"memory_mb\":48", door_key(door));
+    constexpr size_t much = 32 << 20;
+    const auto answer = [&](const char* what, const std::string& path, int slowly = 0) {
+        Wire caller(firtide.port);
+        caller.send(get(path));
+        const auto head = caller.head();
+        if (slowly > 0) pause(slowly);
+        const bool chunked = head.find("Transfer-Encoding: chunked") != std::string::npos;
+        const size_t n = chunked ? caller.chunks() : caller.skip(number_in(head, "Content-Length: "));
+        std::printf("%s: %s, %zu bytes\n", what, first_line(head).c_str(), n);
+    };
+    answer("32 MB", "bytes/" + std::to_string(much));
+    answer("32 MB in chunks", "bytes/30000000/chunks");
+    answer("just over what is taken in whole", "bytes/65537");
+    answer("broken in the middle", "bytes/1000000/cut");
+    for (const bool chunked : {false, true}) {
+        Wire caller(firtide.port);
+        caller.send("POST /once/x HTTP/1.1\r\n" + an_id() +
+                    (chunked ? "Transfer-Encoding: chunked\r\n\r\n"
+                             : "Content-Length: " + std::to_string(much) + "\r\n\r\n"));
+        const std::string block(65536, 'x');
+        for (size_t sent = 0; sent < much; sent += block.size())
+            caller.send(chunked ? "10000\r\n" + block + "\r\n" : block);
+        if (chunked) caller.send("0\r\n\r\n");
+        const auto got = caller.message();
+        std::printf("a request of 32 MB%s: %s\n", chunked ? " in chunks" : "",
+                    one_line(got.substr(got.find("\r\n\r\n") + 4)).c_str());
+    }
+    // Guards against memory that grows with what slow readers do not take.
+    std::vector<std::thread> readers;
+    std::atomic<int> whole{0};
+    for (int i = 0; i < 5; ++i)
+        readers.emplace_back([&] {
+            Wire caller(firtide.port);
+            caller.send(get("bytes/" + std::to_string(much)));
+            caller.head();
+            pause(600);
+            whole += caller.skip(much) == much;
+        });
+    for (auto& r : readers) r.join();
+    std::printf("5 slow readers of 32 MB at once: %d whole\n", whole.load());
+    met = 0;
+    {
+        Wire leaves(firtide.port);
+        leaves.send("POST /once/x HTTP/1.1\r\n" + an_id() + "Content-Length: 1000000\r\n\r\n" +
+                    std::string(300000, 'x'));
+        until([] { return met == 1; });
+    }
+    pause(100);
+    const auto all = order(door, "show-stat\n");
+    for (const char* name :
+         {"success.safe", "failure.safe", "success.once", "failure.once", "backend_calls", "inflight"})
+        std::printf("%s\n", figure(all, name).c_str());
+    const auto used = firtide.stop();
+    std::printf("exit status %d, %s 40 MB\n", used.status,
+                used.memory_mb < 40 ? "under" : std::to_string(used.memory_mb).c_str());
+}
+
+}  // namespace
+
+int main(int, char** argv)
+{
+    program = argv[1];
+    signal(SIGPIPE, SIG_IGN);
+    StandIn origin(serve_upstream), discovery(serve_discovery);
+    upstream = &origin;
+    const auto play = [&](const char* what, void (*part)(const std::string&)) {
+        std::printf("-- %s\n", what);
+        std::fflush(stdout);
+        part(discovery.endpoint());
+    };
+    play("the door", at_the_door);
+    play("drain", draining);
+    play("an upgrade", upgrading);
+    play("large messages", large);
+}
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -1,8 +1,4 @@
 // The service on loopback, between stand-ins for callers, an upstream and discovery.
-#include <sys/resource.h>
-#include <sys/wait.h>
-
-#include <chrono>
 #include <mutex>
 
 #include "trace.h"
@@ -12,8 +8,6 @@
 namespace
 {
 
-const std::string ok = "HTTP/1.1 200 OK";
-
 // What the upstream does with a request, by the last part of its path.
 std::function<void(Wire&, const std::string&)> upstream_does;
 std::atomic<int> asked{0}, ended{0};
@@ -27,6 +21,7 @@
     ++ended;
 }
 
+std::string upstream_endpoint;
 std::mutex list_lock;
 std::string list_now;
 std::atomic<int> version{1}, watches{0};
@@ -65,75 +60,6 @@
     list_now = text, ++version;
 }
 
-uint16_t free_port()
-{
-    return StandIn([](Wire&) {}).port;
-}
-
-std::string program, upstream_endpoint;
-
-// The program in a process of its own, until SIGTERM.
-struct Running {
-    explicit Running(const std::string& discovery, const std::string& sockets = "1024") : port(free_port())
-    {
-        char path[] = "/tmp/firtide-test-XXXXXX";
-        const int fd = mkstemp(path);
-        const auto config = R"({"listen":"127.0.0.1:)" + std::to_string(port) + R"(","discovery":")" +
-                            discovery + R"(","seed":"1","limits":{"sockets":)" + sockets +
-                            R"(},"settings":{"operations":[
-            {"name":"safe","repeat":"free","client_timeout_us":1000000},
-            {"name":"once","repeat":"single_shot","client_timeout_us":1000000}],
-            "policy_limits":{"max_forwards":3,"cancel":true,"conn_idle_us":400000,"connect_timeout_us":100000}}})";
-        (void)!write(fd, config.data(), config.size());
-        close(fd);
-        file = path, text = config;
-        if ((process = fork()) == 0) {
-            execl(program.c_str(), program.c_str(), "serve", "--log-level", "error", path, nullptr);
-            _exit(127);
-        }
-        for (int i = 0; i < 200 && first_line(Wire(port).ask("GET /-/ready HTTP/1.1\r\n\r\n")) != ok; ++i)
-            std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    }
-    ~Running()
-    {
-        if (process) stop();
-        unlink(file.c_str());
-    }
-    // Replaces `a` by `b` in the file of the configuration, and says so.
-    void reread(const std::string& a, const std::string& b)
-    {
-        text.replace(text.find(a), a.size(), b);
-        const std::string fresh = file + ".new";
-        if (FILE* out = std::fopen(fresh.c_str(), "w")) std::fputs(text.c_str(), out), std::fclose(out);
-        rename(fresh.c_str(), file.c_str());
-        kill(process, SIGHUP);
-    }
-    struct Used {
-        int status = 0;
-        double cpu = 0;  // seconds
-        long memory_mb = 0;
-    };
-    Used stop()
-    {
-        int status = 0;
-        rusage used{};
-        kill(process, SIGTERM);
-        wait4(std::exchange(process, 0), &status, 0, &used);
-        const auto s = [](timeval t) {
-            return static_cast<double>(t.tv_sec) + 1e-6 * static_cast<double>(t.tv_usec);
-        };
-        return {status, s(used.ru_utime) + s(used.ru_stime), used.ru_maxrss / 1024};
-    }
-    uint16_t port;
-    pid_t process = 0;
-    std::string file, text;
-};
-
-void pause(int ms)
-{
-    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
-}
-
 std::string an_id()
 {
     static std::atomic<int> last{1};
@@ -151,12 +77,6 @@
                 "Host: a\r\n" + an_id() + "Req-Deadline-Ms: 600\r\n");
 }
 
-bool until(const std::function<bool()>& so, int ms = 2000)
-{
-    for (; ms > 0 && !so(); ms -= 5) pause(5);
-    return so();
-}
-
 void tell(const char* what, const std::string& answer)
 {
     const auto body = answer.find("\r\n\r\n");
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -6,10 +6,13 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <atomic>
+#include <chrono>
 #include <cstdio>
 #include <functional>
 #include <map>
@@ -210,6 +213,56 @@
             if (!more()) return {};
         }
     }
+    // A head, without what follows it.
+    std::string head()
+    {
+        while (text_.find("\r\n\r\n") == std::string::npos)
+            if (!more()) return {};
+        const auto all = text_.substr(0, text_.find("\r\n\r\n") + 4);
+        text_.erase(0, all.size());
+        return all;
+    }
+    // So many bytes, which are not kept; how many there were.
+    size_t skip(size_t bytes)
+    {
+        size_t got = 0;
+        for (;;) {
+            const auto n = std::min(bytes - got, text_.size());
+            got += n;
+            text_.erase(0, n);
+            if (got == bytes || !more()) return got;
+        }
+    }
+    // A body in chunks: the bytes in it.
+    size_t chunks()
+    {
+        size_t got = 0;
+        for (;;) {
+            while (text_.find("\r\n") == std::string::npos)
+                if (!more()) return got;
+            const auto size = std::stoul(text_, nullptr, 16);
+            text_.erase(0, text_.find("\r\n") + 2);
+            if (size == 0) break;
+            const auto n = skip(size + 2);
+            got += std::min<size_t>(n, size);
+            if (n < size + 2) return got;
+        }
+        while (text_.substr(0, 2) != "\r\n") {
+            const auto end = text_.find("\r\n");
+            if (end != std::string::npos)
+                text_.erase(0, end + 2);
+            else if (!more())
+                return got;
+        }
+        text_.erase(0, 2);
+        return got;
+    }
+    std::string rest()  // to the end of the connection
+    {
+        while (more()) {
+        }
+        return std::exchange(text_, {});
+    }
     std::string ask(const std::string& bytes)
     {
         send(bytes);
@@ -270,4 +323,85 @@
     return message.empty() ? "(nothing)" : message.substr(0, message.find('\r'));
 }
 
+inline const std::string ok = "HTTP/1.1 200 OK";
+inline std::string program;  // under test
+
+inline uint16_t free_port()
+{
+    return StandIn([](Wire&) {}).port;
+}
+
+// The program in a process of its own, until SIGTERM.
+struct Running {
+    // more: further keys of the configuration; in_child: what is to be done before the program starts.
+    explicit Running(const std::string& discovery, const std::string& sockets = "1024",
+                     const std::string& more = "", const std::function<void()>& in_child = {},
+                     uint16_t at = 0)
+        : port(at ? at : free_port())
+    {
+        char path[] = "/tmp/firtide-test-XXXXXX";
+        const int fd = mkstemp(path);
+        const auto config = R"({"listen":"127.0.0.1:)" + std::to_string(port) + R"(","discovery":")" +
+                            discovery + "\"" + more + R"(,"seed":"1","limits":{"sockets":)" + sockets +
+                            R"(},"settings":{"operations":[
+            {"name":"safe","repeat":"free","client_timeout_us":1000000},
+            {"name":"once","repeat":"single_shot","client_timeout_us":1000000}],
+            "policy_limits":{"max_forwards":3,"cancel":true,"conn_idle_us":400000,"connect_timeout_us":100000}}})";
+        (void)!write(fd, config.data(), config.size());
+        close(fd);
+        file = path, text = config;
+        if ((process = fork()) == 0) {
+            if (in_child) in_child();
+            execl(program.c_str(), program.c_str(), "serve", "--log-level", "error", path, nullptr);
+            _exit(127);
+        }
+        for (int i = 0; i < 200 && first_line(Wire(port).ask("GET /-/ready HTTP/1.1\r\n\r\n")) != ok; ++i)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    ~Running()
+    {
+        if (process) stop();
+        unlink(file.c_str());
+    }
+    // Replaces `a` by `b` in the file of the configuration, and says so.
+    void reread(const std::string& a, const std::string& b)
+    {
+        text.replace(text.find(a), a.size(), b);
+        const std::string fresh = file + ".new";
+        if (FILE* out = std::fopen(fresh.c_str(), "w")) std::fputs(text.c_str(), out), std::fclose(out);
+        rename(fresh.c_str(), file.c_str());
+        kill(process, SIGHUP);
+    }
+    struct Used {
+        int status = 0;
+        double cpu = 0;  // seconds
+        long memory_mb = 0;
+    };
+    Used stop()
+    {
+        int status = 0;
+        rusage used{};
+        kill(process, SIGTERM);
+        wait4(std::exchange(process, 0), &status, 0, &used);
+        const auto s = [](timeval t) {
+            return static_cast<double>(t.tv_sec) + 1e-6 * static_cast<double>(t.tv_usec);
+        };
+        return {status, s(used.ru_utime) + s(used.ru_stime), used.ru_maxrss / 1024};
+    }
+    uint16_t port;
+    pid_t process = 0;
+    std::string file, text;
+};
+
+inline void pause(int ms)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+inline bool until(const std::function<bool()>& so, int ms = 2000)
+{
+    for (; ms > 0 && !so(); ms -= 5) pause(5);
+    return so();
+}
+
 }  // namespace firtide
