One account for pieces and descriptors of both sides; traces of lifecycle, figures, streaming

Callers and upstreams together keep to what is not kept back, so that the door finds descriptors. Every reducer trace checks taken = answered + in flight + left.

--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -19,10 +19,11 @@
 class Callers
 {
   public:
-    // At most_open connections nobody is let in until room is made. ready: whether `GET /-/ready` is to be
-    // answered 200. crowded: called when no descriptor is left.
-    Callers(event_base* base, const Config& config, size_t most_open, std::function<bool()> ready,
-            std::function<void()> crowded, std::function<void(Event)> tell);
+    // At most_open connections, or at most together with the others, nobody is let in until room is made.
+    // ready: whether `GET /-/ready` is to be answered 200. crowded: called when no descriptor is left.
+    Callers(event_base* base, const Config& config, size_t most_open, size_t most,
+            std::function<size_t()> others, std::function<bool()> ready, std::function<void()> crowded,
+            std::function<void(Event)> tell);
     ~Callers();
 
     void answer(const Answer& answer);
@@ -63,11 +64,13 @@
     void close(Place at);
     void hold(Connection& c, size_t bytes);
     void look();
+    bool full() const;
 
     event_base* base_;
     const Config& config_;
-    const size_t all_open_;
-    size_t most_open_, most_held_;
+    const size_t all_open_, all_;
+    size_t most_open_, most_, most_held_;
+    std::function<size_t()> others_;
     size_t held_ = 0;  // bytes of bodies, taken in or promised
     std::function<bool()> ready_;
     std::function<void()> crowded_;
--- a/src/net/management.cpp
+++ b/src/net/management.cpp
@@ -13,8 +13,9 @@
 namespace
 {
 
-constexpr size_t most_open = 16;   // the longest silent goes first
-constexpr size_t most_line = 256;  // bytes
+constexpr size_t most_open = 12;            // the longest silent goes first
+constexpr size_t most_ignored = 16 * 1024;  // bytes behind a line
+constexpr size_t most_line = 256;           // bytes
 constexpr Span whole_line = seconds(5);
 constexpr Span lets_go = seconds(1);  // to be read to its end by the caller
 constexpr int first_priority = 0;
@@ -75,6 +76,7 @@
     std::string line;
     OperatorId caller = 0;  // its line has come
     bool answered = false;
+    size_t ignored = 0;
 };
 
 Management::Management(event_base* base, const Address& address, std::function<void(Event)> tell)
@@ -134,7 +136,11 @@
     const auto n = recv(at->socket.fd(), bytes, sizeof bytes, 0);
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
     if (n <= 0 && (at->line.empty() || at->caller || at->answered)) return (void)open_.erase(at);
-    if (at->answered || at->caller) return;  // what comes behind the line is nothing
+    if (at->answered || at->caller) {
+        // What comes behind the line is nothing. Guards against floods that are read without end.
+        if ((at->ignored += static_cast<size_t>(n)) > most_ignored) open_.erase(at);
+        return;
+    }
     if (n > 0) at->line.append(bytes, static_cast<size_t>(n));
     const auto end = at->line.find('\n');
     if (end == std::string::npos && n > 0 && at->line.size() <= most_line) return;
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -8,7 +8,8 @@
 {
 
 constexpr Span probe_waits = seconds(0.25);
-constexpr size_t most_on_way = 64 * 1024;      // of a message that is passed on, before its reader is held
+// Bytes of one message that is passed on, before its reader is held: less where there are many.
+constexpr size_t least_window = 16 * 1024, most_window = 64 * 1024;
 constexpr Span serve_on = seconds(2);          // after the signal to stop, on connections that are there
 constexpr Span front_sends_on = seconds(0.4);  // to a balancer that drains, until it has noticed
 constexpr Span answer_by = seconds(3.4);  // after it, what has come meanwhile: then the process may be killed
@@ -49,8 +50,12 @@
 
 }  // namespace
 
-Reducer::Reducer(Setup& setup, uint64_t seed, std::string discovery)
-    : setup_(setup), discovery_(std::move(discovery)), balancer_(setup.settings, seed, *this)
+Reducer::Reducer(Setup& setup, uint64_t seed, std::string discovery, size_t room)
+    : setup_(setup),
+      all_room_(room),
+      room_(room),
+      discovery_(std::move(discovery)),
+      balancer_(setup.settings, seed, *this)
 {
     for (const auto& name : setup.operations) outcomes_[name];
 }
@@ -181,6 +186,7 @@
     i.over = false;
     i.request = std::move(arrived.request);
     i.outcomes = &outcomes;
+    sending_ += i.request.more;
     balancer_.accept(now_, inv, ask);
 }
 
@@ -195,10 +201,11 @@
     if (!i.goes_to) return;
     i.on_way += brought.bytes.size();
     i.request.more = !brought.last;
+    sending_ -= brought.last;
     effects_.push_back(Write{
         *i.goes_to, encode_piece(std::move(brought.bytes), !i.request.length, brought.last), i.request.more});
     if (i.request.more) {
-        if (i.on_way > most_on_way) effects_.push_back(Hear{i.caller, false});
+        if (i.on_way > most_on_way()) effects_.push_back(Hear{i.caller, false});
         return;
     }
     i.request.time_left = std::max(Span{}, i.request.time_left - brought.waited);
@@ -206,6 +213,12 @@
     balancer_.sent(now_, at->second, i.request.time_left);
 }
 
+// Guards against memory that is used up by many large messages at once: their readers are held sooner.
+size_t Reducer::most_on_way() const
+{
+    return std::clamp(room_ / (relays_.size() + sending_ + 1), least_window, most_window);
+}
+
 // The caller is heard only while its bytes have somewhere to go.
 void Reducer::hear(const Invocation& i)
 {
@@ -243,7 +256,7 @@
     r.on_way += came.bytes.size();
     r.all_came = came.last;
     effects_.push_back(Pass{r.caller, std::move(came.bytes), came.last});
-    if (came.last || r.held || r.on_way <= most_on_way) return;
+    if (came.last || r.held || r.on_way <= most_on_way()) return;
     r.held = true;
     effects_.push_back(Read{came.attempt, false});
 }
@@ -385,6 +398,11 @@
     balancer_.ended(now_, *a.inv, a.nth, result, now_ - a.sent, over, report);
 }
 
+void Reducer::on(Shared shared)
+{
+    room_ = all_room_ / std::max<size_t>(1, shared.processes);
+}
+
 void Reducer::on(Woken woken)
 {
     balancer_.woken(now_, woken.name);
@@ -538,6 +556,7 @@
 {
     invocation_of_.erase(invocations_[inv].caller);
     for (const Tgt tgt : invocations_[inv].met) --upstreams_[tgt].referred;
+    sending_ -= invocations_[inv].request.more;
     invocations_[inv] = {};
     free_.push_back(inv);
 }
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -105,6 +105,9 @@
 struct Woken {
     uint64_t name;
 };
+struct Shared {  // memory and descriptors, among so many processes of this balancer
+    size_t processes = 1;
+};
 struct Stopping {
     bool another_serves = false;  // at the same listening socket
 };
@@ -112,9 +115,9 @@
     std::string discovery;
     std::optional<Setup> setup;  // where the settings are others
 };
-using Event =
-    std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Brought, Taken,
-                 Connected, Answered, Came, Failed, Written, TurnedAway, Ordered, Woken, Stopping, Reread>;
+using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Brought, Taken,
+                           Connected, Answered, Came, Failed, Written, TurnedAway, Ordered, Woken, Shared,
+                           Stopping, Reread>;
 
 // Effects.
 struct Answer {
@@ -180,8 +183,9 @@
 class Reducer : private Outlet
 {
   public:
-    // The setup is the one that all parts read; new settings are put there.
-    Reducer(Setup& setup, uint64_t seed, std::string discovery);
+    // The setup is the one that all parts read; new settings are put there. room: bytes of messages that are
+    // passed on, together.
+    Reducer(Setup& setup, uint64_t seed, std::string discovery, size_t room = size_t{1} << 30);
 
     // The effects are to be carried out in their order.
     std::vector<Effect> reduce(Point now, Event event);
@@ -250,6 +254,7 @@
     void on(TurnedAway turned);
     void on(Ordered ordered);
     void on(Woken woken);
+    void on(Shared shared);
     void on(Stopping stopping);
     void on(Reread& read);
 
@@ -262,6 +267,7 @@
     Outcomes& outcomes_of(uint32_t operation);
     void ended(AttemptId id, Result result, Response* response);
     void answer(Inv inv, Response response);
+    size_t most_on_way() const;
     void hear(const Invocation& i);
     void bind(AttemptId id);
     void relayed(AttemptId id, uint64_t Outcomes::*as);
@@ -280,6 +286,8 @@
     void tell(const std::string&) override {}  // no other instance is known here
 
     Setup& setup_;
+    const size_t all_room_;
+    size_t room_, sending_ = 0;  // sending: requests that are passed on while they come
     Point now_;
     std::vector<Effect> effects_;
     std::deque<std::pair<AttemptId, Result>> settled_;  // here; told to the module once it has returned
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -69,19 +69,24 @@
 
 }  // namespace
 
+size_t Service::part(double of) const
+{
+    return static_cast<size_t>(static_cast<double>(descriptors_) * of);
+}
+
 Service::Service(Config config, std::function<Config()> read_again)
     : config_(std::move(config)),
       read_again_(std::move(read_again)),
       epoch_(epoch()),
       descriptors_(descriptors(config_.descriptors)),
       base_(make_base()),
-      reducer_(config_.setup, config_.seed, text_of(config_.discovery)),
-      upstreams_(base_.get(), config_.setup,
-                 static_cast<size_t>(static_cast<double>(descriptors_) * part_of_upstreams),
-                 [this](Event e) { post(std::move(e)); }),
+      reducer_(config_.setup, config_.seed, text_of(config_.discovery), config_.bodies),
+      upstreams_(
+          base_.get(), config_.setup, part(part_of_upstreams), descriptors_,
+          [this] { return callers_.open(); }, [this](Event e) { post(std::move(e)); }),
       discovery_(base_.get(), config_, epoch_, [this](Event e) { post(std::move(e)); }),
       callers_(
-          base_.get(), config_, static_cast<size_t>(static_cast<double>(descriptors_) * part_of_callers),
+          base_.get(), config_, part(part_of_callers), descriptors_, [this] { return upstreams_.open(); },
           [this] { return reducer_.ready(); }, [this] { make_room(); },
           [this](Event e) { post(std::move(e)); })
 {
@@ -237,6 +242,7 @@
     if (std::exchange(processes_, processes) == processes) return;
     spdlog::info("{}", processes > 1 ? "another process of this balancer runs: half of memory and descriptors"
                                      : "the only process of this balancer: all of memory and descriptors");
+    post(Shared{processes});
     callers_.share(processes);
     upstreams_.share(processes);
 }
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -32,6 +32,7 @@
     void reread();
     void on_signal(int number, void (*what)(evutil_socket_t, short, void*));
     void stop_accepting();
+    size_t part(double of) const;  // of the descriptors
     void look();
     void count_processes();
 
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -77,8 +77,16 @@
     }
 };
 
-Upstreams::Upstreams(event_base* base, const Setup& setup, size_t most_open, std::function<void(Event)> tell)
-    : base_(base), setup_(setup), all_open_(most_open), most_open_(most_open), tell_(std::move(tell))
+Upstreams::Upstreams(event_base* base, const Setup& setup, size_t most_open, size_t most,
+                     std::function<size_t()> others, std::function<void(Event)> tell)
+    : base_(base),
+      setup_(setup),
+      all_open_(most_open),
+      in_all_(most),
+      most_open_(most_open),
+      most_(most),
+      others_(std::move(others)),
+      tell_(std::move(tell))
 {
 }
 
@@ -87,6 +95,7 @@
 void Upstreams::share(size_t processes)
 {
     most_open_ = all_open_ / processes;
+    most_ = in_all_ / processes;
     if (all_.size() > most_open_) close_oldest_idle(all_.size() - most_open_);
 }
 
@@ -103,8 +112,8 @@
         serve(at, dial.attempt, dial.limit);
         return tell_(Connected{dial.attempt});
     }
-    if (all_.size() >= most_open_) close_oldest_idle(1);
-    if (all_.size() >= most_open_) {
+    if (full()) close_oldest_idle(1);
+    if (full()) {
         return tell_(Failed{dial.attempt, {Progress::not_connected, Cause::no_descriptor}});
     }
     const Place at = connect(dial.tgt, dial.endpoint);
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -16,7 +16,8 @@
 class Upstreams
 {
   public:
-    Upstreams(event_base* base, const Setup& setup, size_t most_open, std::function<void(Event)> tell);
+    Upstreams(event_base* base, const Setup& setup, size_t most_open, size_t most,
+              std::function<size_t()> others, std::function<void(Event)> tell);
     ~Upstreams();
 
     void dial(const Dial& dial);
@@ -50,8 +51,11 @@
 
     event_base* base_;
     const Setup& setup_;
-    const size_t all_open_;
-    size_t most_open_;
+    bool full() const { return all_.size() >= most_open_ || all_.size() + others_() >= most_; }
+
+    const size_t all_open_, in_all_;  // of these connections, and of all
+    size_t most_open_, most_;
+    std::function<size_t()> others_;
     std::function<void(Event)> tell_;
     std::list<Connection> all_;
     std::unordered_map<AttemptId, Place> of_attempt_;
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -31,6 +31,7 @@
         tell(Started{});
         list(true, {{"a", "1.1.1.1:1", Presence::ready, 0, 0, 1, {}}});
     }
+    ~Play() { figures(); }
     void list(bool all, std::vector<Entry> entries) { tell(ListTold{all, std::move(entries)}); }
     void arrive(CallerId caller = 1, const char* id = nullptr)
     {
@@ -58,7 +59,21 @@
                             static_cast<unsigned long long>(d->attempt), d->limit.seconds());
             }
             if (const auto* w = std::get_if<Write>(&e))
-                std::printf("write %s\n", first_line(w->bytes).c_str());
+                std::printf("write %s%s\n",
+                            w->bytes.find('\r') == std::string::npos
+                                ? (std::to_string(w->bytes.size()) + " bytes").c_str()
+                                : first_line(w->bytes).c_str(),
+                            w->more ? ", more follows" : "");
+            if (const auto* r = std::get_if<Read>(&e))
+                std::printf("%s\n", r->more ? "read on from the upstream" : "hold the upstream");
+            if (const auto* h = std::get_if<Hear>(&e))
+                std::printf("%s\n", h->more ? "read on from the caller" : "hold the caller");
+            if (const auto* c = std::get_if<Pass>(&e))
+                std::printf("pass %zu bytes%s\n", c->bytes.size(), c->last ? ", the last" : "");
+            if (std::get_if<Cut>(&e)) std::printf("cut the answer\n");
+            if (const auto* l = std::get_if<Limit>(&e)) std::printf("within %.2f s\n", l->limit.seconds());
+            if (const auto* o = std::get_if<Obeyed>(&e))
+                std::printf("%s, %d\n", o->success ? "obeyed" : "not obeyed", static_cast<int>(o->life));
             if (const auto* m = std::get_if<MoveWatch>(&e))
                 std::printf("move the watch to %s\n", m->discovery.c_str());
             if (std::get_if<HangUp>(&e)) std::printf("hang up\n");
@@ -68,6 +83,37 @@
         }
     }
     void wake() { tell(Woken{woken_}); }
+    void bring(CallerId caller, size_t bytes, bool whole)
+    {
+        tell(Brought{caller, std::string(bytes, 'x'), whole});
+    }
+    void begin(CallerId caller)  // a request that is too large to come whole
+    {
+        Request r{"POST", "/op/x", "id" + std::to_string(caller), 0, 0, seconds(2), {}, "begun", edition};
+        r.more = true, r.length = 300000;
+        tell(Arrived{caller, std::move(r)});
+    }
+    void begins_answer(int status = 200)
+    {
+        Response r{status, false, {}, {}, "begun"};
+        r.more = true, r.length = 300000;
+        tell(Answered{last, std::move(r)});
+    }
+    void comes(size_t bytes, bool whole) { tell(Came{last, std::string(bytes, 'x'), whole}); }
+    // Whatever happened: what was taken is answered, in flight or left.
+    void figures() const
+    {
+        const auto f = reducer->figures();
+        uint64_t answered = 0;
+        for (const auto& [name, n] : f.of_operation) {
+            answered += n.success + n.busy + n.failure;
+            std::printf("%s: %d succeeded, %d throttled, %d errored; ", name.c_str(),
+                        static_cast<int>(n.success), static_cast<int>(n.busy), static_cast<int>(n.failure));
+        }
+        std::printf("%d written, %zu in flight, %zu listed, %zu avoided%s\n",
+                    static_cast<int>(f.backend_calls), f.inflight, f.hosts_listed, f.hosts_down,
+                    f.taken == answered + f.inflight + f.left ? "" : "; TAKEN IS ANOTHER SUM");
+    }
     void connected() { tell(Connected{last}); }
     static Entry b(Presence p = Presence::ready) { return {"b", "2.2.2.2:2", p, 0, 0, 1, {}}; }
     static Entry a(Presence p, const char* endpoint = "1.1.1.1:1") { return {"a", endpoint, p, 0, 0, 1, {}}; }
@@ -198,6 +244,64 @@
         p.list(true, {Play::b(), Play::a(Presence::ready)});
         std::printf("%zu places\n", p.reducer->places());
     }
+    {
+        Play p("the lifecycle: drain twice, resume, resume again, and once it stops", Repeat::idempotent);
+        OperatorId id = 0;
+        for (const auto order : {Order::ready, Order::drain, Order::drain, Order::ready, Order::resume,
+                                 Order::resume, Order::ready, Order::drain})
+            p.tell(Ordered{++id, order});
+        // Read again while drained: still drained.
+        p.tell(Reread{"there:1", {}}), p.tell(Ordered{++id, Order::ready});
+        p.arrive(1), p.connected(), p.answered(200);
+        p.now = p.now + seconds(0.5), p.arrive(2), p.connected(), p.answered(200);
+        p.tell(Stopping{}), p.tell(Ordered{++id, Order::resume}), p.tell(Ordered{++id, Order::ready});
+    }
+    {
+        Play p("a large answer: its upstream is held while the caller takes nothing", Repeat::non_idempotent);
+        p.arrive(), p.connected(), p.begins_answer(), p.figures();
+        for (int i = 0; i < 5; ++i) p.comes(20000, false);
+        p.tell(Taken{1}), p.comes(20000, true), p.figures(), p.tell(Taken{1});
+    }
+    {
+        Play p("it breaks in the middle: nothing else follows", Repeat::idempotent);
+        p.arrive(), p.connected(), p.begins_answer(), p.failed(Progress::answering, Cause::broken);
+        p.answered(200);
+    }
+    {
+        Play p("its caller leaves in the middle", Repeat::idempotent);
+        p.arrive(), p.connected(), p.begins_answer(), p.tell(CallerLeft{1}), p.comes(10, true);
+    }
+    {
+        Play p("a large error, and a large answer to a caller who has left", Repeat::non_idempotent);
+        p.arrive(), p.connected(), p.begins_answer(500);
+        p.arrive(2), p.connected(), p.tell(CallerLeft{2}), p.begins_answer();
+    }
+    {
+        Play p("a large request: its time begins with its last byte", Repeat::non_idempotent);
+        p.begin(1), p.connected(), p.tell(Written{p.last}), p.now = p.now + seconds(30);
+        p.bring(1, 40000, false), p.bring(1, 40000, false), p.tell(Written{p.last});
+        p.bring(1, 10, true), p.tell(Written{p.last}), p.figures(), p.answered(200);
+    }
+    {
+        Play p("it breaks while all that has gone is held: forwarded again", Repeat::non_idempotent);
+        p.begin(1), p.connected(), p.failed(Progress::partly_written, Cause::broken), p.connected();
+        p.tell(Written{p.last}), p.bring(1, 10, true), p.answered(200);
+    }
+    {
+        Play p("it breaks later: nothing ran, and a retry is safe", Repeat::non_idempotent);
+        p.begin(1), p.connected(), p.tell(Written{p.last}), p.bring(1, 10, false);
+        p.failed(Progress::partly_written, Cause::broken);
+    }
+    {
+        Play p("it was sent whole, and breaks: it may have run, and cannot be sent again",
+               Repeat::idempotent);
+        p.begin(1), p.connected(), p.tell(Written{p.last}), p.bring(1, 10, true);
+        p.failed(Progress::written, Cause::broken);
+    }
+    {
+        Play p("its caller stops half way", Repeat::non_idempotent);
+        p.begin(1), p.connected(), p.tell(Written{p.last}), p.bring(1, 10, false), p.tell(CallerLeft{1});
+    }
     {
         Play p("no upstream at all", Repeat::idempotent);
         p.list(true, {}), p.arrive();
