--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -37,6 +37,7 @@
     // Closes what rests longest, at most so many; nobody who has just come or just been answered.
     size_t make_room(size_t count);
     size_t open() const;
+    bool telling_any() const { return !in_[telling].empty(); }
     void share(size_t processes);  // what this balancer may have
 
   private:
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -502,10 +502,10 @@
 {
     Running firtide(discovery);
     upstream_does = [](Wire& w, auto&) { pause(700), w.send(http(ok, "late")); };
-    Wire busy(firtide.port), resting(firtide.port), half(firtide.port);
+    Wire busy(firtide.port), resting(firtide.port), half(firtide.port), other(firtide.port);
     busy.send(get("x"));
     resting.ask("GET /-/ready HTTP/1.1\r\n\r\n");
-    half.ask("GET /-/ready HTTP/1.1\r\n\r\n");
+    half.ask("GET /-/ready HTTP/1.1\r\n\r\n"), other.ask("GET /-/ready HTTP/1.1\r\n\r\n");
     half.send("GET /safe/x HTTP/1.1\r\n");
     until([] { return asked > 0; });
     std::thread stop([&] {
@@ -526,8 +526,16 @@
     pause(500);
     std::printf("a second later, on a connection that rested: %s\n",
                 first_line(resting.ask(get("x"))).c_str());
+    other.send("GET /safe/x HTTP/1.1\r\n");
     std::printf("an idle connection is %s\n", resting.ended() ? "closed" : "still open");
     std::printf("what came after SIGTERM: %s\n", first_line(last.message()).c_str());
+    // Guards against leaving with the last answer on its way: nobody answers this one, until just before the
+    // end.
+    upstream_does = [](Wire& w, auto&) { w.ended(2000), w.close(); };
+    pause(900);
+    other.send(an_id() + "\r\n");
+    std::printf("what is whole just before the end, and never answered: %s\n",
+                first_line(other.message()).c_str());
     stop.join();
     std::printf("a new caller %s\n", Wire(firtide.port).open() ? "still gets in" : "is not let in any more");
 }
