No leaving with invocations in flight, however long they have

Leaving at 3.6 s after SIGTERM lost what had come before it with more than 3 s left (n0.log: 'leaving with 2 in flight'); the platform forgives what it kills itself, not what a process leaves behind. Only the flush of the last answer stays.

--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -14,7 +14,6 @@
 
 constexpr Span accept_on = seconds(0.5);    // after SIGTERM: callers go on coming for a moment
 constexpr Span wait_on = seconds(2.9);      // and no longer for a caller that does not finish its request
-constexpr Span leave_by = seconds(3.1);     // whatever is left: soon after, the process is killed
 constexpr Span look_every = seconds(0.02);  // whether all is answered
 constexpr Span count_every = seconds(0.2);  // processes of this balancer
 // While others serve the same callers: who has been at rest this long hardly asks just now, and who has come
@@ -259,11 +258,8 @@
     callers_.close_idle(gentle ? rested : Span{}, gentle ? silent : Span{});
     if (!stopped_accepting_) return;
     const Span since = monotonic_now() - *stopped_accepting_;
-    if (since > leave_by) {
-        spdlog::warn("leaving with {} in flight and {} callers", reducer_.in_flight(), callers_.open());
-        event_base_loopbreak(base_.get());
-    }
-    // Guards against leaving with the last answer handed to the loop and not yet to its caller.
+    // Guards against leaving with the last answer handed to the loop and not yet to its caller. What had come
+    // before the signal and has longer is seen to for as long as the process is let live.
     if (reducer_.in_flight() > 0 || callers_.telling_any()) return;
     // Guards against a caller that stops within a request and would hold the whole restart up.
     if (callers_.open() == 0 || since > wait_on) event_base_loopbreak(base_.get());
