--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -231,6 +231,7 @@
     if (most > at->held) {
         if (held_ - at->held + most > most_held_) {
             tell_(TurnedAway{request.operation, request.edition});
+            at->due = at->reader.still_due();
             return refuse(at, 503, "no room for the body");
         }
         hold(*at, most);
@@ -295,7 +296,7 @@
     const Place at = found->second;
     // What still comes of a request that has its answer is read in no other way.
     const bool last = answer.last_on_connection || !at->reader.done();
-    if (!at->reader.done()) at->due = at->reader.length().value_or(most_message) - at->reader.come();
+    at->due = at->reader.still_due();
     if (answer.response.more) {
         at->in_pieces = true;
         at->chunked = !answer.response.length && !at->reader.old();
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -90,7 +90,8 @@
     bool large() const;
     std::string take_piece() { return std::exchange(body(), {}); }
     std::optional<size_t> length() const { return length_; }
-    size_t come() const { return come_; }  // of the body
+    size_t come() const { return come_; }                                                     // of the body
+    size_t still_due() const { return done() ? 0 : length_.value_or(most_message) - come_; }  // at most
     bool done() const { return part_ == Part::done; }
     // The connection has ended without a fault: whether that is the message's end.
     bool ends_here() const { return part_ == Part::to_the_end; }
--- a/tests/message.cpp
+++ b/tests/message.cpp
@@ -62,6 +62,54 @@
     std::printf("%s: %s%s\n", what, whole.c_str(), alike ? "" : " (but not in pieces)");
 }
 
+// The same of a caller's request.
+void asked(const char* what, const std::string& bytes)
+{
+    const auto s = setup();
+    const auto read = [&](size_t cut) {
+        RequestReader reader(s);
+        size_t used = 0;
+        auto state = reader.take(bytes.substr(0, cut));
+        if (state == RequestReader::State::more && cut < bytes.size())
+            state = reader.take(bytes.substr(cut)), used += cut;
+        used += reader.used();
+        if (state == RequestReader::State::malformed)
+            return std::to_string(reader.why().status) + " " + reader.why().why;
+        if (state == RequestReader::State::more) return std::string("not whole");
+        const Request& r = reader.request();
+        return r.method + " " + r.target + " id " + r.id + " '" + r.body + "'" +
+               (reader.old() ? ", old" : "") + (reader.keeps_connection() ? "" : ", closes") +
+               (used < bytes.size() ? ", more behind it" : "");
+    };
+    const auto whole = read(bytes.size());
+    bool alike = true;
+    for (size_t cut = 0; cut < bytes.size(); ++cut) {
+        const auto in_two = read(cut);
+        // What comes behind a request that is whole may not have come yet.
+        alike = alike && (in_two == whole || in_two + ", more behind it" == whole);
+    }
+    std::printf("%s: %s%s\n", what, whole.c_str(), alike ? "" : " (but not in pieces)");
+}
+
+// A body too large to be taken in whole, cut in pieces of every size: what is taken away is all there is.
+void in_pieces(const char* what, const std::string& head, const std::string& body, const std::string& framed)
+{
+    const auto s = setup();
+    bool alike = true;
+    for (const size_t size : {1u, 7u, 4096u, 50000u}) {
+        ResponseReader reader(s);
+        std::string got;
+        auto state = ResponseReader::State::more;
+        const auto bytes = head + framed;
+        for (size_t at = 0; at < bytes.size() && state == ResponseReader::State::more; at += size) {
+            state = reader.take(bytes.substr(at, size));
+            if (reader.large()) got += reader.take_piece();
+        }
+        alike = alike && state == ResponseReader::State::whole && got == body;
+    }
+    std::printf("%s: %s\n", what, alike ? "all of it, in order" : "SOMETHING ELSE");
+}
+
 void config(const char* what, const std::string& text)
 {
     try {
@@ -126,6 +174,34 @@
     answer("no HTTP", "hello\r\n\r\n");
     answer("a header without colon", ok + "hello\r\n\r\n");
 
+    const std::string post = "POST /op/a HTTP/1.1\r\nReq-Id: 7\r\n";
+    asked("in chunks, with extensions and trailers",
+          post + "Transfer-Encoding: chunked\r\n\r\n3;e=1\r\nabc\r\n1\r\nd\r\n0\r\nT: x\r\n\r\n");
+    asked("behind empty lines, with a host in its target",
+          "\r\n\r\nGET http://a/op/b?c HTTP/1.1\r\nReq-Id: 7\r\n\r\n");
+    asked("old", "POST /op HTTP/1.0\r\nReq-Id: 7\r\nContent-Length: 2\r\n\r\nab");
+    asked("closing", post + "Connection: close\r\nContent-Length: 1\r\n\r\na");
+    asked("two at once", post + "Content-Length: 1\r\n\r\na" + post + "Content-Length: 1\r\n\r\nb");
+    asked("a bad chunk", post + "Transfer-Encoding: chunked\r\n\r\n-1\r\nabc\r\n");
+    asked("a chunk that overflows", post + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n");
+    asked("over 40 MiB", post + "Content-Length: 50000000\r\n\r\n");
+    asked("cut short", post + "Content-Length: 5\r\n\r\nabcd");
+    {
+        std::string body, framed;
+        for (int i = 0; i < 5000; ++i) {
+            const auto part = std::to_string(i) + " of a large body;";
+            char size[16];
+            std::snprintf(size, sizeof size, "%zx\r\n", part.size());
+            body += part, framed += size + part + "\r\n";
+        }
+        const auto stated = ok + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        in_pieces("a large body of a stated length", stated, body, body);
+        // Only from the size on at which an answer is passed on.
+        std::printf("pieces are framed as chunks: '%s' '%s' '%s'\n", encode_piece("ab", true, false).c_str(),
+                    encode_piece("", true, true).c_str(), encode_piece("c", false, true).c_str());
+        in_pieces("a large body in chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", body,
+                  framed + "0\r\n\r\n");
+    }
     const std::string head = R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff")";
     const std::string op = R"({"name":"op","repeat":"free"})";
     config("configuration", head + R"(,"name":"n1","settings":{"operations":[)" + op + "]}}");
