A caller that closes its sending side with its request is answered

It looked like one that goes away, and was given nothing. The two differ in when: within 30 ms of the request's last byte it is taken to listen, later to have left; while it is told its answer, what it does with the bytes shows it. Test: a caller that shuts down its side and waits; it got no answer before.

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -24,7 +24,8 @@
 constexpr Span may_rest = seconds(2);       // whatever room is needed
 constexpr Span asks_within = seconds(0.2);  // the same for a new connection or a request begun
 constexpr size_t some = 16;                 // connections to make room for at a time
-constexpr Span tell_every = seconds(1);     // of the same trouble in the log
+constexpr Span ends_with_request = seconds(0.03);
+constexpr Span tell_every = seconds(1);  // of the same trouble in the log
 constexpr Span look_every = seconds(0.05);
 constexpr size_t read_ahead = 8 * 1024;      // bytes of one connection that wait to be read
 constexpr size_t read_at_once = 64 * 1024;   // the same of a large body
@@ -55,9 +56,10 @@
     Point since;
     Stream stream;
     RequestReader reader;
-    CallerId caller = 0;  // of the request that waits for its answer
-    size_t due = 0;       // of its body, when it had its answer before all of it had come
-    bool last = false;    // after the answer being sent
+    CallerId caller = 0;    // of the request that waits for its answer
+    size_t due = 0;         // of its body, when it had its answer before all of it had come
+    bool sent_all = false;  // and closed its side
+    bool last = false;      // after the answer being sent
     bool in_pieces = false, chunked = false, to_the_end = false;  // the answer
     size_t held = 0, ignored = 0;
     uint32_t in_a_row = 0;
@@ -174,8 +176,9 @@
             auto* c = static_cast<Connection*>(arg);
             c->owner->written(c->self);
         },
-        [](bufferevent*, short, void* arg) {
+        [](bufferevent*, short what, void* arg) {
             auto* c = static_cast<Connection*>(arg);
+            if ((what & BEV_EVENT_EOF) && c->owner->still_listens(c->self)) return;
             c->owner->ended(c->self);
         },
         &*at);
@@ -374,6 +377,7 @@
     at->to_the_end = at->chunked = false;
     bufferevent_setwatermark(at->stream.get(), EV_READ, 0, read_ahead);
     hold(*at, 0);
+    if (at->sent_all) return close(at);
     if (at->last) {
         // Guards against an answer that is lost to a reset: what still comes is read for a moment.
         enter(at, leaving);
@@ -385,6 +389,18 @@
     bufferevent_trigger(at->stream.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
+// Whether a caller that sends nothing more is taken to read its answer all the same. One that closes its
+// sending side does so with its request, one that goes away has waited for a while; one that is being told
+// shows it by what it does with the bytes.
+bool Callers::still_listens(Place at)
+{
+    const bool with_request =
+        at->phase == waiting && at->reader.done() && monotonic_now() - at->since < ends_with_request;
+    if (!with_request && at->phase != telling) return false;
+    at->last = at->sent_all = true;
+    return true;
+}
+
 void Callers::ended(Place at)
 {
     const auto caller = at->caller;
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -61,6 +61,7 @@
     void refuse(Place at, int status, const char* why);
     void reply(Place at, const Response& response, bool last);
     void written(Place at);
+    bool still_listens(Place at);
     void ended(Place at);
     void close(Place at);
     void hold(Connection& c, size_t bytes);
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -337,10 +337,16 @@
         Wire caller(firtide.port);
         caller.send(get("x"));
         until([] { return asked == 1; });
+        pause(60);  // sooner, it could be one that sends nothing more and listens
         by_reset ? caller.reset() : caller.close();
         std::printf("a caller leaves%s: its forward is %s\n", by_reset ? " by a reset" : "",
                     until([] { return ended == 1; }, 300) ? "ended" : "still out");
     }
+    upstream_does = [](Wire& w, auto&) { pause(100), w.send(http(ok, "well")); };
+    Wire caller(firtide.port);
+    caller.send(get("x")), caller.end_sending();
+    tell("a caller closes its sending side alone", caller.message());
+    std::printf("and then its connection is %s\n", caller.ended(500) ? "closed" : "still open");
 }
 
 void idle(Running& firtide)
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -175,6 +175,7 @@
     {
         if (fd_ >= 0) ::close(std::exchange(fd_, -1));
     }
+    void end_sending() const { shutdown(fd_, SHUT_WR); }
     void reset()
     {
         const linger none{1, 0};
