One room for descriptors in callers and upstreams; smaller twins folded

What each side may have, and what both may together, stood in both with its halving: it is one class, Room. An answer that begins to be passed on is moved, not copied and cleared; the count of written forwards stands at its one caller; two readers in a test are cut by one function. Behaviour and every trace as before.

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -65,17 +65,12 @@
     uint32_t in_a_row = 0;
 };
 
-Callers::Callers(event_base* base, const Config& config, size_t most_open, size_t most,
-                 std::function<size_t()> others, std::function<bool()> ready, std::function<void()> crowded,
-                 std::function<void(Event)> tell)
+Callers::Callers(event_base* base, const Config& config, Room room, std::function<bool()> ready,
+                 std::function<void()> crowded, std::function<void(Event)> tell)
     : base_(base),
       config_(config),
-      all_open_(most_open),
-      all_(most),
-      most_open_(most_open),
-      most_(most),
+      room_(std::move(room)),
       most_held_(config.bodies),
-      others_(std::move(others)),
       ready_(std::move(ready)),
       crowded_(std::move(crowded)),
       tell_(std::move(tell))
@@ -144,12 +139,6 @@
     evconnlistener_disable(listener_.get());
 }
 
-// Guards against callers who take the descriptors that are kept back, for operators among others.
-bool Callers::full() const
-{
-    return open() >= most_open_ || open() + others_() >= most_;
-}
-
 size_t Callers::open() const
 {
     size_t all = 0;
@@ -184,7 +173,7 @@
         &*at);
     bufferevent_setwatermark(at->stream.get(), EV_READ, 0, read_ahead);
     bufferevent_enable(at->stream.get(), EV_READ | EV_WRITE);
-    if (full() && make_room(1) == 0) pause_listening();
+    if (room_.full(open()) && make_room(1) == 0) pause_listening();
 }
 
 void Callers::enter(Place at, Phase phase)
@@ -351,7 +340,7 @@
 void Callers::reply(Place at, const Response& response, bool last)
 {
     // Guards against callers who ask once and stay, by hundreds: what rests may not be closed at once.
-    const bool crowded = open() > most_open_ / 4 * 3;
+    const bool crowded = open() > room_.own() / 4 * 3;
     at->last = at->last || last || crowded;
     at->last = at->last || at->to_the_end;
     const auto bytes = encode_response(response, at->last, at->reader.old());
@@ -442,15 +431,15 @@
                      in_[asking].size(), in_[resting].size(), in_[waiting].size(), in_[telling].size(),
                      in_[leaving].size());
     }
-    if (full()) make_room(some + open() - std::min(open(), most_open_));
-    if (full()) return;
+    if (room_.full(open())) make_room(some + open() - std::min(open(), room_.own()));
+    if (room_.full(open())) return;
     paused_ = false;
     evconnlistener_enable(listener_.get());
 }
 
 bool Callers::someone_waits() const
 {
-    if (!listener_ || full()) return false;
+    if (!listener_ || room_.full(open())) return false;
     pollfd at{evconnlistener_get_fd(listener_.get()), POLLIN, 0};
     return poll(&at, 1, 0) > 0;
 }
@@ -477,10 +466,9 @@
 
 void Callers::share(size_t processes)
 {
-    most_open_ = all_open_ / processes;
-    most_ = all_ / processes;
+    room_.share(processes);
     most_held_ = config_.bodies / processes;
-    if (open() > most_open_) make_room(open() - most_open_);
+    if (open() > room_.own()) make_room(open() - room_.own());
 }
 
 size_t Callers::make_room(size_t count)
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -12,6 +12,7 @@
 
 #include "config.h"
 #include "event.h"
+#include "room.h"
 
 namespace firtide::net
 {
@@ -19,11 +20,10 @@
 class Callers
 {
   public:
-    // At most_open connections, or at most together with the others, nobody is let in until room is made.
-    // ready: whether `GET /-/ready` is to be answered 200. crowded: called when no descriptor is left.
-    Callers(event_base* base, const Config& config, size_t most_open, size_t most,
-            std::function<size_t()> others, std::function<bool()> ready, std::function<void()> crowded,
-            std::function<void(Event)> tell);
+    // Where its room is full nobody is let in until some is made. ready: whether `GET /-/ready` is to be
+    // answered 200. crowded: called when no descriptor is left.
+    Callers(event_base* base, const Config& config, Room room, std::function<bool()> ready,
+            std::function<void()> crowded, std::function<void(Event)> tell);
     ~Callers();
 
     void answer(const Answer& answer);
@@ -66,13 +66,11 @@
     void close(Place at);
     void hold(Connection& c, size_t bytes);
     void look();
-    bool full() const;
 
     event_base* base_;
     const Config& config_;
-    const size_t all_open_, all_;
-    size_t most_open_, most_, most_held_;
-    std::function<size_t()> others_;
+    Room room_;
+    size_t most_held_;
     size_t held_ = 0;  // bytes of bodies, taken in or promised
     std::function<bool()> ready_;
     std::function<void()> crowded_;
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -316,12 +316,6 @@
     if (i.request.more) i.goes_to = connected.attempt, i.on_way = i.request.body.size();
 }
 
-// Counted once, where the last byte has left: what came back may be heard of before that.
-void Reducer::count_written(Attempt& attempt)
-{
-    if (attempt.inv && !std::exchange(attempt.counted, true)) ++backend_calls_;
-}
-
 void Reducer::on(Written written)
 {
     const auto at = attempts_.find(written.attempt);
@@ -333,7 +327,8 @@
     }
     // What took long to come took its caller's time, not the upstream's.
     if (i.spent && !at->second.counted) at->second.sent = now_;
-    count_written(at->second);
+    // Once: what came back may be heard of before the last byte is known to have left.
+    backend_calls_ += !std::exchange(at->second.counted, true);
 }
 
 void Reducer::on(TurnedAway turned)
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -263,7 +263,6 @@
     std::vector<Listing> listings(const std::vector<Entry>& entries, bool all);
     void dial(AttemptId id, Attempt attempt);
     bool may_write(const Attempt& attempt) const;
-    void count_written(Attempt& attempt);
     Outcomes& outcomes_of(uint32_t operation);
     void ended(AttemptId id, Result result, Response* response);
     void answer(Inv inv, Response response);
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -81,12 +81,13 @@
       descriptors_(descriptors(config_.descriptors)),
       base_(make_base()),
       reducer_(config_.setup, config_.seed, text_of(config_.discovery), config_.bodies),
-      upstreams_(
-          base_.get(), config_.setup, part(part_of_upstreams), descriptors_,
-          [this] { return callers_.open(); }, [this](Event e) { post(std::move(e)); }),
+      upstreams_(base_.get(), config_.setup,
+                 Room(part(part_of_upstreams), descriptors_, [this] { return callers_.open(); }),
+                 [this](Event e) { post(std::move(e)); }),
       discovery_(base_.get(), config_, epoch_, [this](Event e) { post(std::move(e)); }),
       callers_(
-          base_.get(), config_, part(part_of_callers), descriptors_, [this] { return upstreams_.open(); },
+          base_.get(), config_,
+          Room(part(part_of_callers), descriptors_, [this] { return upstreams_.open(); }),
           [this] { return reducer_.ready(); }, [this] { make_room(); },
           [this](Event e) { post(std::move(e)); })
 {
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -77,16 +77,8 @@
     }
 };
 
-Upstreams::Upstreams(event_base* base, const Setup& setup, size_t most_open, size_t most,
-                     std::function<size_t()> others, std::function<void(Event)> tell)
-    : base_(base),
-      setup_(setup),
-      all_open_(most_open),
-      in_all_(most),
-      most_open_(most_open),
-      most_(most),
-      others_(std::move(others)),
-      tell_(std::move(tell))
+Upstreams::Upstreams(event_base* base, const Setup& setup, Room room, std::function<void(Event)> tell)
+    : base_(base), setup_(setup), room_(std::move(room)), tell_(std::move(tell))
 {
 }
 
@@ -94,9 +86,8 @@
 
 void Upstreams::share(size_t processes)
 {
-    most_open_ = all_open_ / processes;
-    most_ = in_all_ / processes;
-    if (all_.size() > most_open_) close_oldest_idle(all_.size() - most_open_);
+    room_.share(processes);
+    if (all_.size() > room_.own()) close_oldest_idle(all_.size() - room_.own());
 }
 
 void Upstreams::dial(const Dial& dial)
@@ -112,8 +103,8 @@
         serve(at, dial.attempt, dial.limit);
         return tell_(Connected{dial.attempt});
     }
-    if (full()) close_oldest_idle(1);
-    if (full()) {
+    if (room_.full(open())) close_oldest_idle(1);
+    if (room_.full(open())) {
         return tell_(Failed{dial.attempt, {Progress::not_connected, Cause::no_descriptor}});
     }
     const Place at = connect(dial.tgt, dial.endpoint);
@@ -347,14 +338,12 @@
         wait_for(at, moves_within);
         if (auto piece = at->reader.take_piece(); !piece.empty())
             tell_(Came{at->attempt, std::move(piece), false});
-    } else if (at->reader.come() > (at->reader.length() ? 0 : most_untold) &&
-               (at->reader.large() || !at->reader.length())) {
+    } else if (at->reader.length() ? at->reader.large() && at->reader.come() > 0
+                                   : at->reader.come() > most_untold) {
         // Guards against gathering an answer of no stated length, piece by piece, until its time is up.
         at->passed_on = true;
         wait_for(at, moves_within);
-        auto& response = at->reader.response();
-        Response first = response;
-        response.body = {};
+        auto first = std::exchange(at->reader.response(), {});
         first.more = true;
         first.length = at->reader.length();
         tell_(Answered{at->attempt, std::move(first)});
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -9,6 +9,7 @@
 
 #include "event.h"
 #include "reducer.h"
+#include "room.h"
 
 namespace firtide::net
 {
@@ -16,8 +17,7 @@
 class Upstreams
 {
   public:
-    Upstreams(event_base* base, const Setup& setup, size_t most_open, size_t most,
-              std::function<size_t()> others, std::function<void(Event)> tell);
+    Upstreams(event_base* base, const Setup& setup, Room room, std::function<void(Event)> tell);
     ~Upstreams();
 
     void dial(const Dial& dial);
@@ -51,11 +51,7 @@
 
     event_base* base_;
     const Setup& setup_;
-    bool full() const { return all_.size() >= most_open_ || all_.size() + others_() >= most_; }
-
-    const size_t all_open_, in_all_;  // of these connections, and of all
-    size_t most_open_, most_;
-    std::function<size_t()> others_;
+    Room room_;
     std::function<void(Event)> tell_;
     std::list<Connection> all_;
     std::unordered_map<AttemptId, Place> of_attempt_;
--- a/tests/message.cpp
+++ b/tests/message.cpp
@@ -32,17 +32,24 @@
                 encode_request(r, "host:1", seconds(0.4567)).c_str());
 }
 
+// How a reader ends that gets the bytes in two pieces, and how many of them it used.
+template <class Reader>
+std::pair<MessageReader::State, size_t> take_in_two(Reader& reader, const std::string& bytes, size_t cut)
+{
+    auto state = reader.take(bytes.substr(0, cut));
+    size_t before = 0;
+    if (state == MessageReader::State::more && cut < bytes.size())
+        state = reader.take(bytes.substr(cut)), before = cut;
+    return {state, before + reader.used()};
+}
+
 // The same bytes whole and cut at every place must read the same.
 void answer(const char* what, const std::string& bytes, size_t last_cut = 400)
 {
     const auto s = setup();
     const auto read = [&](size_t cut) {
         ResponseReader reader(s);
-        size_t used = 0;
-        auto state = reader.take(bytes.substr(0, cut));
-        if (state == ResponseReader::State::more && cut < bytes.size())
-            state = reader.take(bytes.substr(cut)), used += cut;
-        used += reader.used();
+        const auto [state, used] = take_in_two(reader, bytes, cut);
         const Response& r = reader.response();
         std::string text = state == ResponseReader::State::malformed ? "malformed"
                            : state == ResponseReader::State::more    ? "not whole"
@@ -68,11 +75,7 @@
     const auto s = setup();
     const auto read = [&](size_t cut) {
         RequestReader reader(s);
-        size_t used = 0;
-        auto state = reader.take(bytes.substr(0, cut));
-        if (state == RequestReader::State::more && cut < bytes.size())
-            state = reader.take(bytes.substr(cut)), used += cut;
-        used += reader.used();
+        const auto [state, used] = take_in_two(reader, bytes, cut);
         if (state == RequestReader::State::malformed)
             return std::to_string(reader.why().status) + " " + reader.why().why;
         if (state == RequestReader::State::more) return std::string("not whole");
