--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -221,13 +221,17 @@
 
     // ---- the rules: what every send, throttling reply and answer passes ----
 
-    bool is_cold(const Upstream& u) const { return u.listing.started && now - *u.listing.started < set.cold; }
+    // Its start may have been later than it is told (rule 5).
+    bool is_cold(const Upstream& u) const
+    {
+        return u.listing.started && now - *u.listing.started < set.cold + set.ready_margin;
+    }
 
     // The part of its capacity an upstream has at least, by its last start.
     double warm_share(const Upstream& u) const
     {
         if (!is_cold(u)) return 1;
-        const double age = std::max(0.0, (now - *u.listing.started) / set.cold);
+        const double age = std::max(0.0, (now - *u.listing.started - set.ready_margin) / set.cold);
         return set.cold_share + (1 - set.cold_share) * age;
     }
 
@@ -742,10 +746,13 @@
         route(id);
     }
 
+    // Rule 5: the client may wait for longer than it is told, its client timeout at most. Guards against
+    // invocations given up for time that only a clock says is gone; the true end cuts their forwards.
     void count_time(Invocation& inv, Span left, bool by_objective)
     {
         inv.arrived = now;
-        inv.useful = inv.leaves = now + left;
+        inv.useful = inv.leaves =
+            now + std::max(left, std::min(left + set.left_margin, inv.op.client_timeout));
         if (by_objective && inv.op.latency_objective > Span{} && inv.op.late_billed_value <= 0)
             inv.useful = std::min(inv.leaves, now + inv.op.latency_objective);
     }
--- a/src/decode_settings.cpp
+++ b/src/decode_settings.cpp
@@ -33,6 +33,16 @@
         return parsed;
     }
 
+    // 1 or more, where given.
+    uint32_t whole(const std::string& key, uint32_t absent) const
+    {
+        const double value = number(key, absent);
+        const auto as = static_cast<uint32_t>(std::min(value, double{UINT32_MAX}));
+        if (!text(key).empty() && (as < 1 || as != value))
+            throw BadSetting(key + ": a whole number of 1 or more is expected");
+        return as;
+    }
+
     Span span(const std::string& key, Span absent) const
     {
         return {static_cast<int64_t>(number(key, static_cast<double>(absent.us)))};
@@ -120,9 +130,9 @@
         op.window = in.span(at + "window_us", op.window);
         op.latency_objective = in.span(at + "latency_objective_us", op.latency_objective);
         op.late_billed_value = in.number(at + "late_billed_value", op.late_billed_value);
+        op.client_timeout = in.span(at + "client_timeout_us", op.client_timeout);
         s.operations.push_back(op);
         out.operations.emplace_back(in.text(at + "name"));
-        out.client_timeouts.push_back(in.span(at + "client_timeout_us", seconds(10)));
     }
     for (size_t i = 0; i < in.count("projects"); ++i) {
         const auto at = "projects." + std::to_string(i) + ".";
@@ -156,6 +166,9 @@
     s.cold = in.span("contract.cold_us", s.cold);
     s.fall_multiple = in.number("contract.fall_multiple", s.fall_multiple);
     s.fall = in.span("contract.fall_us", s.fall);
+    s.left_margin = in.span("contract.left_margin_us", s.left_margin);
+    s.ready_margin = in.span("contract.ready_margin_us", s.ready_margin);
+    s.reply_slots = in.whole("policy_limits.reply_slots", s.reply_slots);
     out.sizes_listed = in.choice<bool>(
         "weights", {{"silent", false}, {"nominal", true}, {"rough", true}, {"live", false}}, false);
     out.report_names = in.names("telemetry.fields");
--- a/src/decode_settings.h
+++ b/src/decode_settings.h
@@ -30,7 +30,6 @@
     bool sizes_listed = false;
 
     std::vector<std::string> operations, tenants, zones;  // names; a number stands for the place in these
-    std::vector<Span> client_timeouts;                    // by operation
     Span connect_timeout = seconds(1);
     Span idle_close = seconds(5);  // an upstream closes a connection that has stood idle this long
 };
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -137,7 +137,7 @@
     if (!operation) return Unacceptable{404, "no such operation"};
     into.operation = *operation;
     into.edition = setup.edition;
-    into.time_left = setup.client_timeouts[*operation];
+    into.time_left = setup.settings.operations[*operation].client_timeout;
     const auto nobody = static_cast<uint32_t>(setup.tenants.size());
     into.tenant = nobody;  // what no tenant is named for counts against nobody's share
     for (auto& [name, value] : headers) {
--- a/src/settings.h
+++ b/src/settings.h
@@ -20,6 +20,7 @@
     Span window;             // deduplicated: how long a repeat is recognised
     Span latency_objective;  // zero: none
     double late_billed_value = 0;
+    Span client_timeout = seconds(10);  // of all of a client's tries together
 };
 
 struct Settings {
@@ -44,6 +45,9 @@
     Span cold = seconds(30);
     double fall_multiple = 2;
     Span fall = seconds(1);
+    Span left_margin;   // how far the time left that an invocation comes with can be off, either way
+    Span ready_margin;  // how far a listed start can be off, either way
+    uint32_t reply_slots = 0;  // answers that can wait for callers that are still reading; zero: no such limit
 };
 
 }  // namespace firtide
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -14,7 +14,6 @@
     Setup s;
     s.settings = Stage::settings(Stage::op(repeat));
     s.operations = {"op"};
-    s.client_timeouts = {seconds(2)};
     s.report_names = {"q"};
     s.report = {&Report::queue};
     return s;
@@ -209,7 +208,6 @@
         Setup next = setup(Repeat::non_idempotent);
         next.operations = {"other", "op"};
         next.settings.operations.insert(next.settings.operations.begin(), Stage::op(Repeat::idempotent));
-        next.client_timeouts.push_back(seconds(2));
         p.arrive(1), p.connected(), p.tell(Reread{"here:1", next}), p.arrive(2), p.connected();
         p.failed(Progress::written, Cause::broken);
         next.operations = {"other", "third"};
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -36,7 +36,7 @@
 
     static Operation op(Repeat repeat, Group group = Group::all)
     {
-        return {repeat, group, seconds(2), seconds(1), 0};
+        return {repeat, group, seconds(2), seconds(1), 0, seconds(2)};
     }
 
     static Settings settings(Operation operation)
