--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -40,6 +40,7 @@
 constexpr Span believed = seconds(5);        // what another instance told, after its last message
 constexpr double overdue_at = 2;             // high quantiles of answer times: no more counted as held
 constexpr double most_spent = 0.02;          // on messages, of what an invocation is worth
+constexpr double most_probed = 0.0005;       // the same on probes
 constexpr size_t least_message = 8;          // bytes, as counted
 constexpr double usual_crowd = 5;  // held by an upstream: more is left to others, where that is known
 constexpr Span rate_over = seconds(4);
@@ -206,6 +207,8 @@
     std::vector<std::pair<uint16_t, Tgt>> told_names;  // of upstreams in messages, in order
     bool tell_due = false, telling = false, probing = false;
     double may_spend = 0;  // bytes delivered to others
+    double may_probe = 0;  // upstreams
+    Tgt probe_next = 0;
 
     std::vector<Tgt> near, far;  // all that have a place, each in this instance's own order of preference
     std::vector<std::pair<Tgt, double>> weights;
@@ -743,6 +746,8 @@
         if (too_busy(over_share) || refused()) return finish(id, true, come_back());
         if (set.message_price > 0)
             may_spend = std::min(may_spend + most_spent / set.message_price * most_message, 1e6);
+        may_probe = std::min(may_probe + (set.probe_price > 0 ? most_probed / set.probe_price : 1e6),
+                             static_cast<double>(ups.size()));
         route(id);
     }
 
@@ -947,11 +952,13 @@
     {
         later(now + probe_every * (0.75 + 0.5 * roll()), [this] {
             if (!(probing = probes())) return;
-            // Guards against hundreds of instances that probe what they do not use.
-            for (Tgt t = 0; t < ups.size(); ++t) {
+            // Guards against hundreds of instances that probe what they do not use, or for more than it is
+            // worth: where that is little, each has its turn.
+            for (size_t n = 0; n < ups.size() && may_probe >= 1; ++n) {
+                const Tgt t = probe_next++ % static_cast<Tgt>(ups.size());
                 const Upstream& u = ups[t];
                 const bool used = u.out > 0 || now - u.last_end < probe_every;
-                if (used && u.listing.presence == Presence::ready) out.probe(t);
+                if (used && u.listing.presence == Presence::ready) out.probe(t), may_probe -= 1;
             }
             probe_later();
         });
--- a/src/decode_settings.cpp
+++ b/src/decode_settings.cpp
@@ -147,6 +147,7 @@
     s.tier = static_cast<uint32_t>(in.number("tier", s.tier));
     s.zone = static_cast<uint32_t>(in.number("zone", s.zone));
     s.crossing_price = in.number("prices.cross_zone", s.crossing_price);
+    s.probe_price = in.number("prices.probe", s.probe_price);
     s.message_price = in.number("prices.peer", s.message_price);
     s.reports_by_probe =
         in.choice<bool>("telemetry.source", {{"piggyback", false}, {"pull", true}, {"silent", false}}, false);
--- a/src/settings.h
+++ b/src/settings.h
@@ -36,6 +36,7 @@
     bool may_cancel = false;
     bool may_overlap = false;
     bool may_probe = false;
+    double probe_price = 0;    // of one probe, as a part of what an invocation is worth
     double message_price = 0;  // of 256 bytes to one of them, as a part of what an invocation is worth
     bool may_tell = false;     // messages to the other balancers
     uint32_t max_forwards = 1;
--- a/tests/switch.cpp
+++ b/tests/switch.cpp
@@ -66,6 +66,11 @@
     s.say("reports by probe alone, then with answers again");
     s.balancer.settings_are(s.now, probing, {0, 1, 2}, {});
     s.wait(seconds(0.7)), s.many(8), s.wake();
+    auto dear = probing;
+    dear.probe_price = 0.05;
+    s.say("a probe costs a twentieth of an invocation: for a hundred of them one, in turn");
+    s.balancer.settings_are(s.now, dear, {0, 1, 2}, {});
+    for (int i = 0; i < 6; ++i) s.many(60), s.wake(), std::printf("60 answered\n");
     s.balancer.settings_are(s.now, before(), {0, 1, 2}, {});
     s.many(8), s.wake(), s.wait(seconds(0.7)), s.many(8), s.wake();
     std::printf("no more probes\n");
