--- a/drill/instance.cpp
+++ b/drill/instance.cpp
@@ -82,7 +82,7 @@
     Ask ask;
     ask.operation = in.get<uint8_t>();
     ask.tenant = in.get<uint32_t>();
-    in.get<uint64_t>();  // the subject
+    ask.key = in.get<uint64_t>();
     ask.time_left = Span{in.get<uint32_t>()};
     in.get<uint32_t>();  // the expected work
     in.get<uint16_t>();  // marks
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -39,6 +39,8 @@
 constexpr Span tell_all_every = seconds(2);  // about: all of it, and what tenants ask
 constexpr Span believed = seconds(5);        // what another instance told, after its last message
 constexpr double overdue_at = 2;             // high quantiles of answer times: no more counted as held
+constexpr size_t most_subjects = 32;         // keys that failed lately, of which something is kept
+constexpr double nearly_late = 0.7;          // of the latency objective
 constexpr double most_spent = 0.02;          // on messages, of what an invocation is worth
 constexpr double most_probed = 0.0005;       // the same on probes
 constexpr size_t least_message = 8;          // bytes, as counted
@@ -84,6 +86,7 @@
     bool may_overlap = false;
     uint32_t max_forwards = 1;
     uint32_t operation = 0;
+    uint64_t key = 0;
     Point arrived, leaves, useful;  // the client's time is up; an answer later is worth nothing
     bool over = true;
     bool early = false;  // accepted while little was out
@@ -97,6 +100,14 @@
     bool hard = false;  // raised by full answers or paired timeouts and resets: refusal is allowed
 };
 
+// Lives while its key is among the last that failed.
+struct Subject {
+    uint64_t key = 0;
+    double failed = 0, answered = 0;  // of its last answers: their share, how many
+    Entry entry;
+    Point failed_at;
+};
+
 // Lives as long as the list names the upstream (its past is kept when it leaves).
 struct Upstream {
     Listing listing;
@@ -174,6 +185,9 @@
     std::unordered_map<uint64_t, std::function<void()>> sleeping;
     uint64_t next_name = 0;
 
+    std::vector<Subject> subjects;
+    double mean_failed = 0, outcomes = 0;  // of what no entry by key holds back: share, how many
+
     double mean_load = 0, mean_errors = 0;
     Point fellows_at{INT64_MIN / 2};
 
@@ -374,6 +388,44 @@
 
     // ---- what is learnt from answers ----
 
+    Subject* subject(uint64_t key)
+    {
+        const auto at = std::find_if(subjects.begin(), subjects.end(), [&](auto& s) { return s.key == key; });
+        return key && at != subjects.end() ? &*at : nullptr;
+    }
+
+    // The entry of a key now: past its expiry it falls one step a second.
+    double held_back(uint64_t key)
+    {
+        const Subject* s = subject(key);
+        if (!s || now < s->entry.expires) return s ? s->entry.reduction : 0;
+        return std::max(0.0, s->entry.reduction - step * (now - s->entry.expires).seconds());
+    }
+
+    // Guards against what all with one key wait for behind the upstreams (a lock, a row): none is quicker,
+    // what waits fills them all, and what is refused there looks like their errors. With nothing to divert
+    // to, an entry throttles. Harm: a key whose work is long by nature, or many that fail by chance, if all
+    // do.
+    void judge_subject(uint64_t key, bool failed)
+    {
+        Subject* s = subject(key);
+        const double standing = held_back(key);
+        if (standing <= 0) mean_failed += std::max(0.02, 1 / ++outcomes) * (failed - mean_failed);
+        if (!key || (!s && !failed)) return;
+        if (!s && subjects.size() < most_subjects) s = &subjects.emplace_back();
+        if (!s)
+            s = &*std::min_element(subjects.begin(), subjects.end(),
+                                   [](auto& a, auto& b) { return a.failed_at < b.failed_at; });
+        if (s->key != key) *s = Subject{}, s->key = key;
+        s->answered = std::min(s->answered + 1, recent / 2.0);
+        s->failed += (failed - s->failed) / s->answered;
+        s->entry.reduction = standing;
+        if (!failed) return;
+        s->failed_at = now;
+        if (s->answered < 2 || s->failed < 0.25 + 2 * mean_failed) return;
+        s->entry = {std::min(1.0, standing + sure_step), now + divert_expiry};
+    }
+
     void raise(Upstream& u, double by, bool hard)
     {
         const double standing = entry_reduction(u);
@@ -469,7 +521,9 @@
                 late_any = late_any <= 0 ? t : late_any * (t > late_any ? 1.095 : 0.995);
                 judge(u, t / std::max(1e-6, op.usual));
                 break;
-            case Result::errored: judge(u, {}); break;
+            case Result::errored:
+                if (!stuck) judge(u, {});
+                break;
             case Result::full:
                 raise(u, step, true);
                 // Guards against a tier that turns most away, and looks well by the times of its answers.
@@ -732,6 +786,7 @@
         inv.may_overlap = set.may_overlap;
         inv.max_forwards = set.max_forwards;
         inv.operation = ask.operation;
+        inv.key = ask.key;
         count_time(inv, ask.sending ? may_send_for : ask.time_left, !ask.sending);
         inv.over = false;
         weigh_room();
@@ -743,6 +798,7 @@
         around += (held() - around) / smooth;
         retry_tokens = std::min(most_retries, retry_tokens + retry_share);
         const bool over_share = beyond_share(ask.tenant);
+        if (const double r = held_back(ask.key); r > 0 && roll() < r) return finish(id, true, come_back());
         if (too_busy(over_share) || refused()) return finish(id, true, come_back());
         if (set.message_price > 0)
             may_spend = std::min(may_spend + most_spent / set.message_price * most_message, 1e6);
@@ -794,7 +850,7 @@
         }
         if (result == Result::unusable) return finish(id, false);
         const double needed = ops[inv.operation].usual;
-        if (inv.op.repeat != Repeat::non_idempotent && retry_tokens >= 1 &&
+        if (inv.op.repeat != Repeat::non_idempotent && retry_tokens >= 1 && held_back(inv.key) <= 0 &&
             (inv.useful - now).seconds() > needed) {
             retry_tokens -= 1;
             return route(id);
@@ -809,7 +865,10 @@
         Upstream& u = ups[f.tgt];
         f.out = false;
         f.proven_not_run = proves_not_run(result);
-        const bool stuck = stalled(u);
+        const bool stuck = stalled(u) || held_back(inv.key) > 0;
+        if (result == Result::succeeded || result == Result::errored || result == Result::timed_out)
+            judge_subject(inv.key,
+                          result != Result::succeeded || took > inv.op.latency_objective * nearly_late);
         --u.out;
         if (f.overdue) --u.overdue, --overdue;
         --outstanding;
--- a/src/balance.h
+++ b/src/balance.h
@@ -50,6 +50,7 @@
     uint32_t tenant = 0;
     Span time_left;        // from its last byte
     bool sending = false;  // that has not come yet: sent() will tell of it
+    uint64_t key = 0;      // of its subject: those with the same go together; 0: none
 };
 
 // Where each of some things was before; none: it is new.
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -61,9 +61,9 @@
     {
         balancer.list_changed(now, {{t, t, presence, t % 2, t / 2, 1, started}});
     }
-    void accept(Inv inv, Span left = seconds(2), uint32_t tenant = 0)
+    void accept(Inv inv, Span left = seconds(2), uint32_t tenant = 0, uint64_t key = 0)
     {
-        balancer.accept(now, inv, {0, tenant, left});
+        balancer.accept(now, inv, {0, tenant, left, false, key});
     }
     void end(Inv inv, Result result, Span took = seconds(0.1), Report report = {})
     {
