--- a/drill/instance.cpp
+++ b/drill/instance.cpp
@@ -54,6 +54,7 @@
         if (e.state > 2) throw Malformed("unknown state of an upstream");
         Listing l{upstream(e.upstream), e.upstream, static_cast<Presence>(e.state), e.zone, e.cell, 1, {}};
         if (setup_.sizes_listed && std::isfinite(e.nominal) && e.nominal > 0) l.size = e.nominal;
+        l.kind = e.kind;
         if (e.ready_at) l.started = Point{static_cast<int64_t>(e.ready_at)};
         listings_.push_back(l);
     }
--- a/drill/instance.h
+++ b/drill/instance.h
@@ -16,6 +16,7 @@
 struct Entry {
     uint32_t upstream;
     uint8_t zone;
+    uint16_t kind;
     uint16_t cell;
     uint8_t state;
     float nominal;
--- a/drill/main.cpp
+++ b/drill/main.cpp
@@ -69,7 +69,7 @@
             Entry e{};
             e.upstream = in.get<uint32_t>();
             e.zone = in.get<uint8_t>();
-            in.get<uint16_t>();  // the kind of machine
+            e.kind = in.get<uint16_t>();
             e.cell = in.get<uint16_t>();
             e.state = in.get<uint8_t>();
             e.nominal = in.get<float>();
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -25,7 +25,8 @@
 constexpr double first_trickle = 0.02;      // what a full reduction lets through when it starts to fall
 constexpr Span report_age = seconds(0.5);   // a report's distance from the others' mean halves in about this
 constexpr Span slowness_age = seconds(8);   // what last answers took is half forgotten in this
-constexpr double tells_load = 0.25;         // a mean of reported loads that says something
+constexpr double own_gain = 0.1, kind_gain = 0.01;  // of one answer: in the means of upstream and kind
+constexpr double tells_load = 0.25;                 // a mean of reported loads that says something
 constexpr size_t recent = 16, enough = 5;   // answers an upstream is judged by, about; fewer say nothing
 constexpr double well_above = 1.8;          // times the fellows' median
 constexpr double long_queue = 3;            // and this many more, where the mean is next to none
@@ -158,6 +159,10 @@
     double usual = 0, quick = 0;  // seconds: a slow mean of answer times, and a low quantile
 };
 
+struct Kind {  // of machine
+    double slowness = 1, answered = 10;
+};
+
 }  // namespace
 
 // Lives as long as the instance.
@@ -185,6 +190,7 @@
     std::unordered_map<uint64_t, std::function<void()>> sleeping;
     uint64_t next_name = 0;
 
+    std::vector<Kind> kinds;
     std::vector<Subject> subjects;
     double mean_failed = 0, outcomes = 0;  // of what no entry by key holds back: share, how many
 
@@ -494,10 +500,15 @@
     {
         u.answered = std::min(recent, u.answered + 1);
         u.errors += ((time ? 0 : 1) - u.errors) / static_cast<double>(u.answered);
-        if (time) u.slowness = slowness(u) + 0.25 * (std::min(*time, 5.0) - slowness(u)), u.slowness_at = now;
-        // Guards against quick errors: they make an upstream look idle and draw work to it.
-        else if (u.answered >= enough && u.errors > 0.25 + 2 * mean_errors)
+        if (time) {
+            Kind& k = kinds[u.listing.kind];
+            const double t = std::min(*time, 5.0);
+            k.slowness += std::max(kind_gain, 1 / ++k.answered) * (t - k.slowness);
+            u.slowness = slowness(u) + own_gain * (t - slowness(u)), u.slowness_at = now;
+        } else if (u.answered >= enough && u.errors > 0.25 + 2 * mean_errors) {
+            // Guards against quick errors: they make an upstream look idle and draw work to it.
             raise(u, sure_step, false);
+        }
     }
 
     // Guards against idle connections that died without a word: forwards after a rest hang or are reset.
@@ -686,10 +697,12 @@
         return std::max(own, report + (u.load_counts_own ? own - u.out_at_report : own));
     }
 
-    // Guards against slow upstreams that report no load: what their last answers took, forgotten slowly.
+    // Guards against slow upstreams that report no load: what their last answers took, forgotten slowly for
+    // what their kind's took, of which a thin instance sees more. Harm: where a kind is met in trouble alone.
     double slowness(const Upstream& u) const
     {
-        return 1 + (u.slowness - 1) * std::exp2(-((now - u.slowness_at) / slowness_age));
+        const double usual = kinds[u.listing.kind].slowness;
+        return usual + (u.slowness - usual) * std::exp2(-((now - u.slowness_at) / slowness_age));
     }
 
     // Sharp, since what is known is old and seldom the same at two instances; gently where all are told it.
@@ -913,9 +926,8 @@
             u.cold_tokens = roll();  // so that instances told together do not all send at once
         }
         u.listing = l;
-        if (u.known) return;
-        u.known = true;
-        place(l.tgt);
+        if (kinds.size() <= l.kind) kinds.resize(l.kind + 1);
+        if (!std::exchange(u.known, true)) place(l.tgt);
     }
 
     void place(Tgt tgt)
--- a/src/balance.h
+++ b/src/balance.h
@@ -35,6 +35,7 @@
     uint32_t cell = 0;
     double size = 1;
     std::optional<Point> started;  // absent: long ago
+    uint32_t kind = 0;             // of machine
 };
 
 struct Report {
--- a/tests/size.cpp
+++ b/tests/size.cpp
@@ -111,6 +111,20 @@
     }
     std::printf("it got %d of 120\n", slow_got);
 
+    // Guards against a kind of slow machines that each instance meets too seldom to know one by one.
+    Stage k(one_of(400));
+    std::vector<Listing> kinds;
+    for (Tgt t = 0; t < 60; ++t) kinds.push_back({t, t, Presence::ready, 0, 0, 1, {}, t % 2});
+    k.balancer.list_is(k.now, kinds);
+    k.say("every second machine is of a kind that takes three times as long, one invocation in 2 s");
+    int first = 0, last = 0;
+    for (int i = 0; i < 200; ++i) {
+        k.wait(seconds(2));
+        const bool odd = one(k, [](Tgt at) { return std::pair(Result::succeeded, at % 2 ? 0.3 : 0.1); }) % 2;
+        (i < 100 ? first : last) += odd;
+    }
+    std::printf("they got %d of the first 100, %d of the next\n", first, last);
+
     Stage r(one_of(400));
     r.list(60);
     r.say("one of the few restarts: within its budget it gets work while it warms up");
