--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -65,7 +65,9 @@
 constexpr double smooth = 10;                          // asks over which the limit binds the mean
 constexpr double usual_calm = 0.2;                     // of the latency objective, until more is known
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
-constexpr double spare = -0.1;          // below this, work beyond a tenant's share is welcome
+constexpr double shared_from = 0.6;     // of the limit: below, work beyond a tenant's share is welcome
+constexpr double typical_use = 1.25;    // a middling tenant's share over what it uses of it
+constexpr double saved_up = 4;  // invocations that a tenant under its share may save, where its part is thin
 
 bool proves_not_run(Result r)
 {
@@ -153,6 +155,8 @@
 
 struct Tenant {
     double quota = 0, came = 0, rate = 0;  // invocations
+    double saved = 1;                      // of its part, by then
+    Point at;
 };
 
 struct OperationView {
@@ -218,6 +222,7 @@
     double around = 0;          // the mean own work out that the last asks met
     double met = 0, met_n = 0;  // own outstanding work as asks met it since the last look
     std::vector<Tenant> tenants;
+    double own_part = 0;                           // of all traffic, by what the middling tenant asks here
     double stuck_out = 0;                          // own work out that stands still
     bool queues_told = false, times_told = false;  // by the upstreams
 
@@ -654,21 +659,36 @@
         share_at = now;
         for (Tenant& t : tenants)
             t.rate += (t.rate > 0 ? 0.3 : 1) * (std::exchange(t.came, 0) / gone - t.rate);
-    }
-
-    // True, by chance, for what a tenant asks of all instances beyond its share; untold, nothing is beyond
-    // it.
+        std::vector<double> uses;
+        for (const Tenant& t : tenants)
+            if (t.quota > 0) uses.push_back(t.rate / t.quota);
+        if (uses.size() < 3 || pressure > aim()) return;
+        const auto half = uses.begin() + static_cast<std::ptrdiff_t>(uses.size() / 2);
+        std::nth_element(uses.begin(), half, uses.end());
+        own_part += 0.2 * (typical_use * *half - own_part);
+    }
+
+    // True for what a tenant asks beyond its share: of all instances, where they tell; else beyond an even
+    // part of it, or a part as great as the middling tenant makes of its own here. Harm: where shares are all
+    // that differs between instances, and only while the limit is near.
     bool beyond_share(uint32_t tenant)
     {
-        if (tenant >= tenants.size()) return false;
+        if (tenant >= tenants.size() || tenants[tenant].quota <= 0) return false;
         weigh_rates();
         Tenant& t = tenants[tenant];
         ++t.came;
-        if (heard == 0 || t.quota <= 0) return false;
-        double all = t.rate;
-        for (const Peer& p : peers)
-            if (tenant < p.rates.size()) all += p.rates[tenant];
-        return roll() * all > t.quota;
+        if (heard > 0) {
+            double all = t.rate;
+            for (const Peer& p : peers)
+                if (tenant < p.rates.size()) all += p.rates[tenant];
+            return roll() * all > t.quota;
+        }
+        const double part = t.quota * std::max(own_part, 1.0 / std::max(1u, set.balancers));
+        t.saved = std::min(std::max(saved_up, 2 * part), t.saved + (now - t.at).seconds() * part);
+        t.at = now;
+        const bool beyond = t.saved + roll() < 1;
+        if (!beyond) --t.saved;
+        return beyond;
     }
 
     // Only the first tier turns work away for being busy: deeper, the work done above would be lost with it.
@@ -679,7 +699,7 @@
         // The limit is on the mean; own work swings about it by its root.
         const double most = std::min(limit, most_limit());
         return (moving + roll() >= most && around >= most) || moving + roll() >= most + 2 * std::sqrt(most) ||
-               (over_share && pressure > calm + spare * (1 - calm));
+               (over_share && around > shared_from * most);
     }
 
     Span come_back() { return set.max_come_back * (0.5 + 0.5 * roll()); }
