--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -61,9 +61,9 @@
 constexpr double least_of_good = 0.5;  // the least limit, as a part of what went well
 constexpr double untried = 3;          // times two for each upstream: the limit until more went well
 constexpr double least_able = 0.25;    // of the upstreams, as the limit takes them
-constexpr double over_good = 1.15, for_chance = 0.35;  // the greatest limit: times what went well, and more
-constexpr double smooth = 10;                          // asks over which the limit binds the mean
-constexpr double usual_calm = 0.2;                     // of the latency objective, until more is known
+constexpr double over_good = 1.15, for_chance = 1;  // the greatest limit: times what went well, and its root
+constexpr double smooth = 10;                       // asks over which the limit binds the mean
+constexpr double usual_calm = 0.2;                  // of the latency objective, until more is known
 constexpr double most_over_calm = 1.5;  // and never more than this many times the calm answer time
 constexpr double shared_from = 0.6;     // of the limit: below, work beyond a tenant's share is welcome
 constexpr double typical_use = 1.25;    // a middling tenant's share over what it uses of it
@@ -574,7 +574,7 @@
     // what went well follow at once: answer times tell a thin instance of a zone lost or back many late.
     void weigh_room()
     {
-        if (now - weighed_at < seconds(0.02)) return;
+        if (room > 0 && now - weighed_at < seconds(0.02)) return;
         weighed_at = now;
         double ready = 0, used = 0, able = 0;
         stuck_out = 0;
@@ -591,10 +591,12 @@
         if (is > 0) room = is;
     }
 
-    // Guards against a burst that finds no limit at all, since nothing was pressed before it.
+    // Guards against a burst that finds no limit at all, since nothing was pressed before it; what thin
+    // instances have out swings by its root, so that far.
     double most_limit() const
     {
-        return std::max(untried * two_each(), over_good * good_outstanding + for_chance);
+        const double chance_of_it = for_chance * std::sqrt(good_outstanding);
+        return std::max(untried * two_each(), over_good * good_outstanding + chance_of_it);
     }
 
     double least_limit() const { return std::max(two_each(), least_of_good * good_outstanding); }
--- a/tests/size.cpp
+++ b/tests/size.cpp
@@ -96,7 +96,7 @@
     f.say("full answers cut the limit, however quick the others are");
     steady(f, 40, 2, seconds(0.1));
     const int before = steady(f, 10, 2, seconds(0.1));
-    steady(f, 12, 2, seconds(0.01), Result::full);
+    steady(f, 24, 2, seconds(0.01), Result::full);
     std::printf("not let in: %d of 20 before, %d of 20 after\n", before, steady(f, 10, 2, seconds(0.1)));
 
     Stage w(one_of(400));
