--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -41,12 +41,12 @@
 constexpr Span believed = seconds(5);        // what another instance told, after its last message
 constexpr double overdue_at = 2;             // high quantiles of answer times: no more counted as held
 constexpr size_t most_subjects = 32;         // keys that failed lately, of which something is kept
-constexpr double nearly_late = 0.7, a_moment = 0.05;  // of the latency objective
+constexpr double nearly_late = 0.7;          // of the latency objective
 constexpr double most_spent = 0.02;          // on messages, of what an invocation is worth
 constexpr double most_probed = 0.0005;       // the same on probes
 constexpr size_t least_message = 8;          // bytes, as counted
 constexpr double usual_crowd = 5;  // held by an upstream: more is left to others, where that is known
-constexpr Span rate_over = seconds(4), served_over = seconds(0.25);
+constexpr Span rate_over = seconds(4);
 constexpr Span may_send_for = seconds(3600);           // a request that is still coming: who reads it ends it
 constexpr double cold_spend = 0.7;                     // of the multiple that would push a cold upstream over
 constexpr Span first_backoff = seconds(0.5);           // of asking for the list
@@ -144,13 +144,11 @@
 class Rate
 {
   public:
-    explicit Rate(Span over = rate_over) : over_(over) {}
     void count(Point now) { sum_ = decayed(now) + 1, at_ = now; }
-    double rate(Point now) const { return decayed(now) / over_.seconds(); }
+    double rate(Point now) const { return decayed(now) / rate_over.seconds(); }
 
   private:
-    double decayed(Point now) const { return sum_ > 0 ? sum_ * std::exp(-((now - at_) / over_)) : 0; }
-    Span over_;
+    double decayed(Point now) const { return sum_ > 0 ? sum_ * std::exp(-((now - at_) / rate_over)) : 0; }
     double sum_ = 0;
     Point at_;
 };
@@ -203,7 +201,7 @@
     double mean_load = 0, mean_errors = 0;
     Point fellows_at{INT64_MIN / 2};
 
-    Rate warm_sends, asked, answered{served_over};
+    Rate warm_sends, asked;
 
     double retry_tokens = 1;
     double late_any = 0;  // seconds, a high quantile of all answer times
@@ -211,7 +209,7 @@
     double broke_rested = 0, broke_busy = 0;  // shares of forwards never answered
     Point distrust_idle_until{INT64_MIN / 2};
 
-    Span slowest_objective, quickest_objective;
+    Span slowest_objective;
     double pressure = usual_calm, slow_pressure = 0;  // mean of answer time over latency objective
     double calm = usual_calm;                         // what it is with next to no load
     Point round_at, share_at, weighed_at{INT64_MIN / 2}, told_at{INT64_MIN / 2};
@@ -447,12 +445,10 @@
         u.entry.expires = std::max(u.entry.expires, now + (hard ? expiry : divert_expiry));
     }
 
-    // Guards against an upstream that takes work and stands still: seen by the age of what waits there. Not
-    // by a moment's pause of either machine, where answers take next to no time.
+    // Guards against an upstream that takes work and stands still: seen by the age of what waits there.
     bool stalled(const Upstream& u) const
     {
-        return u.out > 0 && late_any > 0 && now - u.waiting_since > quickest_objective * a_moment &&
-               (now - u.waiting_since).seconds() > late_any * (1 + 2.0 / u.out);
+        return u.out > 0 && late_any > 0 && (now - u.waiting_since).seconds() > late_any * (1 + 2.0 / u.out);
     }
 
     double reduction(const Upstream& u) const { return stalled(u) ? 1 : entry_reduction(u); }
@@ -467,11 +463,6 @@
         return through >= 1 ? 0 : 1 - through;
     }
 
-    static Span objective(const Operation& op)
-    {
-        return op.latency_objective > Span{} ? op.latency_objective : op.client_timeout;
-    }
-
     static double fourth(double x) { return x * x * x * x; }
 
     static std::optional<double> load_of(const Report& r)
@@ -703,20 +694,14 @@
     }
 
     // Only the first tier turns work away for being busy: deeper, the work done above would be lost with it.
-    bool too_busy(const Invocation& inv, bool over_share)
+    bool too_busy(bool over_share)
     {
         if (set.tier > 0) return false;
         const double moving = held() - stuck_out;
         // The limit is on the mean; own work swings about it by its root.
         const double most = std::min(limit, most_limit());
-        if (!((moving + roll() >= most && around >= most) || moving + roll() >= most + 2 * std::sqrt(most) ||
-              (over_share && around > shared_from * most)))
-            return false;
-        // Guards against a limit that follows too slowly what comes and goes at once: whatever is out would be
-        // answered soon, at the pace of the last answers or by each upstream one after the other.
-        const double usual = ops[inv.operation].usual, one_each = 0.5 * two_each();
-        const double pace = std::max(answered.rate(now), usual > 0 ? one_each / usual : 0);
-        return moving >= a_moment * objective(inv.op).seconds() * pace;
+        return (moving + roll() >= most && around >= most) || moving + roll() >= most + 2 * std::sqrt(most) ||
+               (over_share && around > shared_from * most);
     }
 
     Span come_back() { return set.max_come_back * (0.5 + 0.5 * roll()); }
@@ -849,7 +834,7 @@
         retry_tokens = std::min(most_retries, retry_tokens + retry_share);
         const bool over_share = beyond_share(ask.tenant);
         if (const double r = held_back(ask.key); r > 0 && roll() < r) return finish(id, true, come_back());
-        if (too_busy(inv, over_share) || refused()) return finish(id, true, come_back());
+        if (too_busy(over_share) || refused()) return finish(id, true, come_back());
         if (set.message_price > 0)
             may_spend = std::min(may_spend + most_spent / set.message_price * most_message, 1e6);
         may_probe = std::min(may_probe + (set.probe_price > 0 ? most_probed / set.probe_price : 1e6),
@@ -923,7 +908,6 @@
         if (f.overdue) --u.overdue, --overdue;
         --outstanding;
         tell_soon();
-        if (result == Result::succeeded) answered.count(now);
         if (result == Result::succeeded || result == Result::errored || result == Result::full ||
             result == Result::unusable)
             u.waiting_since = now;
@@ -1034,11 +1018,9 @@
             if (i < tenants_were.size() && tenants_were[i]) tenants[i] = told_were[*tenants_were[i]];
             tenants[i].quota = set.quotas[i];
         }
-        slowest_objective = {}, quickest_objective = seconds(3600);
-        for (const Operation& op : set.operations) {
+        slowest_objective = {};
+        for (const Operation& op : set.operations)
             slowest_objective = std::max(slowest_objective, op.latency_objective);
-            quickest_objective = std::min(quickest_objective, objective(op));
-        }
         near_met = std::exp(std::min(10.0, set.crossing_price * crossing_weighs));
         near_told = std::pow(near_met, 3.0 / 8);
     }
