--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Shorthands; `make run CONFIG=path` needs a configuration (see the README).
 BUILD ?= build
 CONFIG ?= config.json
-SOURCES = $(wildcard src/*.cpp src/*.h src/net/*.cpp src/net/*.h src/modbus/*.cpp src/modbus/*.h drill/*.cpp drill/*.h tests/*.cpp tests/*.h)
+SOURCES = $(wildcard src/*.cpp src/*.h src/net/*.cpp src/net/*.h src/modbus/*.cpp src/modbus/*.h drill/*.cpp drill/*.h src/fleet/*.cpp src/fleet/*.h lab/*.cpp lab/*.h tests/*.cpp tests/*.h)
 
 .PHONY: build test lint run clean
 
--- /dev/null
+++ b/lab/walk.cpp
@@ -0,0 +1,78 @@
+#include "walk.h"
+
+namespace firtide::lab
+{
+
+Walked walk(const Walk& walk, uint64_t seed, bool traced)
+{
+    World w(walk.options, seed);
+    w.traced = traced;
+    const size_t n = w.size();
+    const auto any = [&] { return static_cast<size_t>(w.roll() * static_cast<double>(n)); };
+    const auto span = [&](double least, double most) { return seconds(least + (most - least) * w.roll()); };
+    for (size_t i = 0; i < n; ++i) {
+        w.start(i);
+        if (walk.clocks) w.clock(i, 1 + walk.options.lease.drift * (w.roll() - 0.5));
+    }
+    if (walk.clock_beyond > 0) w.clock(n - 1, 1 / (1 + walk.clock_beyond));
+    Walked out;
+    const Point end = w.now() + walk.lasts;
+    uint64_t version = 1;
+    w.run(seconds(3));
+    while (w.now() < end && w.broken().empty()) {
+        w.run(span(0, 2 / walk.faults));
+        ++out.faults;
+        w.discovery_is(++version);
+        const size_t a = any(), b = any();
+        const double lease = walk.options.lease.length.seconds();
+        switch (static_cast<int>(w.roll() * (walk.disks ? 14 : 10))) {
+            case 0: w.crash(a); break;
+            case 1:
+            case 2: w.start(a); break;
+            case 3: w.freeze(a, span(0, 2.5 * lease)); break;
+            case 4: w.freeze_in_effect(a, span(0, 2.5 * lease)); break;
+            case 5:
+                if (a != b) w.link(a, b).cut = true;
+                break;
+            case 6: w.isolate(a, true); break;
+            case 7: w.heal(); break;
+            case 8:
+                for (size_t i = 0; i < n; ++i) {
+                    Link& l = w.link(a, i);
+                    l.loss = 0.3 * w.roll();
+                    l.most = span(0.002, 1.5);
+                    l.repeat = 0.1;
+                }
+                break;
+            case 9:
+                if (const auto l = w.leader()) w.ask(*l, "hand-over", "d1", "m" + std::to_string(b + 1));
+                break;
+            case 10:
+                w.disk(a).tear = static_cast<size_t>(w.roll() * 40);
+                w.crash(a, true);
+                break;
+            case 11: w.disk(a).sync_takes = span(0, 0.5); break;
+            case 12: w.disk(a).full = !w.disk(a).full; break;
+            default: w.disk(a).sync_takes = {}, w.disk(a).full = false; break;
+        }
+    }
+    if (walk.quiet_end && w.broken().empty()) {
+        w.heal();
+        for (size_t i = 0; i < n; ++i) {
+            w.disk(i).full = false, w.disk(i).sync_takes = {};
+            w.start(i);
+        }
+        w.run(seconds(20) + walk.options.lease.length * 4);
+        for (size_t d = 0; d < walk.options.duties && w.broken().empty(); ++d)
+            if (w.holders("d" + std::to_string(d + 1)).size() != 1)
+                out.broken.push_back(
+                    {"d" + std::to_string(d + 1) + " is held by nobody long after all has healed", w.now()});
+    }
+    for (const Broken& b : w.broken()) out.broken.push_back(b);
+    out.count = w.count;
+    out.trace = w.trace();
+    out.gaps = w.gaps;
+    return out;
+}
+
+}  // namespace firtide::lab
--- /dev/null
+++ b/lab/world.cpp
@@ -0,0 +1,439 @@
+#include "world.h"
+
+#include <algorithm>
+
+namespace firtide::lab
+{
+
+std::error_code Disk::read(const std::string& name, std::optional<std::string>& into)
+{
+    into.reset();
+    if (broken) return std::make_error_code(std::errc::io_error);
+    if (const auto at = now_.find(name); at != now_.end()) into = at->second;
+    return {};
+}
+
+std::error_code Disk::append(const std::string& name, std::string_view bytes)
+{
+    if (broken) return std::make_error_code(std::errc::io_error);
+    if (full) {
+        now_[name].append(bytes.substr(0, bytes.size() / 2));  // as much as there was room for
+        return std::make_error_code(std::errc::no_space_on_device);
+    }
+    now_[name].append(bytes);
+    return {};
+}
+
+std::error_code Disk::sync(const std::string& name)
+{
+    waited = waited + sync_takes;
+    if (broken) return std::make_error_code(std::errc::io_error);
+    if (!lies) kept_[name] = now_[name];
+    return {};
+}
+
+std::error_code Disk::replace(const std::string& name, std::string_view bytes)
+{
+    waited = waited + sync_takes;
+    if (broken) return std::make_error_code(std::errc::io_error);
+    if (full) return std::make_error_code(std::errc::no_space_on_device);
+    now_[name] = std::string(bytes);
+    if (!lies) kept_[name] = now_[name];
+    return {};
+}
+
+void Disk::lose_power()
+{
+    for (auto& [name, bytes] : now_) {
+        auto& kept = kept_[name];
+        if (bytes.size() > kept.size() && bytes.starts_with(kept) && tear != SIZE_MAX)
+            kept = bytes.substr(0, std::min(bytes.size(), kept.size() + tear));
+        bytes = kept;
+    }
+}
+
+struct World::Node {
+    FleetFile file;
+    Disk disk;
+    std::unique_ptr<Fleet> fleet;
+    std::unique_ptr<Desk> desk;
+    uint64_t run = 0;
+    Incarnation incarnation = 0;
+    bool up = false;
+    Point frozen_until, desk_free;
+    double rate = 1;
+    Point clock_from, clock_was;  // true time, and its own at that
+    std::optional<Span> freeze_at_effect;
+    std::vector<Point> arrives;  // of the last message from each: links keep their order
+    bool asking = false;
+    uint64_t list = 0;
+};
+
+World::World(Options options, uint64_t seed)
+    : options_(std::move(options)), chance_(static_cast<uint32_t>(seed * 2654435761u + 1))
+{
+    FleetFile file;
+    file.name = "lab";
+    for (size_t i = 0; i < options_.members; ++i) {
+        MemberLine m;
+        m.id = "m" + std::to_string(i + 1);
+        m.key = key_of(m.id);
+        m.zone = "z" + std::to_string(i % 3);
+        m.voter = i < options_.voters;
+        file.members.push_back(std::move(m));
+    }
+    file.lease = options_.lease;
+    for (size_t i = 0; i < options_.duties; ++i)
+        file.duties.push_back({"d" + std::to_string(i + 1), DutyKind::other, "receiver", seconds(0.1), 0});
+    if (options_.list) {
+        file.list = ListDuty{};
+        file.duties.push_back({"list", DutyKind::list, "", {}, 0});
+    }
+    if (options_.probe_parts) {
+        file.probe = ProbeDuty{seconds(1), *options_.probe_parts};
+        for (uint32_t i = 0; i < *options_.probe_parts; ++i)
+            file.duties.push_back({"probe." + std::to_string(i), DutyKind::probe, "", {}, 0});
+    }
+    if (options_.drain_most) {
+        file.drain = DrainDuty{*options_.drain_most};
+        for (uint32_t i = 0; i < *options_.drain_most; ++i)
+            file.duties.push_back({"drain." + std::to_string(i), DutyKind::drain, "", {}, 0});
+    }
+    links_.resize(options_.members * options_.members);
+    sent.resize(options_.members);
+    for (size_t i = 0; i < options_.members; ++i) {
+        auto node = std::make_unique<Node>();
+        node->file = file;
+        node->file.self = static_cast<Member>(i);
+        node->file.id = file.members[i].id;
+        node->arrives.resize(options_.members);
+        node->clock_from = now_;
+        node->clock_was = Point{5'000'000} + seconds(100 * roll());
+        nodes_.push_back(std::move(node));
+    }
+    for (const Duty& d : file.duties)
+        if (d.kind != DutyKind::drain) without_[d.name] = now_;
+}
+
+World::~World() = default;
+
+Point World::clock_of(size_t node) const
+{
+    const Node& n = *nodes_[node];
+    return n.clock_was + (now_ - n.clock_from) * n.rate;
+}
+
+void World::clock(size_t node, double rate)
+{
+    Node& n = *nodes_[node];
+    n.clock_was = clock_of(node);
+    n.clock_from = now_;
+    n.rate = rate;
+}
+
+void World::note(const std::string& text)
+{
+    if (!traced) return;
+    char at[32];
+    std::snprintf(at, sizeof at, "%9.3f ", (now_ - Point{1'000'000'000}).seconds());
+    trace_.push_back(at + text);
+}
+
+void World::breaks(const std::string& rule)
+{
+    note("BROKEN " + rule);
+    broken_.push_back({rule, now_});
+}
+
+void World::later(Span after, size_t node, std::function<void()> what)
+{
+    events_.push({now_ + after, order_++, node, nodes_[node]->run, std::move(what)});
+}
+
+bool World::step(Point until)
+{
+    if (events_.empty() || events_.top().at > until) return false;
+    Event e = events_.top();
+    events_.pop();
+    now_ = std::max(now_, e.at);
+    Node& n = *nodes_[e.node];
+    if (n.run != e.run) return true;
+    if (now_ < n.frozen_until) {  // it waits, in its order, for the process to go on
+        e.at = n.frozen_until;
+        events_.push(std::move(e));
+        return true;
+    }
+    e.what();
+    check();
+    return true;
+}
+
+void World::run_until(Point until)
+{
+    while (step(until)) {
+    }
+    now_ = std::max(now_, until);
+}
+
+void World::start(size_t node)
+{
+    Node& n = *nodes_[node];
+    if (n.up) return;
+    ++n.run;
+    n.up = true;
+    n.frozen_until = n.desk_free = now_;
+    n.asking = false;
+    n.list = 0;
+    n.freeze_at_effect.reset();
+    const Life life = uint64_t{chance_()} << 24 | chance_();
+    n.fleet = std::make_unique<Fleet>(n.file, life, ++n.incarnation, uint64_t{chance_()} << 24 | chance_());
+    if (options_.granter) options_.granter(n.fleet->granter());
+    note(n.file.id + " starts");
+    if (n.file.members[node].voter) {
+        n.desk = std::make_unique<Desk>(n.file, n.disk, VoterTimes{}, uint64_t{chance_()} << 24 | chance_());
+        later({}, node,
+              [this, node] { desk(node, [this, node](Point p) { return nodes_[node]->desk->start(p); }); });
+    }
+    later({}, node, [this, node] { tell(node, Begun{}); });
+    later(options_.tick * roll(), node, [this, node] { tick(node); });
+}
+
+void World::tick(size_t node)
+{
+    Node& n = *nodes_[node];
+    tell(node, Ticked{});
+    if (n.desk) desk(node, [&n](Point p) { return n.desk->tick(p); });
+    later(options_.tick, node, [this, node] { tick(node); });
+}
+
+void World::crash(size_t node, bool power)
+{
+    Node& n = *nodes_[node];
+    if (!n.up) return;
+    note(n.file.id + (power ? " loses its power" : " is killed"));
+    ++n.run;
+    n.up = false;
+    n.fleet.reset();
+    n.desk.reset();
+    if (power) n.disk.lose_power();
+}
+
+void World::stop(size_t node)
+{
+    if (!nodes_[node]->up) return;
+    note(nodes_[node]->file.id + " stops");
+    tell(node, Stops{});
+    later(seconds(0.3), node, [this, node] { crash(node); });
+}
+
+void World::freeze(size_t node, Span span)
+{
+    Node& n = *nodes_[node];
+    note(n.file.id + " stands still for " + std::to_string(span.us / 1000) + " ms");
+    n.frozen_until = std::max(n.frozen_until, now_ + span);
+}
+
+void World::freeze_in_effect(size_t node, Span span) { nodes_[node]->freeze_at_effect = span; }
+
+void World::isolate(size_t node, bool cut)
+{
+    note(nodes_[node]->file.id + (cut ? " is cut off" : " is joined again"));
+    for (size_t i = 0; i < size(); ++i)
+        if (i != node) link(i, node).cut = link(node, i).cut = cut;
+}
+
+void World::heal()
+{
+    note("all links are whole");
+    for (Link& l : links_) l = {};
+}
+
+Disk& World::disk(size_t node) { return nodes_[node]->disk; }
+bool World::up(size_t node) const { return nodes_[node]->up; }
+Fleet& World::fleet(size_t node) { return *nodes_[node]->fleet; }
+uint64_t World::list_of(size_t node) const { return nodes_[node]->list; }
+
+void World::ask(size_t node, const std::string& what, const std::string& first, const std::string& second)
+{
+    later({}, node, [=, this] { tell(node, DoorAsked{1, what, first, second}); });
+}
+
+std::string World::show(size_t node)
+{
+    last_reply.clear();
+    tell(node, DoorAsked{1, "show-fleet", "", ""});
+    return last_reply;
+}
+
+std::optional<size_t> World::leader() const
+{
+    for (size_t i = 0; i < size(); ++i)
+        if (nodes_[i]->up && nodes_[i]->fleet->granter().leads()) return i;
+    return {};
+}
+
+std::vector<size_t> World::holders(const std::string& duty) const
+{
+    std::vector<size_t> out;
+    for (size_t i = 0; i < size(); ++i)
+        if (nodes_[i]->up && nodes_[i]->fleet->mine(clock_of(i), duty)) out.push_back(i);
+    return out;
+}
+
+void World::tell(size_t node, FleetEvent event)
+{
+    Node& n = *nodes_[node];
+    if (!n.up) return;
+    carry_out(node, n.fleet->reduce(clock_of(node), std::move(event)));
+}
+
+void World::desk(size_t node, const std::function<std::vector<DeskEffect>(Point)>& call)
+{
+    Node& n = *nodes_[node];
+    // The desk has a thread of its own, that may wait for the disk.
+    if (now_ < n.desk_free) return later(n.desk_free - now_, node, [this, node, call] { desk(node, call); });
+    n.disk.waited = {};
+    auto effects = call(clock_of(node));
+    n.desk_free = now_ + n.disk.waited;
+    if (effects.empty()) return;
+    later(n.disk.waited, node, [this, node, effects = std::move(effects)]() mutable {
+        for (DeskEffect& e : effects) tell(node, DeskSaid{std::move(e)});
+    });
+}
+
+void World::send(size_t from, const Send& s)
+{
+    const size_t to = s.to;
+    Link& l = link(from, to);
+    const auto frame = encode_frame(s.message, 0);
+    ++count.messages, ++sent[from];
+    count.bytes += frame.size();
+    if (l.cut || !nodes_[to]->up || roll() < l.loss) return;
+    const Span takes = l.least + (l.most - l.least) * roll();
+    Point& before = nodes_[to]->arrives[from];
+    const Point at = std::max(before, now_ + takes);
+    before = at;
+    const auto deliver = [this, to, from, frame] {
+        FrameReader reader;
+        reader.take(frame);
+        if (reader.next() == FrameReader::State::message)
+            tell(to, Heard{static_cast<Member>(from), std::move(reader.message())});
+    };
+    later(at - now_, to, deliver);
+    if (l.repeat > 0 && roll() < l.repeat) later(at - now_ + seconds(0.5 * roll()), to, deliver);
+}
+
+void World::act(size_t node, const Act& a)
+{
+    Node& n = *nodes_[node];
+    if (options_.gate && !n.fleet->may(clock_of(node), a)) {
+        ++count.stopped_at_gate;
+        return;
+    }
+    ++count.effects;
+    if (!n.fleet->mine(clock_of(node), a.duty))
+        breaks(n.file.id + " let an effect of " + a.duty + " leave without its lease");
+    if (const auto* publish = std::get_if<Publish>(&a.what)) {
+        for (const Send& s : publish->sends) send(node, s);
+    } else if (const auto* told = std::get_if<Tell>(&a.what)) {
+        // To a receiver outside the fleet, that knows nothing but the epochs that it has met.
+        later(seconds(0.0002 + 0.002 * roll()), node,
+              [this, node, duty = a.duty, epoch = a.epoch, number = told->number] {
+                  auto& taken = taken_[duty];
+                  if (options_.fences && epoch < taken.first) {
+                      ++count.refused;
+                      tell(node, Refused{duty, epoch});
+                      return;
+                  }
+                  if (epoch < taken.first)
+                      breaks("a receiver took epoch " + std::to_string(epoch) + " of " + duty + " after " +
+                             std::to_string(taken.first));
+                  if (!effects_.insert({duty, epoch, number}).second)
+                      breaks("a receiver took effect " + std::to_string(number) + " of " + duty +
+                             " twice at one epoch");
+                  taken = std::max(taken, {epoch, number});
+              });
+    } else if (std::get_if<ProbeNow>(&a.what)) {
+        ++count.probes;
+    }
+}
+
+void World::ask_discovery(size_t node)
+{
+    Node& n = *nodes_[node];
+    if (!n.asking) return;
+    ++count.list_calls;
+    tell(node, ListSeen{discovery_, "list " + std::to_string(discovery_)});
+    later(seconds(0.5), node, [this, node] { ask_discovery(node); });
+}
+
+void World::carry_out(size_t node, std::vector<FleetEffect> effects)
+{
+    Node& n = *nodes_[node];
+    for (FleetEffect& e : effects) {
+        if (auto* s = std::get_if<Send>(&e)) {
+            send(node, *s);
+        } else if (auto* d = std::get_if<ToDesk>(&e)) {
+            if (!n.desk) continue;
+            desk(node, [&n, call = std::move(d->call)](Point p) -> std::vector<DeskEffect> {
+                Desk& k = *n.desk;
+                if (const auto* w = std::get_if<std::pair<Member, Word>>(&call))
+                    return k.word(p, w->first, w->second);
+                if (const auto* f = std::get_if<std::pair<Member, Founded>>(&call))
+                    return k.founded(p, f->first, f->second);
+                if (const auto* r = std::get_if<RaftSent>(&call)) return k.raft(p, *r);
+                if (const auto* q = std::get_if<Propose>(&call)) return k.propose(p, *q);
+                const auto& o = std::get<std::pair<uint64_t, std::pair<bool, Member>>>(call);
+                return o.second.first ? k.let_in(p, o.first, o.second.second)
+                                      : k.put_out(p, o.first, o.second.second);
+            });
+        } else if (auto* a = std::get_if<Act>(&e)) {
+            if (n.freeze_at_effect) {
+                freeze(node, *std::exchange(n.freeze_at_effect, std::nullopt));
+                later({}, node, [this, node, held = *a] { act(node, held); });
+            } else {
+                act(node, *a);
+            }
+        } else if (auto* q = std::get_if<AskDiscovery>(&e)) {
+            const bool was = std::exchange(n.asking, q->on);
+            if (q->on && !was) later(seconds(0.005), node, [this, node] { ask_discovery(node); });
+        } else if (auto* u = std::get_if<UseList>(&e)) {
+            if (u->version < n.list) breaks("an older list was taken");
+            n.list = u->version;
+        } else if (auto* r = std::get_if<Reply>(&e)) {
+            last_reply = r->text;
+            note(n.file.id + " answers " + r->text.substr(0, r->text.find('\n')));
+        } else if (auto* m = std::get_if<Noted>(&e)) {
+            note(n.file.id + " " + m->event + " " + m->subject + " " + m->health +
+                 (m->epoch ? " " + std::to_string(m->epoch) : "") + (m->why.empty() ? "" : ": " + m->why));
+        }
+    }
+}
+
+// At every moment, by each one's own clock.
+void World::check()
+{
+    for (auto& [duty, since] : without_) {
+        const auto by = holders(duty);
+        if (by.size() > 1) {
+            std::string all;
+            for (const size_t i : by) all += " " + nodes_[i]->file.id;
+            breaks("two hold " + duty + " at once:" + all);
+        }
+        if (!by.empty() && since.us) {
+            gaps.push_back(now_ - since);
+            since = {};
+        } else if (by.empty() && !since.us) {
+            since = now_;
+        }
+    }
+}
+
+std::map<std::string, Span> World::longest_gap() const
+{
+    std::map<std::string, Span> out;
+    for (const auto& [duty, since] : without_) out[duty] = since.us ? now_ - since : Span{};
+    return out;
+}
+
+}  // namespace firtide::lab
--- /dev/null
+++ b/lab/world.h
@@ -0,0 +1,157 @@
+// A fleet in virtual time: the real parts of src/fleet, a modelled network, disks and clocks, and faults. One
+// seed, one run, byte for byte.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/fleet/fleet.h"
+
+namespace firtide::lab
+{
+
+using namespace fleet;
+
+// A disk in memory, whose next calls can be made to fail, and that can forget what was not synced.
+class Disk : public Files
+{
+  public:
+    std::error_code read(const std::string& name, std::optional<std::string>& into) override;
+    std::error_code append(const std::string& name, std::string_view bytes) override;
+    std::error_code sync(const std::string& name) override;
+    std::error_code replace(const std::string& name, std::string_view bytes) override;
+
+    void lose_power();  // what was not synced is gone, but for a part of it
+    void wipe() { kept_.clear(), now_.clear(); }
+
+    bool full = false, broken = false, lies = false;  // lies: it says synced and has not
+    size_t tear = SIZE_MAX;  // of what is lost with the power, so much is there all the same
+    Span sync_takes;
+    Span waited;  // by whoever has synced since this was taken
+
+  private:
+    std::map<std::string, std::string> kept_, now_;
+};
+
+struct Link {  // from one member to another
+    bool cut = false;
+    double loss = 0;  // of messages: their connection is made anew
+    Span least = seconds(0.0002), most = seconds(0.002);
+    double repeat = 0;
+};
+
+// What a receiver took, or a rule that is broken, in the words of the trace.
+struct Broken {
+    std::string rule;
+    Point at;
+};
+
+class World
+{
+  public:
+    struct Options {
+        size_t members = 5, voters = 3, duties = 4;
+        Lease lease;
+        bool list = false;
+        std::optional<uint32_t> probe_parts, drain_most;
+        Span tick = seconds(0.02);
+        bool fences = true;                     // receivers refuse lower epochs
+        bool gate = true;                       // the check before each effect
+        std::function<void(Granter&)> granter;  // a safety rule taken out
+    };
+    World(Options options, uint64_t seed);
+    ~World();
+
+    size_t size() const { return nodes_.size(); }
+    Point now() const { return now_; }
+    std::ranlux24_base& chance() { return chance_; }
+    double roll() { return std::uniform_real_distribution<>(0, 1)(chance_); }
+
+    void run_until(Point until);
+    void run(Span span) { run_until(now_ + span); }
+    // The next event alone; false: there is none before that time.
+    bool step(Point until);
+
+    void start(size_t node);
+    void crash(size_t node, bool power = false);  // power: what was not synced is lost
+    void stop(size_t node);                       // as by SIGTERM
+    void freeze(size_t node, Span span);
+    void freeze_in_effect(size_t node,
+                          Span span);      // at its next effect, between the check's cause and the effect
+    void clock(size_t node, double rate);  // true seconds become so many of its own
+    Link& link(size_t from, size_t to) { return links_[from * nodes_.size() + to]; }
+    void isolate(size_t node, bool cut);
+    void heal();
+    Disk& disk(size_t node);
+    bool up(size_t node) const;
+    void ask(size_t node, const std::string& what, const std::string& first = "",
+             const std::string& second = "");
+    void discovery_is(uint64_t version) { discovery_ = version; }
+
+    // Who may act for it now, by its own clock.
+    std::vector<size_t> holders(const std::string& duty) const;
+    std::optional<size_t> leader() const;
+    Fleet& fleet(size_t node);
+    uint64_t list_of(size_t node) const;
+    std::string show(size_t node);
+
+    const std::vector<Broken>& broken() const { return broken_; }
+    const std::vector<std::string>& trace() const { return trace_; }
+    bool traced = false;
+    std::string last_reply;
+    struct Count {
+        uint64_t messages = 0, bytes = 0, effects = 0, stopped_at_gate = 0, refused = 0, list_calls = 0,
+                 probes = 0;
+    };
+    Count count;
+    std::vector<uint64_t> sent;  // messages of each member
+    // Duty, true time: since when nobody holds it.
+    std::map<std::string, Span> longest_gap() const;
+    std::vector<Span> gaps;  // each time without a holder, ended
+
+  private:
+    struct Node;
+    struct Event {
+        Point at;
+        uint64_t order;
+        size_t node;
+        uint64_t run;  // of the node; what comes for an older one is gone with it
+        std::function<void()> what;
+        bool operator<(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
+    };
+
+    void later(Span after, size_t node, std::function<void()> what);
+    void tell(size_t node, FleetEvent event);
+    void carry_out(size_t node, std::vector<FleetEffect> effects);
+    void act(size_t node, const Act& act);
+    void send(size_t from, const Send& send);
+    void desk(size_t node, const std::function<std::vector<DeskEffect>(Point)>& call);
+    void tick(size_t node);
+    void ask_discovery(size_t node);
+    Point clock_of(size_t node) const;
+    void check();
+    void breaks(const std::string& rule);
+    void note(const std::string& text);
+
+    const Options options_;
+    std::ranlux24_base chance_;
+    Point now_{1'000'000'000};
+    uint64_t order_ = 0;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::vector<Link> links_;
+    std::priority_queue<Event> events_;
+    std::vector<Broken> broken_;
+    std::vector<std::string> trace_;
+    std::map<std::string, std::pair<Epoch, uint64_t>> taken_;  // by the receiver of each duty
+    std::set<std::tuple<std::string, Epoch, uint64_t>> effects_;
+    std::map<std::string, Point> without_;
+    uint64_t discovery_ = 1;
+};
+
+}  // namespace firtide::lab
--- /dev/null
+++ b/src/fault.h
@@ -0,0 +1,26 @@
+// What is wrong in an operator file, and where.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace firtide
+{
+
+struct Place {
+    std::string key;
+    uint32_t line = 0;
+};
+
+struct Fault {
+    Place at;
+    std::string what;
+};
+
+// "line 3: limits.clients: ..."
+inline std::string text_of(const Fault& fault)
+{
+    return "line " + std::to_string(fault.at.line) + ": " + fault.at.key + ": " + fault.what;
+}
+
+}  // namespace firtide
--- /dev/null
+++ b/src/fleet/commands.h
@@ -0,0 +1,18 @@
+// What the command line does with fleets, beside serving in one.
+#pragma once
+
+#include <string>
+
+#include "host.h"
+
+namespace firtide::fleet
+{
+
+// Throws CannotStart with one line: file, line and key.
+FleetFile read_fleet_file(const std::string& path);
+
+// Both return the exit status.
+int check_file(const std::string& path);
+int ask_door(const std::string& door, const std::string& line);
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/config.h
@@ -0,0 +1,81 @@
+// The fleet file: TOML, read, checked and given its defaults in this one place.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "src/fault.h"
+#include "src/time.h"
+#include "words.h"
+
+namespace firtide::fleet
+{
+
+using Member = uint32_t;     // place in the fleet file
+using DutyIndex = uint32_t;  // place among the duties
+
+struct MemberLine {
+    std::string id;
+    Key key = 0;
+    std::string address;  // as this member reaches it
+    std::string zone;
+    bool voter = false;
+    uint32_t line = 0;
+};
+
+struct Lease {
+    Span length = seconds(3);
+    double drift = 0.02;  // clocks' rates differ by this part at the most
+
+    // By its own clock a holder stops so long after it asked.
+    Span of_holder() const { return length * (1 - 2 * drift); }
+};
+
+enum class DutyKind : uint8_t {
+    other,  // of programs beside the balancer
+    list,   // asks discovery
+    probe,  // probes some of the upstreams
+    drain,  // a turn to drain: held on request only
+};
+
+struct Duty {
+    std::string name;
+    DutyKind kind = DutyKind::other;
+    std::string tell;  // address of the program beside each balancer that is told of it; empty: none
+    Span every = seconds(1);
+    uint32_t line = 0;
+};
+
+struct ListDuty {
+    Span stale = seconds(4);  // older than that, and each asks discovery itself
+};
+struct ProbeDuty {
+    Span every = seconds(1);
+    uint32_t parts = 8;
+};
+struct DrainDuty {
+    uint32_t most = 1;  // balancers drained at a time
+};
+
+struct FleetFile {
+    std::string name, id, listen, data;
+    std::vector<MemberLine> members;
+    Member self = 0;
+    Lease lease;
+    std::vector<Duty> duties;
+    std::optional<ListDuty> list;
+    std::optional<ProbeDuty> probe;
+    std::optional<DrainDuty> drain;
+
+    size_t voters() const;
+    std::optional<Member> member_of(Key key) const;
+    std::optional<Member> member_of(std::string_view id) const;
+    std::optional<DutyIndex> duty_of(std::string_view name) const;
+};
+
+std::variant<FleetFile, Fault> decode_fleet_file(std::string_view text);
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/desk.cpp
@@ -0,0 +1,299 @@
+#include "desk.h"
+
+#include <algorithm>
+
+namespace firtide::fleet
+{
+namespace
+{
+
+constexpr Span say_every = seconds(0.25), heard_for = seconds(2), open_again = seconds(2);
+
+}  // namespace
+
+struct Desk::Copy : Machine {
+    Table table;
+    void apply(std::string_view command) override
+    {
+        if (const auto commands = unpack<std::vector<Command>>(command)) table.apply(*commands);
+    }
+    std::string snapshot() const override { return table.encode(); }
+    void restore(std::string_view snapshot) override { table.decode(snapshot); }
+};
+
+Desk::Desk(const FleetFile& file, Files& files, VoterTimes times, uint64_t seed)
+    : file_(file), files_(files), times_(times), chance_(static_cast<uint32_t>(seed ^ seed >> 32))
+{
+}
+
+Desk::~Desk() = default;
+
+DiskId Desk::draw_disk()
+{
+    DiskId disk = 0;
+    while (!disk) disk = uint64_t{chance_()} << 40 ^ uint64_t { chance_() } << 20 ^ chance_();
+    return disk;
+}
+
+void Desk::open(Point now)
+{
+    voter_.reset();
+    copy_ = std::make_unique<Copy>();
+    store_ = std::make_unique<Store>(files_);
+    standing_ = {};
+    told_version_ = UINT64_MAX;
+    trouble_.clear();
+    letting_.clear();
+    opened_ = now;
+    switch (const auto opened = store_->open(file_.name, file_.id, draw_disk())) {
+        case Opened::fresh:
+        case Opened::whole:
+        case Opened::cut:
+            stage_ = store_->kept().last() == 0 ? Stage::empty : Stage::checking;
+            if (stage_ == Stage::empty) begin(now, {});
+            return;
+        case Opened::failed:
+            stage_ = Stage::failed;
+            failed_at_ = now;
+            return;
+        default:
+            stage_ = Stage::refused;
+            trouble_ = "the voter's file is " + std::string(text_of(opened));
+            return;
+    }
+}
+
+void Desk::begin(Point now, const std::vector<Seat>& founders)
+{
+    voter_.reset();
+    voter_ = std::make_unique<Voter>(*store_, times_, chance_(), *copy_);
+    if (!founders.empty() && !voter_->found(founders)) trouble_ = "the log could not be founded";
+    take(voter_->start(now));
+}
+
+// The voter whose key is the lowest says who votes in a new log: never two say so.
+bool Desk::speaks_first() const
+{
+    for (const MemberLine& m : file_.members)
+        if (m.voter && m.key < file_.members[file_.self].key) return false;
+    return true;
+}
+
+bool Desk::all_empty(Point now) const
+{
+    for (Member m = 0; m < file_.members.size(); ++m) {
+        if (!file_.members[m].voter || m == file_.self) continue;
+        const auto at = heard_.find(m);
+        if (at == heard_.end() || now - at->second.at > heard_for) return false;
+        if (at->second.word.stage != static_cast<uint8_t>(Stage::empty)) return false;
+    }
+    return true;
+}
+
+void Desk::look(Point now)
+{
+    if (store_->failed() && stage_ != Stage::failed) {
+        stage_ = Stage::failed;
+        failed_at_ = now;
+    }
+    const DiskId own = store_->owner().disk;
+    if (stage_ == Stage::failed) {
+        trouble_ = "its disk fails: " + store_->error();
+        if (now - failed_at_ > open_again) open(now);
+    } else if (stage_ == Stage::empty && store_->kept().last() > 0) {
+        stage_ = Stage::voting;  // a leader has let it in
+        trouble_.clear();
+    } else if (stage_ == Stage::empty && speaks_first() && all_empty(now)) {
+        std::vector<Seat> seats{{own, file_.id, true}};
+        for (const auto& [m, heard] : heard_) seats.push_back({heard.word.disk, file_.members[m].id, true});
+        begin(now, seats);
+        stage_ = Stage::voting;
+    } else if (stage_ == Stage::checking) {
+        // Guards against a disk that was put back, or whose last writes were lost: others know more of it
+        // than it does, and it might vote twice.
+        size_t answers = 0;
+        uint64_t writes = 0;
+        for (const auto& [m, heard] : heard_) {
+            if (heard.at < opened_) continue;
+            ++answers;
+            for (const SeenDisk& seen : heard.word.seen)
+                if (seen.disk == own) writes = std::max(writes, seen.writes);
+        }
+        if (writes > store_->written()) {
+            if (!store_->renew(draw_disk())) return;
+            stage_ = Stage::empty;
+            trouble_ = "its disk is older than other voters have seen it: it has no vote until it is let in";
+            begin(now, {});
+        } else if (answers >= file_.voters() / 2) {
+            stage_ = Stage::voting;
+            begin(now, {});
+        }
+    }
+}
+
+void Desk::take(std::vector<VoterEffect> effects)
+{
+    for (VoterEffect& e : effects) {
+        if (auto* send = std::get_if<SendRaft>(&e)) {
+            effects_.push_back(std::move(*send));
+        } else if (auto* standing = std::get_if<Standing>(&e)) {
+            standing_ = std::move(*standing);
+        } else if (auto* proposed = std::get_if<Proposed>(&e)) {
+            effects_.push_back(std::move(*proposed));
+        } else if (copy_->table.version() != told_version_) {
+            // Whoever hears of what became of a proposal has the table that it made.
+            told_version_ = copy_->table.version();
+            effects_.push_back(TableIs{copy_->table});
+        }
+    }
+}
+
+void Desk::say(Point now)
+{
+    said_ = now;
+    Word w{store_->owner().disk, static_cast<uint8_t>(stage_), store_->written(), {}};
+    for (const auto& [disk, writes] : seen_) w.seen.push_back({disk, writes});
+    effects_.push_back(SayWord{std::move(w)});
+    // Until the log has grown beyond its founding, there may be voters that have not heard of it.
+    if (stage_ != Stage::voting || !speaks_first() || store_->kept().last() != 1 ||
+        store_->kept().snapshot.index)
+        return;
+    Founded f;
+    for (const Seat& seat : standing_.seats) f.voters.emplace_back(seat.member, seat.disk);
+    if (!f.voters.empty()) effects_.push_back(SayFounded{std::move(f)});
+}
+
+std::vector<DeskEffect> Desk::out(Point now)
+{
+    look(now);
+    // Of changes that were accepted, the next step.
+    std::vector<std::pair<uint64_t, Letting>> next;
+    for (const DeskEffect& e : effects_)
+        if (const auto* p = std::get_if<Proposed>(&e)) {
+            const auto at = letting_.find(p->name);
+            if (at == letting_.end()) continue;
+            Letting letting = at->second;
+            letting_.erase(at);
+            if (p->well && ++letting.step < 3) next.emplace_back(p->name, letting);
+        }
+    for (const auto& [name, letting] : next) {
+        DiskId before = 0;
+        for (const Seat& s : standing_.seats)
+            if (s.member == letting.seat.member && s.disk != letting.seat.disk) before = s.disk;
+        if (letting.step == 2 && !before) continue;
+        // It is told of as done only with its last step.
+        std::erase_if(effects_, [n = name](const DeskEffect& e) {
+            const auto* p = std::get_if<Proposed>(&e);
+            return p && p->name == n;
+        });
+        letting_[name] = letting;
+        take(letting.step == 1 ? voter_->let_in(now, name, letting.seat)
+                               : voter_->put_out(now, name, before));
+    }
+    DeskStanding standing{standing_, stage_, store_->owner().disk, trouble_};
+    if (stage_ != Stage::voting) standing.standing.role = Role::none;
+    if (standing.trouble.empty()) standing.trouble = standing_.trouble;
+    if (!told_ || !(*told_ == standing)) {
+        const bool stage_changed = !told_ || told_->stage != stage_;
+        told_ = standing;
+        effects_.push_back(std::move(standing));
+        if (stage_changed) say(now);
+    }
+    return std::exchange(effects_, {});
+}
+
+std::vector<DeskEffect> Desk::start(Point now)
+{
+    open(now);
+    return out(now);
+}
+
+std::vector<DeskEffect> Desk::tick(Point now)
+{
+    if (voter_ && !store_->failed()) take(voter_->tick(now));
+    if (now - said_ >= say_every) say(now);
+    return out(now);
+}
+
+std::vector<DeskEffect> Desk::word(Point now, Member from, const Word& word)
+{
+    if (!file_.members[from].voter || word.stage > static_cast<uint8_t>(Stage::refused)) return {};
+    heard_[from] = {word, now};
+    auto& seen = seen_[word.disk];
+    seen = std::max(seen, word.writes);
+    // What a third voter has seen is worth as much: the one that saw it may be gone.
+    for (const SeenDisk& s : word.seen) seen_[s.disk] = std::max(seen_[s.disk], s.writes);
+    return out(now);
+}
+
+std::vector<DeskEffect> Desk::founded(Point now, Member from, const Founded& founded)
+{
+    const auto& kept = store_->kept();
+    if (!file_.members[from].voter || stage_ != Stage::empty || kept.term != 0 || kept.last() != 0) return {};
+    std::vector<Seat> seats;
+    bool own = false;
+    for (const auto& [member, disk] : founded.voters) {
+        seats.push_back({disk, member, true});
+        own |= member == file_.id && disk == store_->owner().disk;
+    }
+    if (!own) return {};
+    stage_ = Stage::voting;
+    begin(now, seats);
+    return out(now);
+}
+
+std::vector<DeskEffect> Desk::raft(Point now, const RaftSent& sent)
+{
+    const bool may = stage_ == Stage::voting || (stage_ == Stage::empty && Voter::brings_log(sent.bytes));
+    if (!may || !voter_ || store_->failed() || sent.to != store_->owner().disk) return {};
+    take(voter_->receive(now, sent.from, sent.bytes));
+    return out(now);
+}
+
+std::vector<DeskEffect> Desk::propose(Point now, const Propose& propose)
+{
+    if (stage_ == Stage::voting && !store_->failed())
+        take(voter_->propose(now, propose.name, pack(propose.commands)));
+    else
+        effects_.push_back(Proposed{propose.name, false, "it does not vote"});
+    return out(now);
+}
+
+std::vector<DeskEffect> Desk::let_in(Point now, uint64_t name, Member member)
+{
+    const auto at = heard_.find(member);
+    if (stage_ != Stage::voting || at == heard_.end() || now - at->second.at > heard_for) {
+        effects_.push_back(Proposed{name, false, "nothing has been heard of its disk lately"});
+        return out(now);
+    }
+    const Seat seat{at->second.word.disk, file_.members[member].id, true};
+    for (const Seat& s : standing_.seats)
+        if (s.disk == seat.disk && s.votes) {
+            effects_.push_back(Proposed{name, true, "it votes already"});
+            return out(now);
+        }
+    const bool added = std::any_of(standing_.seats.begin(), standing_.seats.end(),
+                                   [&](const Seat& s) { return s.disk == seat.disk; });
+    letting_[name] = {seat, added ? 1 : 0};
+    take(voter_->let_in(now, name, seat));
+    return out(now);
+}
+
+std::vector<DeskEffect> Desk::put_out(Point now, uint64_t name, Member member)
+{
+    for (const Seat& s : standing_.seats)
+        if (stage_ == Stage::voting && s.member == file_.members[member].id) {
+            take(voter_->put_out(now, name, s.disk));
+            return out(now);
+        }
+    effects_.push_back(Proposed{name, false, "it has no vote"});
+    return out(now);
+}
+
+std::vector<DeskEffect> Desk::lead_no_more(Point now)
+{
+    if (stage_ == Stage::voting) take(voter_->hand_over(now, 0));
+    return out(now);
+}
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/fleet.cpp
@@ -0,0 +1,503 @@
+#include "fleet.h"
+
+#include <algorithm>
+
+namespace firtide::fleet
+{
+namespace
+{
+
+constexpr Span order_waits = seconds(10);  // for the leader, beyond three leases
+constexpr Span probe_lasts = seconds(0.3);
+constexpr Span want_again = seconds(0.2);
+constexpr Span first_list = seconds(1.5);  // after the start, before discovery is asked all the same
+constexpr Member nobody = UINT32_MAX;
+
+Span period_of(const FleetFile& file)
+{
+    return std::clamp(file.lease.length * 0.125, seconds(0.1), seconds(2));
+}
+
+struct ListNews {
+    uint64_t version = 0;
+    std::string whole;
+    MSGPACK_DEFINE(version, whole)
+};
+
+template <class... F>
+struct Cases : F... {
+    using F::operator()...;
+};
+
+}  // namespace
+
+Fleet::Fleet(const FleetFile& file, Life life, Incarnation incarnation, uint64_t seed)
+    : file_(file),
+      self_(file.self),
+      chance_(static_cast<uint32_t>(seed ^ seed >> 32)),
+      members_(file, life, incarnation, period_of(file), seed + 1),
+      holder_(file, life, seed + 2),
+      granter_(file, seed + 3)
+{
+    granter_.table_is(table_);
+}
+
+std::vector<FleetEffect> Fleet::reduce(Point now, FleetEvent event)
+{
+    now_ = now;
+    std::visit([this](auto& e) { on(e); }, event);
+    settle();
+    return std::exchange(effects_, {});
+}
+
+bool Fleet::may(Point now, const Act& act) const { return holder_.may(now + act.lasts, act.duty, act.epoch); }
+
+Key Fleet::leader_key() const
+{
+    if (!standing_ || standing_->stage != Stage::voting || !standing_->standing.leader) return 0;
+    for (const Seat& s : standing_->standing.seats)
+        if (s.disk == standing_->standing.leader) return key_of(s.member);
+    return 0;
+}
+
+// What the parts have to say becomes effects; what they say to this member is heard at once.
+void Fleet::settle()
+{
+    for (bool more = true; more;) {
+        more = false;
+        std::vector<Send> sends = members_.take_sends();
+        for (auto* part : {&holder_}) {
+            auto some = part->take_sends();
+            sends.insert(sends.end(), std::make_move_iterator(some.begin()),
+                         std::make_move_iterator(some.end()));
+        }
+        auto some = granter_.take_sends();
+        sends.insert(sends.end(), std::make_move_iterator(some.begin()), std::make_move_iterator(some.end()));
+        for (Send& s : sends) {
+            if (s.to != self_) {
+                effects_.push_back(std::move(s));
+                continue;
+            }
+            more = true;
+            Heard own{self_, std::move(s.message)};
+            on(own);
+        }
+        for (Propose& p : granter_.take_proposals()) effects_.push_back(ToDesk{std::move(p)});
+        for (const Change& c : holder_.take_changes()) changed(c), more = true;
+        for (const HealthChange& h : members_.take_changes())
+            effects_.push_back(
+                Noted{"member", file_.members[h.member].id, "", h.incarnation, text_of(h.health)});
+    }
+}
+
+void Fleet::on(const Begun&)
+{
+    members_.start(now_);
+    holder_.start(now_);
+    list_fresh_ = now_;
+    list_spread_ =
+        file_.list ? file_.list->stale * (0.5 * std::uniform_real_distribution<>(0, 1)(chance_)) : Span{};
+    if (file_.list) list_fresh_ = now_ - file_.list->stale + first_list;
+}
+
+void Fleet::on(Heard& heard)
+{
+    const Member from = heard.from;
+    if (from != self_) members_.heard(now_, from);
+    std::visit(Cases{
+                   [&](const Hello&) {},
+                   [&](const Ping& p) {
+                       members_.on(now_, from, p);
+                       holder_.leader_is(p.leader, p.term);
+                       // Guards against news that was lost on its way.
+                       const auto own = newest_.find("list");
+                       const auto have = own == newest_.end()
+                                             ? std::pair<Epoch, uint64_t>{}
+                                             : std::pair{own->second.epoch, own->second.base};
+                       if (file_.list && std::pair{p.list_epoch, p.list} > have &&
+                           now_ - wanted_news_ > want_again) {
+                           wanted_news_ = now_;
+                           effects_.push_back(Send{from, WantNews{"list"}});
+                       }
+                   },
+                   [&](const Ask& a) { members_.on(now_, from, a); },
+                   [&](const Reached& r) { members_.on(now_, from, r); },
+                   [&](const Rumors& r) { members_.on(now_, from, r); },
+                   [&](RaftSent& r) { effects_.push_back(ToDesk{std::move(r)}); },
+                   [&](Word& w) {
+                       effects_.push_back(ToDesk{std::pair{from, std::move(w)}});
+                   },
+                   [&](Founded& f) {
+                       effects_.push_back(ToDesk{std::pair{from, std::move(f)}});
+                   },
+                   [&](const Renew& r) {
+                       if (granter_.leads()) return granter_.on(now_, from, r);
+                       const Refer refer{leader_key(), standing_ ? standing_->standing.term : 0};
+                       if (from != self_) return effects_.push_back(Send{from, refer});
+                       if (refer.leader != file_.members[self_].key) holder_.on(now_, self_, refer);
+                   },
+                   [&](const Renewed& r) { holder_.on(now_, from, r); },
+                   [&](const Refer& r) { holder_.on(now_, from, r); },
+                   [&](const Revoke& r) { holder_.on(now_, from, r); },
+                   [&](const Released& r) { granter_.on(now_, from, r); },
+                   [&](const Order& o) { hear(from, o); },
+                   [&](const Obeyed& o) { hear(from, o); },
+                   [&](News& n) { hear(from, n); },
+                   [&](const WantNews& w) {
+                       if (const auto at = newest_.find(w.duty); at != newest_.end())
+                           effects_.push_back(Send{from, at->second});
+                   },
+               },
+               heard.message);
+}
+
+void Fleet::on(DeskSaid& said)
+{
+    std::visit(Cases{
+                   [&](SendRaft& s) {
+                       if (!standing_) return;
+                       for (const Seat& seat : standing_->standing.seats)
+                           if (const auto m = seat.disk == s.to
+                                                  ? file_.member_of(std::string_view(seat.member))
+                                                  : std::nullopt;
+                               m && *m != self_)
+                               return effects_.push_back(
+                                   Send{*m, RaftSent{standing_->disk, s.to, std::move(s.bytes)}});
+                   },
+                   [&](SayWord& s) {
+                       for (Member m = 0; m < file_.members.size(); ++m)
+                           if (m != self_ && file_.members[m].voter) effects_.push_back(Send{m, s.word});
+                   },
+                   [&](SayFounded& s) {
+                       for (Member m = 0; m < file_.members.size(); ++m)
+                           if (m != self_ && file_.members[m].voter) effects_.push_back(Send{m, s.founded});
+                   },
+                   [&](TableIs& t) { table_ = std::move(t.table); },
+                   [&](const Proposed& p) {
+                       if (const auto at = desk_orders_.find(p.name); at != desk_orders_.end()) {
+                           const auto [member, number] = at->second;
+                           desk_orders_.erase(at);
+                           const Obeyed obeyed{number, p.well, p.well ? "done" : p.why};
+                           if (member == self_)
+                               hear(self_, obeyed);
+                           else
+                               effects_.push_back(Send{member, obeyed});
+                           return;
+                       }
+                       granter_.proposed(now_, table_, p.name, p.well);
+                   },
+                   [&](DeskStanding& s) {
+                       const bool led = granter_.leads();
+                       const Term before = standing_ ? standing_->standing.term : 0;
+                       const std::string trouble = standing_ ? standing_->trouble : "";
+                       if (s.trouble != trouble)
+                           effects_.push_back(Noted{"voter", text_of(s.stage), s.trouble, 0, ""});
+                       standing_ = std::move(s);
+                       const auto& st = standing_->standing;
+                       if (st.role != Role::leader) {
+                           granter_.out_of_office();
+                       } else if (!led || st.term != before) {
+                           granter_.out_of_office();
+                           granter_.office(now_, st.term);
+                       }
+                       if (led != granter_.leads())
+                           effects_.push_back(Noted{granter_.leads() ? "office" : "out of office", file_.id,
+                                                    "", st.term, ""});
+                       holder_.leader_is(leader_key(), st.term);
+                   },
+               },
+               said.effect);
+}
+
+void Fleet::on(const Ticked&)
+{
+    members_.carried.leader = leader_key();
+    members_.carried.term = standing_ ? standing_->standing.term : 0;
+    if (const auto own = newest_.find("list"); own != newest_.end()) {
+        members_.carried.list = own->second.base;
+        members_.carried.list_epoch = own->second.epoch;
+    }
+    members_.tick(now_);
+    holder_.tick(now_);
+    granter_.tick(now_);
+    list_tick();
+    beat();
+    if (members_.twin() && !std::exchange(twin_told_, true))
+        effects_.push_back(Noted{"trouble", file_.id, "another process has been seen under this id", 0, ""});
+    for (auto at = callers_.begin(); at != callers_.end();) {
+        if (now_ < at->second.until) {
+            ++at;
+            continue;
+        }
+        reply(at->second.caller, "FAILURE no leader has answered in time\n");
+        at = callers_.erase(at);
+    }
+}
+
+// Of what is held: what has to be done again and again.
+void Fleet::beat()
+{
+    for (auto& [name, b] : beats_) {
+        const auto d = file_.duty_of(name);
+        if (!d || now_ < b.next) continue;
+        const Duty& duty = file_.duties[*d];
+        if (duty.kind == DutyKind::probe) {
+            b.next = now_ + file_.probe->every * (1.0 / probe_slices);
+            effects_.push_back(
+                Act{name, b.epoch, probe_lasts,
+                    ProbeNow{static_cast<uint32_t>(std::stoul(name.substr(name.find('.') + 1))), b.slice}});
+            b.slice = (b.slice + 1) % probe_slices;
+        } else if (duty.kind == DutyKind::other && !duty.tell.empty()) {
+            b.next = now_ + duty.every;
+            effects_.push_back(
+                Act{name, b.epoch, {}, Tell{duty.tell, ++b.number, holder_.left(now_).us / 1000}});
+        }
+    }
+}
+
+void Fleet::changed(const Change& c)
+{
+    effects_.push_back(Noted{c.gained ? "gained" : "lost", c.duty, c.why, c.epoch, ""});
+    const auto d = file_.duty_of(c.duty);
+    if (!d) return;
+    const DutyKind kind = file_.duties[*d].kind;
+    if (c.gained)
+        beats_[c.duty] = {c.epoch, 0, now_, 0};
+    else
+        beats_.erase(c.duty);
+    if (kind == DutyKind::list) {
+        list_published_.clear();
+        numbers_[c.duty] = 0;
+        if (asking_ != c.gained) effects_.push_back(AskDiscovery{asking_ = c.gained});
+        list_fresh_ = std::max(list_fresh_, now_ - file_.list->stale * 0.5);
+    } else if (kind == DutyKind::drain && c.gained) {
+        if (wants_turn_) {
+            effects_.push_back(Act{c.duty, c.epoch, {}, DrainNow{}});
+            if (turn_)
+                reply(*std::exchange(turn_, std::nullopt),
+                      "SUCCESS draining at epoch " + std::to_string(c.epoch) + "\n");
+        } else {
+            holder_.release(now_, c.duty, "nobody waits for it any more");
+        }
+    } else if (kind == DutyKind::drain && wants_turn_) {
+        // Guards against more being drained than may be: another may have this turn before long.
+        wants_turn_ = false;
+        holder_.want("drain", false);
+        effects_.push_back(ResumeNow{});
+    }
+}
+
+void Fleet::publish(const std::string& duty, Epoch epoch, std::string bytes)
+{
+    News n{duty, epoch, ++numbers_[duty], 0, 0, std::move(bytes)};
+    n.base = n.bytes.empty() ? list_base_ : n.number;
+    fence_.accept(duty, epoch, n.number);
+    if (duty == "list" && !n.bytes.empty()) {
+        list_base_ = n.number;
+        newest_[duty] = n;
+    }
+    Publish p;
+    for (const Member m : members_.neighbours()) p.sends.push_back({m, n});
+    effects_.push_back(Act{duty, epoch, {}, std::move(p)});
+}
+
+void Fleet::pass_on(const News& news, Member not_to)
+{
+    for (const Member m : members_.neighbours())
+        if (m != not_to) effects_.push_back(Send{m, news});
+}
+
+void Fleet::hear(Member from, News& news)
+{
+    const auto d = file_.duty_of(news.duty);
+    if (!d) return;
+    if (!fence_.accept(news.duty, news.epoch, news.number)) {
+        refused_ += news.epoch < fence_.epoch(news.duty);
+        return;
+    }
+    pass_on(news, from);
+    const Span age{std::max<int64_t>(0, news.age_us)};
+    if (file_.duties[*d].kind == DutyKind::probe)
+        return effects_.push_back(UseReports{news.duty, std::move(news.bytes), age});
+    if (file_.duties[*d].kind != DutyKind::list) return;
+    const auto own = newest_.find(news.duty);
+    const bool have = !news.bytes.empty() || (own != newest_.end() && own->second.epoch == news.epoch &&
+                                              own->second.base == news.base);
+    if (!have) {
+        if (now_ - wanted_news_ > want_again) {
+            wanted_news_ = now_;
+            effects_.push_back(Send{from, WantNews{news.duty}});
+        }
+        return;
+    }
+    if (!news.bytes.empty()) {
+        auto list = unpack<ListNews>(news.bytes);
+        if (!list) return;
+        // Guards against a holder whose discovery has fallen behind: an older list would bring back what
+        // drains.
+        if (list->version < list_version_) return;
+        newest_[news.duty] = news;
+        if (list->version > list_version_) effects_.push_back(UseList{list->version, std::move(list->whole)});
+        list_version_ = list->version;
+    }
+    list_fresh_ = std::max(list_fresh_, now_ - age);
+    if (asking_ && !holder_.mine(now_, news.duty)) effects_.push_back(AskDiscovery{asking_ = false});
+}
+
+void Fleet::on(ListSeen& seen)
+{
+    if (!file_.list || seen.version < list_version_) return;
+    list_fresh_ = now_;
+    if (seen.version > list_version_) effects_.push_back(UseList{seen.version, seen.whole});
+    list_version_ = seen.version;
+    const auto epoch = holder_.mine(now_, "list");
+    if (!epoch) return;
+    auto bytes = pack(ListNews{seen.version, std::move(seen.whole)});
+    if (bytes == list_published_) return publish("list", *epoch, {});
+    list_published_ = bytes;
+    publish("list", *epoch, std::move(bytes));
+}
+
+void Fleet::list_tick()
+{
+    if (!file_.list || asking_ || stopping_ || holder_.mine(now_, "list")) return;
+    if (now_ - list_fresh_ <= file_.list->stale + list_spread_) return;
+    effects_.push_back(AskDiscovery{asking_ = true});
+    effects_.push_back(
+        Noted{"list", "", "it is older than stated: discovery is asked by this member itself", 0, ""});
+}
+
+void Fleet::on(ProbesSeen& seen)
+{
+    if (holder_.mine(now_, seen.duty) != seen.epoch) return;
+    publish(seen.duty, seen.epoch, std::move(seen.bytes));
+}
+
+void Fleet::on(const Refused& refused)
+{
+    if (holder_.mine(now_, refused.duty) == refused.epoch)
+        holder_.release(now_, refused.duty, "a receiver has met a higher epoch");
+}
+
+void Fleet::on(const Stops&)
+{
+    stopping_ = true;
+    holder_.leave(now_);
+    members_.leave(now_);
+}
+
+void Fleet::on(const DoorLeft& left)
+{
+    std::erase_if(callers_, [&](const auto& c) { return c.second.caller == left.caller; });
+    // Whoever waited for a turn and is gone needs none.
+    if (turn_ == left.caller) {
+        turn_.reset();
+        wants_turn_ = false;
+        holder_.want("drain", false);
+    }
+}
+
+void Fleet::on(const DoorAsked& asked)
+{
+    if (asked.what == "show-fleet") return reply(asked.caller, show());
+    if (asked.what == "turn") {
+        if (!file_.drain) return reply(asked.caller, "FAILURE the fleet file has no [drain]\n");
+        if (turn_ || wants_turn_)
+            return reply(asked.caller, "FAILURE a turn is asked for, or taken, already\n");
+        turn_ = asked.caller;
+        wants_turn_ = true;
+        return holder_.want("drain", true);
+    }
+    if (asked.what == "turn-over") {
+        wants_turn_ = false;
+        holder_.want("drain", false);
+        if (turn_) reply(*std::exchange(turn_, std::nullopt), "FAILURE called off\n");
+        for (const auto& [duty, epoch] : holder_.held(now_))
+            if (duty.starts_with("drain.")) holder_.release(now_, duty, "its turn is over");
+        return;
+    }
+    if (asked.what != "hand-over" && !file_.member_of(std::string_view(asked.first)))
+        return reply(asked.caller, "FAILURE no such member\n");
+    if (asked.what == "hand-over" && !file_.duty_of(asked.first))
+        return reply(asked.caller, "FAILURE no such duty\n");
+    order(asked.caller, asked.what, asked.first, asked.second);
+}
+
+void Fleet::order(uint64_t caller, const std::string& what, const std::string& first,
+                  const std::string& second)
+{
+    const Order o{next_order_++, what, first, second};
+    callers_[o.number] = {caller, now_ + file_.lease.length * 3 + order_waits};
+    if (granter_.leads()) return hear(self_, o);
+    Key leader = leader_key();
+    if (!leader) leader = holder_.leader() ? file_.members[*holder_.leader()].key : 0;
+    const auto m = leader ? file_.member_of(leader) : std::nullopt;
+    if (m && *m != self_) return effects_.push_back(Send{*m, o});
+    callers_.erase(o.number);
+    reply(caller, "FAILURE no leader is known\n");
+}
+
+void Fleet::hear(Member from, const Order& o)
+{
+    if (o.what == "hand-over") return granter_.hand_over(now_, from, o);
+    const auto m = file_.member_of(std::string_view(o.first));
+    if (!granter_.leads() || !m || !file_.members[*m].voter) {
+        const Obeyed no{
+            o.number, false,
+            granter_.leads() ? "the leader's fleet file has no such voter" : "this member does not lead"};
+        if (from == self_) return hear(self_, no);
+        return effects_.push_back(Send{from, no});
+    }
+    const auto name = next_desk_++;
+    desk_orders_[name] = {from, o.number};
+    effects_.push_back(ToDesk{std::pair{name, std::pair{o.what == "let-in", *m}}});
+}
+
+void Fleet::hear(Member, const Obeyed& o)
+{
+    const auto at = callers_.find(o.number);
+    if (at == callers_.end()) return;
+    reply(at->second.caller, (o.success ? "SUCCESS " : "FAILURE ") + o.text + "\n");
+    callers_.erase(at);
+}
+
+std::string Fleet::show() const
+{
+    const Term term = std::max(holder_.term(), standing_ ? standing_->standing.term : 0);
+    Key leader = leader_key();
+    if (!leader && holder_.confirmed(now_) && holder_.leader()) leader = file_.members[*holder_.leader()].key;
+    const auto leader_at = leader ? file_.member_of(leader) : std::nullopt;
+    std::string out = "me " + file_.id + " incarnation " + std::to_string(members_.incarnation()) + " term " +
+                      std::to_string(term) + " leader " +
+                      (leader_at ? file_.members[*leader_at].id : "none") + " majority " +
+                      (holder_.confirmed(now_) ? "yes" : "no");
+    if (standing_) {
+        out += std::string(" voter ") + text_of(standing_->stage);
+        if (!standing_->trouble.empty()) out += " trouble: " + standing_->trouble;
+    }
+    out += "\n";
+    for (Member m = 0; m < file_.members.size(); ++m) {
+        const auto& one = members_.of(m);
+        // Whoever was never heard of is not there, whatever becomes of it later.
+        const Health health = one.incarnation || m == self_ ? one.health : Health::gone;
+        out += "member " + file_.members[m].id + " " + text_of(health) + " zone " +
+               (file_.members[m].zone.empty() ? "-" : file_.members[m].zone) + " incarnation " +
+               std::to_string(one.incarnation) + (file_.members[m].voter ? " votes" : "") + "\n";
+    }
+    const Table& table = holder_.table();
+    for (const Duty& d : file_.duties) {
+        const auto e = table.of(d.name);
+        const auto own = holder_.mine(now_, d.name);
+        const auto holder = e.holder ? file_.member_of(e.holder) : std::nullopt;
+        const Epoch epoch = own ? *own : e.epoch;
+        out += "duty " + d.name + " holder " +
+               (own      ? file_.id
+                : holder ? file_.members[*holder].id
+                         : "none") +
+               " epoch " + std::to_string(epoch) + " left_ms " +
+               std::to_string(own ? holder_.left(now_).us / 1000 : 0) + (own ? " mine" : "") + "\n";
+    }
+    return out + "EOT\n";
+}
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,198 @@
+// One member of the fleet: a typed event in, effects out. Members, leases and duties are parts of it; the
+// voter's desk stands beside it, for it may wait for the disk. No I/O and no clock of its own: real
+// processes, virtual time and the model checker drive the same code.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "desk.h"
+#include "leases.h"
+#include "members.h"
+
+namespace firtide::fleet
+{
+
+// Events.
+struct Begun {
+};
+struct Heard {
+    Member from = 0;
+    Message message;
+};
+struct Ticked {  // every 20 to 50 ms
+};
+struct DeskSaid {
+    DeskEffect effect;
+};
+struct DoorAsked {
+    uint64_t caller = 0;
+    std::string what, first, second;  // show-fleet, hand-over, let-in, put-out, turn, turn-over
+};
+struct DoorLeft {
+    uint64_t caller = 0;
+};
+struct ListSeen {  // own discovery has answered
+    uint64_t version = 0;
+    std::string whole;
+};
+struct ProbesSeen {
+    std::string duty;
+    Epoch epoch = 0;
+    std::string bytes;
+};
+struct Refused {  // by a receiver that has met a higher epoch
+    std::string duty;
+    Epoch epoch = 0;
+};
+struct Stops {
+};
+using FleetEvent =
+    std::variant<Begun, Heard, Ticked, DeskSaid, DoorAsked, DoorLeft, ListSeen, ProbesSeen, Refused, Stops>;
+
+// Effects. Send is one of them.
+struct ToDesk {
+    std::variant<std::pair<Member, Word>, std::pair<Member, Founded>, RaftSent, Propose,
+                 std::pair<uint64_t, std::pair<bool, Member>>>
+        call;  // the last one lets a member in, or puts it out
+};
+struct Publish {
+    std::vector<Send> sends;
+};
+struct Tell {  // the program beside this balancer
+    std::string address;
+    uint64_t number = 0;
+    int64_t left_ms = 0;
+};
+struct ProbeNow {  // those of the upstreams of this part whose turn is this slice of the period
+    uint32_t part = 0, slice = 0;
+};
+struct DrainNow {
+};
+// An effect of a duty. The host passes it through Fleet::may with a clock read for it, and only then carries
+// it out.
+struct Act {
+    std::string duty;
+    Epoch epoch = 0;
+    Span lasts;  // the lease has to hold for so long
+    std::variant<Publish, Tell, ProbeNow, DrainNow> what;
+};
+struct ResumeNow {  // the turn to drain is over
+};
+struct AskDiscovery {
+    bool on = false;
+};
+struct UseList {
+    uint64_t version = 0;
+    std::string whole;
+};
+struct UseReports {
+    std::string duty;
+    std::string bytes;
+    Span age;
+};
+struct Reply {
+    uint64_t caller = 0;
+    std::string text;
+};
+struct Noted {  // for the log; a line of JSON
+    std::string event, subject, why;
+    Epoch epoch = 0;
+    std::string health;
+};
+using FleetEffect =
+    std::variant<Send, ToDesk, Act, ResumeNow, AskDiscovery, UseList, UseReports, Reply, Noted>;
+
+inline constexpr uint32_t probe_slices = 10;
+
+class Fleet
+{
+  public:
+    // incarnation: higher than any that this id was before, as far as its disk remembers.
+    Fleet(const FleetFile& file, Life life, Incarnation incarnation, uint64_t seed);
+
+    std::vector<FleetEffect> reduce(Point now, FleetEvent event);
+
+    // The gate. The one place where it is decided whether an effect of a duty may leave.
+    bool may(Point now, const Act& act) const;
+    bool mine(Point now, const std::string& duty) const { return holder_.mine(now, duty).has_value(); }
+
+    Incarnation incarnation() const { return members_.incarnation(); }
+    const Holder& holder() const { return holder_; }
+    const Members& members() const { return members_; }
+    Granter& granter() { return granter_; }
+    uint64_t refused() const { return refused_; }  // effects of others, for their epoch
+
+  private:
+    struct Caller {
+        uint64_t caller = 0;
+        Point until;
+    };
+    struct Beat {
+        Epoch epoch = 0;
+        uint64_t number = 0;
+        Point next;
+        uint32_t slice = 0;
+    };
+
+    void on(const Begun&);
+    void on(Heard& heard);
+    void on(const Ticked&);
+    void on(DeskSaid& said);
+    void on(const DoorAsked& asked);
+    void on(const DoorLeft& left);
+    void on(ListSeen& seen);
+    void on(ProbesSeen& seen);
+    void on(const Refused& refused);
+    void on(const Stops&);
+
+    void hear(Member from, const Order& order);
+    void hear(Member from, const Obeyed& obeyed);
+    void hear(Member from, News& news);
+    void settle();
+    void changed(const Change& change);
+    void publish(const std::string& duty, Epoch epoch, std::string bytes);
+    void list_tick();
+    void beat();
+    void pass_on(const News& news, Member not_to);
+    void reply(uint64_t caller, std::string text) { effects_.push_back(Reply{caller, std::move(text)}); }
+    void order(uint64_t caller, const std::string& what, const std::string& first, const std::string& second);
+    std::string show() const;
+    Key leader_key() const;
+
+    const FleetFile& file_;
+    const Member self_;
+    std::ranlux24_base chance_;
+    Point now_;
+    Members members_;
+    Holder holder_;
+    Granter granter_;
+    Table table_;  // as committed, at a voter
+    std::optional<DeskStanding> standing_;
+    std::vector<FleetEffect> effects_;
+    std::vector<std::pair<Member, Message>> to_self_;
+
+    Fence fence_;
+    uint64_t refused_ = 0;
+    std::map<std::string, News> newest_;  // of duties whose last word stays true
+    std::map<std::string, Beat> beats_;   // of what is held
+    std::map<std::string, uint64_t> numbers_;
+    uint64_t list_version_ = 0, list_base_ = 0;
+    Point list_fresh_;
+    Span list_spread_;
+    std::string list_published_;
+    bool asking_ = false;
+    Point wanted_news_;
+
+    std::map<uint64_t, Caller> callers_;  // of orders on their way to the leader
+    std::map<uint64_t, std::pair<Member, uint64_t>> desk_orders_;
+    uint64_t next_order_ = 1, next_desk_ = uint64_t{1} << 63;
+    std::optional<uint64_t> turn_;  // the caller who waits for it
+    bool wants_turn_ = false, twin_told_ = false, stopping_ = false;
+};
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/host.cpp
@@ -0,0 +1,286 @@
+#include "host.h"
+
+#include <sys/eventfd.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <nlohmann/json.hpp>
+
+#include "src/net/log.h"
+
+namespace firtide::fleet
+{
+namespace
+{
+
+using net::to_timeval;
+
+constexpr const char* incarnation_file = "member";
+constexpr Span tick_every = seconds(0.05), desk_ticks_every = seconds(0.02);
+
+struct MemberRecord {
+    std::string fleet, member;
+    Incarnation incarnation = 0;
+    MSGPACK_DEFINE(fleet, member, incarnation)
+};
+
+uint64_t draw()
+{
+    std::random_device device;
+    return uint64_t{device()} << 32 | device();
+}
+
+}  // namespace
+
+Point fleet_now()
+{
+    timespec at{};
+    clock_gettime(CLOCK_BOOTTIME, &at);
+    return {int64_t{at.tv_sec} * 1'000'000 + at.tv_nsec / 1000};
+}
+
+DeskThread::DeskThread(event_base* base, const FleetFile& file, Files& files, uint64_t seed,
+                       std::function<void(DeskEffect)> said)
+    : file_(file), files_(files), said_(std::move(said)), wakes_loop_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    waking_.reset(event_new(
+        base, wakes_loop_.fd(), EV_READ | EV_PERSIST,
+        [](evutil_socket_t, short, void* self) { static_cast<DeskThread*>(self)->heard(); }, this));
+    event_add(waking_.get(), nullptr);
+    thread_ = std::thread([this, seed] { run(seed); });
+}
+
+DeskThread::~DeskThread()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stop_ = true;
+    }
+    more_.notify_one();
+    thread_.join();
+}
+
+void DeskThread::call(ToDesk call)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        // Guards against a disk that does not answer for minutes: nothing that old is wanted any more.
+        if (calls_.size() > 4096) calls_.pop_front();
+        calls_.push_back(std::move(call));
+    }
+    more_.notify_one();
+}
+
+void DeskThread::out(std::vector<DeskEffect> effects)
+{
+    if (effects.empty()) return;
+    {
+        const std::lock_guard lock(mutex_);
+        for (DeskEffect& e : effects) effects_.push_back(std::move(e));
+    }
+    const uint64_t one = 1;
+    (void)!write(wakes_loop_.fd(), &one, sizeof one);
+}
+
+void DeskThread::heard()
+{
+    uint64_t count = 0;
+    (void)!read(wakes_loop_.fd(), &count, sizeof count);
+    std::deque<DeskEffect> effects;
+    {
+        const std::lock_guard lock(mutex_);
+        effects.swap(effects_);
+    }
+    for (DeskEffect& e : effects) said_(std::move(e));
+}
+
+void DeskThread::run(uint64_t seed)
+{
+    Desk desk(file_, files_, VoterTimes{}, seed);
+    out(desk.start(fleet_now()));
+    Point tick = fleet_now();
+    std::unique_lock lock(mutex_);
+    while (!stop_) {
+        const Span wait = tick + desk_ticks_every - fleet_now();
+        if (calls_.empty() && wait > Span{}) more_.wait_for(lock, std::chrono::microseconds(wait.us));
+        if (stop_) break;
+        std::deque<ToDesk> calls;
+        calls.swap(calls_);
+        lock.unlock();
+        for (ToDesk& c : calls) {
+            const Point now = fleet_now();
+            if (auto* w = std::get_if<std::pair<Member, Word>>(&c.call))
+                out(desk.word(now, w->first, w->second));
+            else if (auto* f = std::get_if<std::pair<Member, Founded>>(&c.call))
+                out(desk.founded(now, f->first, f->second));
+            else if (auto* r = std::get_if<RaftSent>(&c.call))
+                out(desk.raft(now, *r));
+            else if (auto* p = std::get_if<Propose>(&c.call))
+                out(desk.propose(now, *p));
+            else if (auto* o = std::get_if<std::pair<uint64_t, std::pair<bool, Member>>>(&c.call))
+                out(o->second.first ? desk.let_in(now, o->first, o->second.second)
+                                    : desk.put_out(now, o->first, o->second.second));
+        }
+        if (const Point now = fleet_now(); now - tick >= desk_ticks_every) {
+            tick = now;
+            out(desk.tick(now));
+        }
+        lock.lock();
+    }
+}
+
+Folder Host::open(const FleetFile& file, const std::string& path)
+{
+    const std::string where = path + ": fleet.data: " + file.data + ": ";
+    std::optional<Folder> folder;
+    if (const auto error = Folder::open(file.data, folder))
+        throw CannotStart(
+            where + (error == std::errc::operation_would_block ? "another process has it" : error.message()));
+    std::optional<std::string> text;
+    if (const auto error = folder->read(incarnation_file, text)) throw CannotStart(where + error.message());
+    if (text) {
+        const auto record = unpack<MemberRecord>(*text);
+        if (record && (record->fleet != file.name || record->member != file.id))
+            throw CannotStart(where + "is the folder of member '" + record->member + "' of fleet '" +
+                              record->fleet + "'");
+    }
+    if (const auto error = folder->replace("writable", "")) throw CannotStart(where + error.message());
+    return std::move(*folder);
+}
+
+void Host::check(const FleetFile& file, const std::string& path) { (void)open(file, path); }
+
+Incarnation Host::next_incarnation()
+{
+    std::optional<std::string> text;
+    (void)folder_.read(incarnation_file, text);
+    const auto record = text ? unpack<MemberRecord>(*text) : std::nullopt;
+    return (record ? record->incarnation : 0) + 1;
+}
+
+// A disk that fails costs no more than that others have to be asked how far it had come.
+void Host::keep_incarnation()
+{
+    if (fleet_.incarnation() == kept_) return;
+    kept_ = fleet_.incarnation();
+    if (const auto error = folder_.replace(incarnation_file, pack(MemberRecord{file_.name, file_.id, kept_})))
+        note({"trouble", file_.id, "the incarnation is not kept: " + error.message(), 0, ""});
+}
+
+Host::Host(event_base* base, FleetFile file, const std::string& path, Hooks hooks)
+    : base_(base),
+      file_(std::move(file)),
+      hooks_(std::move(hooks)),
+      folder_(open(file_, path)),
+      life_(draw() | 1),
+      fleet_(file_, life_, next_incarnation(), draw()),
+      peers_(base, file_, life_, draw(),
+             [this](Member from, Message m) {
+                 tell(Heard{from, std::move(m)});
+             }),
+      tellers_(base, [this](const std::string& duty, Epoch epoch) {
+          tell(Refused{duty, epoch});
+      })
+{
+    keep_incarnation();
+    ticking_.reset(event_new(
+        base_, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<Host*>(self)->tick(); },
+        this));
+}
+
+Host::~Host() = default;
+
+void Host::start()
+{
+    if (file_.members[file_.self].voter)
+        desk_ = std::make_unique<DeskThread>(base_, file_, folder_, draw(),
+                                             [this](DeskEffect e) { tell(DeskSaid{std::move(e)}); });
+    tell(Begun{});
+    const auto every = to_timeval(tick_every);
+    event_add(ticking_.get(), &every);
+}
+
+void Host::tick()
+{
+    tell(Ticked{});
+    keep_incarnation();
+}
+
+// Events that come while effects are carried out wait for their turn.
+void Host::tell(FleetEvent event)
+{
+    events_.push_back(std::move(event));
+    if (reducing_) return;
+    reducing_ = true;
+    while (!events_.empty()) {
+        FleetEvent next = std::move(events_.front());
+        events_.pop_front();
+        for (FleetEffect& e : fleet_.reduce(fleet_now(), std::move(next))) carry_out(e);
+    }
+    reducing_ = false;
+}
+
+bool Host::passes(const std::string& duty, Epoch epoch, Span lasts)
+{
+    Act act;
+    act.duty = duty, act.epoch = epoch, act.lasts = lasts;
+    const bool well = fleet_.may(fleet_now(), act);
+    stopped_at_gate_ += !well;
+    return well;
+}
+
+void Host::act(const Act& a)
+{
+    const auto gate = [&] { return passes(a.duty, a.epoch, a.lasts); };
+    if (const auto* told = std::get_if<fleet::Tell>(&a.what))
+        return tellers_.tell(told->address, {a.duty, file_.id, a.epoch, told->number, told->left_ms}, gate);
+    if (!gate()) return;
+    if (const auto* publish = std::get_if<Publish>(&a.what)) {
+        for (const Send& s : publish->sends) peers_.send(s.to, s.message);
+    } else if (const auto* probe = std::get_if<ProbeNow>(&a.what)) {
+        if (hooks_.probe) hooks_.probe(*probe, a.duty, a.epoch);
+    } else if (hooks_.drain) {
+        hooks_.drain();
+    }
+}
+
+void Host::carry_out(FleetEffect& effect)
+{
+    if (auto* send = std::get_if<Send>(&effect)) return peers_.send(send->to, send->message);
+    if (auto* desk = std::get_if<ToDesk>(&effect)) {
+        if (desk_) desk_->call(std::move(*desk));
+        return;
+    }
+    if (auto* a = std::get_if<Act>(&effect)) return act(*a);
+    if (auto* noted = std::get_if<Noted>(&effect)) return note(*noted);
+    if (auto* reply = std::get_if<Reply>(&effect)) {
+        if (hooks_.reply) hooks_.reply(reply->caller, reply->text);
+    } else if (auto* ask = std::get_if<AskDiscovery>(&effect)) {
+        if (hooks_.ask_discovery) hooks_.ask_discovery(ask->on);
+    } else if (auto* list = std::get_if<UseList>(&effect)) {
+        if (hooks_.use_list) hooks_.use_list(*list);
+    } else if (auto* reports = std::get_if<UseReports>(&effect)) {
+        if (hooks_.use_reports) hooks_.use_reports(*reports);
+    } else if (std::get_if<ResumeNow>(&effect)) {
+        if (hooks_.resume) hooks_.resume();
+    }
+}
+
+// One line of JSON for each change that somebody may have to trace.
+void Host::note(const Noted& n)
+{
+    nlohmann::ordered_json line{
+        {"boot_us", fleet_now().us}, {"fleet", file_.name}, {"member", file_.id}, {"event", n.event}};
+    if (n.event == "gained" || n.event == "lost") {
+        line["duty"] = n.subject;
+        line["epoch"] = n.epoch;
+    } else {
+        if (!n.subject.empty()) line["subject"] = n.subject;
+        if (!n.health.empty()) line["health"] = n.health;
+        if (n.epoch) line["number"] = n.epoch;
+    }
+    if (!n.why.empty()) line["why"] = n.why;
+    net::log_line(line.dump());
+}
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/leases.h
@@ -0,0 +1,174 @@
+// Leases on duties. The holder's side, at every member, and the leader's, at one voter: both without I/O or
+// clock.
+//
+// A member renews one lease on all that it holds: it asks the leader, which answers once a majority has
+// confirmed that it still leads. The holder counts from its asking, by its own clock, drift taken off; the
+// leader from the last asking that reached it, or from its coming into office. So a duty is held by nobody
+// any more before it can be granted again, whoever stalls or is cut off, as long as clocks keep to the stated
+// drift; where they do not, receivers refuse by epoch (Fence).
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "members.h"
+#include "table.h"
+
+namespace firtide::fleet
+{
+
+// At a receiver of a duty's effects: none of a lower epoch, and none twice.
+class Fence
+{
+  public:
+    bool accept(const std::string& duty, Epoch epoch, uint64_t number);
+    Epoch epoch(const std::string& duty) const;
+
+  private:
+    std::map<std::string, std::pair<Epoch, uint64_t>> newest_;
+};
+
+struct Change {  // of what this member holds
+    std::string duty;
+    Epoch epoch = 0;
+    bool gained = false;
+    std::string why;
+};
+
+class Holder
+{
+  public:
+    Holder(const FleetFile& file, Life life, uint64_t seed);
+
+    void start(Point now);
+    void tick(Point now);
+    void on(Point now, Member from, const Renewed& renewed);
+    void on(Point now, Member from, const Refer& refer);
+    void on(Point now, Member from, const Revoke& revoke);
+    void leader_is(Key leader, Term term);
+    void want(const std::string& family, bool wanted);
+    void release(Point now, const std::string& duty, const std::string& why);
+    void leave(Point now);
+
+    // The check that stands before each effect of a duty, with a clock read for it.
+    bool may(Point now, const std::string& duty, Epoch epoch) const;
+    std::optional<Epoch> mine(Point now, const std::string& duty) const;
+    Span left(Point now) const { return now < until_ ? until_ - now : Span{}; }
+    // A majority has confirmed it lately.
+    bool confirmed(Point now) const { return now < until_; }
+    std::map<std::string, Epoch> held(Point now) const;
+    const Table& table() const { return table_; }
+    Term term() const { return term_; }
+    std::optional<Member> leader() const { return leader_; }  // as it takes it to be
+
+    std::vector<Send> take_sends() { return std::exchange(sends_, {}); }
+    std::vector<Change> take_changes() { return std::exchange(changes_, {}); }
+
+  private:
+    void renew(Point now);
+    void lose(const std::string& duty, const std::string& why);
+    void send_released(const std::string& duty, Epoch epoch);
+
+    const FleetFile& file_;
+    const Key own_;
+    const Life life_;
+    std::ranlux24_base chance_;
+    std::vector<Member> voters_;
+    std::optional<Member> leader_;
+    Term leader_term_ = 0, term_ = 0;
+    size_t next_voter_ = 0;
+    uint64_t nonce_ = 0;
+    std::deque<std::pair<uint64_t, Point>> asked_;  // not answered yet
+    Point next_, until_;
+    bool answered_ = true, leaving_ = false;
+    std::map<std::string, Epoch> held_;
+    std::map<std::string, Epoch> done_;  // no epoch up to it is held any more
+    std::set<std::string> wants_;
+    Table table_;
+    std::vector<Send> sends_;
+    std::vector<Change> changes_;
+};
+
+class Granter
+{
+  public:
+    Granter(const FleetFile& file, uint64_t seed);
+
+    void office(Point now, Term term);
+    void out_of_office();
+    bool leads() const { return in_office_; }
+    void tick(Point now);
+    void on(Point now, Member from, const Renew& renew);
+    void on(Point now, Member from, const Released& released);
+    // The table as committed so far is read where it stands.
+    void proposed(Point now, const Table& table, uint64_t name, bool well);
+    void table_is(const Table& table) { table_ = &table; }
+    void hand_over(Point now, Member from, const Order& order);
+
+    std::vector<Send> take_sends() { return std::exchange(sends_, {}); }
+    std::vector<Propose> take_proposals() { return std::exchange(proposals_, {}); }
+
+    // Of the test that shows that each is needed: safety rules that can be left out.
+    struct LeaveOut {
+        bool wait_in_office = false;  // grants what others granted without waiting
+        bool confirm = false;         // answers renewals without a majority
+        bool expiry = false;          // grants again after half of the lease
+    } leave_out;
+
+  private:
+    struct Session {
+        Life life = 0;
+        Point received, since;
+        bool leaving = false;
+        std::map<std::string, Point> wants;
+    };
+    struct Waiting {
+        Member from = 0;
+        Renew renew;
+    };
+    struct Moving {
+        std::optional<Member> to;
+        Epoch epoch = 0;
+        Point since, asked;
+        std::optional<std::pair<Member, uint64_t>> order;
+    };
+
+    bool fresh(Point now, Member m) const;
+    bool over(Point now, const Table::Entry& e) const;
+    std::map<Member, size_t> loads(Point now) const;
+    std::optional<Member> choose(const std::string& duty, const std::map<Member, size_t>& loads) const;
+    void grant(Point now, std::vector<Command>& commands, const std::string& duty, Member to,
+               const std::string& why);
+    void assign(Point now);
+    void balance(Point now);
+    void propose(Point now, std::vector<Command> commands);
+    void answer(const Waiting& w, const Table& table);
+    void obey(const std::optional<std::pair<Member, uint64_t>>& order, bool well, const std::string& text);
+
+    const FleetFile& file_;
+    std::ranlux24_base chance_;
+    const Table* table_ = nullptr;
+    bool in_office_ = false;
+    Term term_ = 0;
+    Point since_, balanced_, proposed_at_;
+    std::map<Member, Session> sessions_;
+    std::map<std::pair<Key, Life>, Point> received_;
+    std::map<std::string, Epoch> floors_;
+    std::vector<Waiting> waiting_;
+    struct Out {
+        std::vector<Waiting> waiting;
+        std::vector<Command> commands;
+    };
+    std::map<uint64_t, Out> out_;
+    std::set<std::string> in_log_;  // duties that a proposal on its way is about
+    std::map<std::string, Moving> moving_;
+    uint64_t name_ = 0;
+    std::vector<Send> sends_;
+    std::vector<Propose> proposals_;
+};
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/peers.h
@@ -0,0 +1,69 @@
+// Connections to the other members, on libevent: one way each. What this member says goes over connections
+// that it opens; what it hears comes over those that others open. Nothing here blocks, and no queue grows
+// without end.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <random>
+
+#include "config.h"
+#include "src/net/event.h"
+
+struct evconnlistener;
+
+namespace firtide::fleet
+{
+
+class Peers
+{
+  public:
+    struct Counts {
+        uint64_t messages_in = 0, messages_out = 0, bytes_in = 0, bytes_out = 0;
+        uint64_t dropped = 0;  // of the queues, for want of room or by age
+        uint64_t garbage = 0;  // connections ended for what could not be read
+        uint64_t strangers =
+            0;  // refused: another fleet or version, a member nobody knows, not meant for this one
+    };
+
+    // Throws std::runtime_error where the address cannot be listened on.
+    Peers(event_base* base, const FleetFile& file, Life life, uint64_t seed,
+          std::function<void(Member, Message)> heard);
+    ~Peers();
+
+    void send(Member to, const Message& message);
+    const Counts& counts() const { return counts_; }
+
+  private:
+    struct In;
+    struct Out;
+    struct Waiting {
+        Point since;
+        uint16_t kind = 0;
+        std::string payload;
+    };
+    using Place = std::list<In>::iterator;
+
+    void accept(evutil_socket_t fd);
+    void readable(Place at);
+    bool greeted(In& in, const Message& message);
+    void connect(Out& out);
+    void ended(Out& out);
+    void flush(Out& out);
+    void again(Out& out);
+
+    event_base* base_;
+    const FleetFile& file_;
+    const Life life_;
+    std::ranlux24_base chance_;
+    std::function<void(Member, Message)> heard_;
+    std::unique_ptr<evconnlistener, void (*)(evconnlistener*)> listener_;
+    std::list<In> in_;
+    std::map<Member, Out> out_;
+    Counts counts_;
+};
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/store.h
@@ -0,0 +1,109 @@
+// What a voter has to remember: term, vote, log, snapshot. One file of records, each with length and
+// checksum; what is kept is on the disk before anybody is told of it.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "files.h"
+
+namespace firtide::fleet
+{
+
+using Index = uint64_t;  // of the log, from 1
+using Term = uint64_t;
+using DiskId = uint64_t;  // drawn once for each new disk; a voter's name in the log is that of its disk
+
+struct LogEntry {
+    Term term = 0;
+    uint16_t kind = 0;
+    std::string bytes;
+
+    bool operator==(const LogEntry&) const = default;
+};
+
+struct Snapshot {
+    Index index = 0;  // zero: there is none
+    Term term = 0;
+    std::string voters;  // encoded, as of voters_index
+    Index voters_index = 0;
+    std::string bytes;
+
+    bool operator==(const Snapshot&) const = default;
+};
+
+struct Kept {
+    Term term = 0;
+    DiskId vote = 0;  // zero: for nobody
+    Snapshot snapshot;
+    Index first = 1;  // of the entries
+    std::deque<LogEntry> entries;
+    uint64_t writes = 0;  // records that this disk has ever taken; what others have seen of it can be no more
+
+    Index last() const { return first + entries.size() - 1; }
+    bool operator==(const Kept&) const = default;
+};
+
+// Whose disk it is.
+struct Owner {
+    std::string fleet, member;
+    DiskId disk = 0;
+
+    bool operator==(const Owner&) const = default;
+};
+
+enum class Opened {
+    fresh,          // there was nothing; a new identity has been written
+    whole,          // all that was kept is there
+    cut,            // half a record at the end, which nobody was told of, has been taken off
+    another,        // it is another member's, or another fleet's
+    newer_version,  // of this file's format
+    damaged,        // something that was kept is not there any more
+    failed,         // the disk does not answer as it should
+};
+const char* text_of(Opened opened);
+
+class Store
+{
+  public:
+    explicit Store(Files& files) : files_(files) {}
+
+    // disk: the identity of a fresh one.
+    Opened open(const std::string& fleet, const std::string& member, DiskId disk);
+    // Forgets all and begins with another identity.
+    bool renew(DiskId disk);
+
+    const Owner& owner() const { return owner_; }
+    const Kept& kept() const { return kept_; }
+
+    // Each is kept in memory at once and on the disk after the next sync.
+    void term_is(Term term, DiskId vote);
+    void append(const std::vector<LogEntry>& entries);
+    void truncate(Index from);
+    // Replaces what is up to it but for so many entries before it. On the disk at once; false: it is not.
+    bool snapshot_is(Snapshot snapshot, Index trailing);
+
+    // False: the disk has failed, now or before; nothing that was not synced may be told.
+    bool sync();
+    bool failed() const { return !error_.empty(); }
+    const std::string& error() const { return error_; }
+    size_t bytes() const { return bytes_; }        // of the file
+    uint64_t written() const { return written_; }  // Kept::writes as it is on the disk: what may be told
+
+  private:
+    void put(const std::string& payload);
+    bool rewrite(bool counts = true);
+    bool fail(const std::error_code& error);
+
+    Files& files_;
+    Owner owner_;
+    Kept kept_;
+    std::string waiting_;  // records that are not in the file yet
+    size_t bytes_ = 0;
+    uint64_t written_ = 0;
+    std::string error_;
+};
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/words.h
@@ -0,0 +1,204 @@
+// What members and voters tell each other. A message is decoded once, at the door, to one of these.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "pack.h"
+#include "store.h"
+
+namespace firtide::fleet
+{
+
+using Key = uint64_t;    // of a member's id, the same in every process
+using Life = uint64_t;   // one run of a process, drawn at its start
+using Epoch = uint64_t;  // of a duty; only grows
+using Incarnation = uint64_t;
+
+Key key_of(std::string_view id);
+
+enum class Health : uint8_t { alive, suspect, gone };  // at one incarnation, later ones overrule earlier ones
+enum class Stage : uint8_t { empty, checking, voting, failed, refused };
+const char* text_of(Health health);
+const char* text_of(Stage stage);
+
+// The first on every connection.
+struct Hello {
+    std::string fleet;
+    uint32_t version = 0;
+    Key from = 0, to = 0;
+    Life life = 0;
+    MSGPACK_DEFINE(fleet, version, from, to, life)
+};
+struct Rumor {
+    Key member = 0;
+    uint8_t health = 0;
+    Incarnation incarnation = 0;
+    Life life = 0;
+    MSGPACK_DEFINE(member, health, incarnation, life)
+};
+// Also answers one: then `answers` is that one's number.
+struct Ping {
+    uint64_t number = 0, answers = 0;
+    Incarnation incarnation = 0;
+    uint64_t view = 0;  // digest of all that its sender holds of the members
+    uint8_t held = 0;   // what its sender holds of its receiver, and at which incarnation
+    Incarnation held_at = 0;
+    Key leader = 0;  // zero: unknown
+    Term term = 0;
+    uint64_t list = 0;  // newest list that its sender has
+    Epoch list_epoch = 0;
+    MSGPACK_DEFINE(number, answers, incarnation, view, held, held_at, leader, term, list, list_epoch)
+};
+struct Ask {  // whether the receiver reaches this member
+    Key member = 0;
+    MSGPACK_DEFINE(member)
+};
+struct Reached {
+    Key member = 0;
+    Incarnation incarnation = 0;
+    MSGPACK_DEFINE(member, incarnation)
+};
+struct Rumors {
+    std::vector<Rumor> all;
+    bool answer = false;  // with all that the receiver holds
+    MSGPACK_DEFINE(all, answer)
+};
+struct RaftSent {
+    DiskId from = 0, to = 0;
+    std::string bytes;
+    MSGPACK_DEFINE(from, to, bytes)
+};
+// What a voter last heard of another's disk: a disk that knows less of itself is not the one that it was.
+struct SeenDisk {
+    DiskId disk = 0;
+    uint64_t writes = 0;
+    MSGPACK_DEFINE(disk, writes)
+};
+struct Word {  // of a voter, to the other voters
+    DiskId disk = 0;
+    uint8_t stage = 0;
+    uint64_t writes = 0;
+    std::vector<SeenDisk> seen;
+    MSGPACK_DEFINE(disk, stage, writes, seen)
+};
+struct Founded {  // who votes, from the one voter that may say so
+    std::vector<std::pair<std::string, DiskId>> voters;
+    MSGPACK_DEFINE(voters)
+};
+struct SeenEpoch {
+    std::string duty;
+    Epoch epoch = 0;
+    MSGPACK_DEFINE(duty, epoch)
+};
+struct Renew {
+    Life life = 0;
+    uint64_t nonce = 0;
+    uint64_t table = 0;              // version of the table that its sender has
+    std::vector<std::string> wants;  // duties, or families of them, asked for
+    std::vector<SeenEpoch> seen;     // higher than that table has them
+    bool leaving = false;            // wants nothing any more
+    MSGPACK_DEFINE(life, nonce, table, wants, seen, leaving)
+};
+struct Row {
+    std::string duty;
+    Key holder = 0;  // zero: none
+    Life life = 0;
+    Epoch epoch = 0;
+    MSGPACK_DEFINE(duty, holder, life, epoch)
+};
+// Confirmed by a majority. Without a nonce it renews nothing.
+struct Renewed {
+    Term term = 0;
+    uint64_t nonce = 0;
+    uint64_t table = 0;
+    bool whole = false;  // rows are all there are; else only those of the receiver
+    std::vector<Row> rows;
+    MSGPACK_DEFINE(term, nonce, table, whole, rows)
+};
+struct Refer {  // to the leader; zero: none is known
+    Key leader = 0;
+    Term term = 0;
+    MSGPACK_DEFINE(leader, term)
+};
+struct Revoke {
+    std::string duty;
+    Epoch epoch = 0;
+    MSGPACK_DEFINE(duty, epoch)
+};
+struct Released {
+    std::string duty;
+    Epoch epoch = 0;
+    Life life = 0;
+    MSGPACK_DEFINE(duty, epoch, life)
+};
+// Asked of the leader for an operator at the sender's door.
+struct Order {
+    uint64_t number = 0;
+    std::string what, first, second;
+    MSGPACK_DEFINE(number, what, first, second)
+};
+struct Obeyed {
+    uint64_t number = 0;
+    bool success = false;
+    std::string text;
+    MSGPACK_DEFINE(number, success, text)
+};
+// An effect of a duty on all members, passed on by each that takes it.
+struct News {
+    std::string duty;
+    Epoch epoch = 0;
+    uint64_t number = 0;  // grows within the epoch
+    uint64_t base = 0;    // the number of the last one with bytes: without any, that one still holds
+    int64_t age_us = 0;
+    std::string bytes;
+    MSGPACK_DEFINE(duty, epoch, number, base, age_us, bytes)
+};
+struct WantNews {  // the newest of a duty
+    std::string duty;
+    MSGPACK_DEFINE(duty)
+};
+
+using Message = std::variant<Hello, Ping, Ask, Reached, Rumors, RaftSent, Word, Founded, Renew, Renewed,
+                             Refer, Revoke, Released, Order, Obeyed, News, WantNews>;
+
+inline constexpr uint32_t wire_version = 1;
+inline constexpr size_t most_message = 4 << 20;  // bytes
+
+// Lower ones go first, and last where a queue overflows.
+enum class Urgency : uint8_t { leases, members, news };
+Urgency urgency_of(const Message& message);
+
+std::string encode_payload(const Message& message);
+std::string frame(size_t kind, std::string_view payload, uint32_t number);  // kind: the message's index
+inline std::string encode_frame(const Message& message, uint32_t number)
+{
+    return frame(message.index(), encode_payload(message), number);
+}
+
+// Frames of one connection, in order.
+class FrameReader
+{
+  public:
+    enum class State { more, message, broken };
+    // Takes bytes in; then next() until it says more, or broken.
+    void take(std::string_view bytes) { text_.append(bytes); }
+    State next();
+    Message& message() { return message_; }
+    const char* why() const { return why_; }  // broken
+
+  private:
+    State broken(const char* why);
+
+    std::string text_;
+    size_t at_ = 0;
+    uint32_t number_ = 0;
+    Message message_;
+    const char* why_ = "";
+};
+
+}  // namespace firtide::fleet
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <CLI/CLI.hpp>
 #include <cstdio>
 
+#include "src/fleet/commands.h"
 #include "src/net/discovery.h"
 #include "src/net/log.h"
 #include "src/net/service.h"
@@ -10,7 +11,7 @@
 {
     CLI::App app("firtide, a load balancer for services that call services");
     app.require_subcommand(1);
-    std::string path, level = "info";
+    std::string path, level = "info", fleet_path, door;
     const auto with_config = [&path](CLI::App* command) {
         command->add_option("-c,--config,config", path, "the configuration file (JSON)")
             ->envname("NODE_CONFIG")
@@ -19,12 +20,21 @@
     };
     auto* serve = with_config(app.add_subcommand("serve", "balance until SIGTERM"));
     serve->add_option("--log-level", level, "debug, info, warn or error")->envname("FIRTIDE_LOG_LEVEL");
+    serve->add_option("--fleet", fleet_path, "the fleet file (TOML): this balancer is a member of a fleet");
+    auto* fleet = app.add_subcommand("fleet", "of a fleet of balancers");
+    fleet->require_subcommand(1);
+    auto* fleet_check = fleet->add_subcommand("check", "read a fleet file and say what is wrong with it");
+    fleet_check->add_option("file", fleet_path, "the fleet file (TOML)")->required();
+    auto* fleet_status = fleet->add_subcommand("status", "ask a balancer's door about its fleet");
+    fleet_status->add_option("door", door, "address:port of the operators' door (mgmt)")->required();
     auto* check =
         with_config(app.add_subcommand("check-config", "read a configuration and say what is wrong with it"));
     auto* version = app.add_subcommand("version", "print the version");
     CLI11_PARSE(app, argc, argv);
     try {
         if (version->parsed()) return std::puts("firtide " FIRTIDE_VERSION) < 0;
+        if (fleet_check->parsed()) return firtide::fleet::check_file(fleet_path);
+        if (fleet_status->parsed()) return firtide::fleet::ask_door(door, "show-fleet");
         auto config = firtide::net::read_config(path);
         if (check->parsed()) {
             firtide::net::check_known(config);
@@ -33,7 +43,14 @@
         }
         if (!firtide::net::start_log(config.name, level))
             throw std::runtime_error("--log-level: no such level");
-        firtide::net::Service(std::move(config), [&path] { return firtide::net::read_config(path); }).run();
+        std::optional<std::pair<firtide::fleet::FleetFile, std::string>> member;
+        if (!fleet_path.empty()) member.emplace(firtide::fleet::read_fleet_file(fleet_path), fleet_path);
+        firtide::net::Service(
+            std::move(config), [&path] { return firtide::net::read_config(path); }, std::move(member))
+            .run();
+    } catch (const firtide::fleet::CannotStart& e) {
+        std::fprintf(stderr, "firtide: %s\n", e.what());
+        return 2;
     } catch (const std::exception& e) {
         std::fprintf(stderr, "firtide: %s\n", e.what());
         return 1;
--- a/src/modbus/config.h
+++ b/src/modbus/config.h
@@ -33,7 +33,4 @@
 
 std::variant<OperatorFile, Fault> decode_operator_file(std::string_view text);
 
-// "line 3: limits.clients: ..."
-std::string text_of(const Fault& fault);
-
 }  // namespace firtide::modbus
--- a/src/modbus/routes.h
+++ b/src/modbus/routes.h
@@ -8,20 +8,11 @@
 #include <variant>
 #include <vector>
 
+#include "src/fault.h"
+
 namespace firtide::modbus
 {
 
-// Where in the operator file something stands.
-struct Place {
-    std::string key;
-    uint32_t line = 0;
-};
-
-struct Fault {
-    Place at;
-    std::string what;
-};
-
 struct Server {
     std::string name, endpoint;
     bool draining = false;
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -20,4 +20,16 @@
     return true;
 }
 
+void log_line(const std::string& line)
+{
+    static const auto log = [] {
+        auto made =
+            std::make_shared<spdlog::logger>("lines", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+        made->set_pattern("%v");
+        made->flush_on(spdlog::level::trace);
+        return made;
+    }();
+    if (spdlog::should_log(spdlog::level::info)) log->info(line);
+}
+
 }  // namespace firtide::net
--- a/src/net/management.cpp
+++ b/src/net/management.cpp
@@ -37,6 +37,17 @@
     out.push_back('\n');
 }
 
+std::vector<std::string> words_of(std::string_view line)
+{
+    std::vector<std::string> words;
+    for (size_t at = 0; at < line.size();) {
+        const auto end = std::min(line.find_first_of(" \t\r", at), line.size());
+        if (end > at) words.emplace_back(line.substr(at, end - at));
+        at = end + 1;
+    }
+    return words;
+}
+
 }  // namespace
 
 std::optional<Order> decode_order(std::string_view line)
@@ -76,6 +87,7 @@
     std::string line;
     OperatorId caller = 0;  // its line has come
     bool answered = false;
+    bool waits = false;  // for an answer that may take its time
     size_t ignored = 0;
 };
 
@@ -109,7 +121,12 @@
         Descriptor socket(accept4(listener_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (socket.fd() < 0) return;
         // Guards against callers that connect and say nothing: the others are let in all the same.
-        if (open_.size() >= most_open) open_.pop_front();
+        if (open_.size() >= most_open) {
+            const auto silent =
+                std::find_if(open_.begin(), open_.end(), [](const Connection& c) { return !c.waits; });
+            if (silent == open_.end()) continue;
+            open_.erase(silent);
+        }
         open_.emplace_back();
         const Place at = std::prev(open_.end());
         at->owner = this;
@@ -121,6 +138,7 @@
                 auto* c = static_cast<Connection*>(arg);
                 if (what & EV_READ) return c->owner->readable(c->self);
                 if (c->answered) return (void)c->owner->open_.erase(c->self);
+                if (c->waits) return;
                 c->owner->reply(c->self, "FAILURE no line came\n");
             },
             &*at));
@@ -135,7 +153,12 @@
     char bytes[512];
     const auto n = recv(at->socket.fd(), bytes, sizeof bytes, 0);
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
-    if (n <= 0 && (at->line.empty() || at->caller || at->answered)) return (void)open_.erase(at);
+    if (n <= 0 && (at->line.empty() || at->caller || at->answered)) {
+        const auto left = at->waits && !at->answered ? at->caller : 0;
+        open_.erase(at);
+        if (left) left_(left);
+        return;
+    }
     if (at->answered || at->caller) {
         // What comes behind the line is nothing. Guards against floods that are read without end.
         if ((at->ignored += static_cast<size_t>(n)) > most_ignored) open_.erase(at);
@@ -145,19 +168,40 @@
     const auto end = at->line.find('\n');
     if (end == std::string::npos && n > 0 && at->line.size() <= most_line) return;
     if (std::min(end, at->line.size()) > most_line) return reply(at, "FAILURE the line is too long\n");
-    const auto order = decode_order(std::string_view(at->line).substr(0, end));
-    if (!order) return reply(at, "FAILURE unknown call; known are ready, show-stat, drain, resume\n");
+    const auto line = std::string_view(at->line).substr(0, end);
     at->caller = next_++;
-    tell_(Ordered{at->caller, *order});
+    if (const auto order = decode_order(line)) return tell_(Ordered{at->caller, *order});
+    if (ordered_) {
+        // What is waited for comes when it comes; the caller may leave meanwhile.
+        at->waits = true;
+        if (ordered_(at->caller, words_of(line))) return;
+        at->waits = false;
+        at->caller = 0;
+        return reply(
+            at,
+            "FAILURE unknown call; known are ready, show-stat, drain, resume, drain turn, show-fleet, "
+            "hand-over DUTY [ID], let-in ID, put-out ID\n");
+    }
+    at->caller = 0;
+    reply(at, "FAILURE unknown call; known are ready, show-stat, drain, resume\n");
 }
 
-void Management::answer(const Obeyed& obeyed)
+void Management::fleet_orders(std::function<bool(OperatorId, const std::vector<std::string>&)> ordered,
+                              std::function<void(OperatorId)> left)
 {
-    const auto at = std::find_if(open_.begin(), open_.end(),
-                                 [&](const Connection& c) { return c.caller == obeyed.caller; });
-    if (at != open_.end()) reply(at, encode_obeyed(obeyed));
+    ordered_ = std::move(ordered);
+    left_ = std::move(left);
 }
 
+void Management::answer(OperatorId caller, const std::string& text)
+{
+    const auto at =
+        std::find_if(open_.begin(), open_.end(), [&](const Connection& c) { return c.caller == caller; });
+    if (at != open_.end()) reply(at, text);
+}
+
+void Management::answer(const Obeyed& obeyed) { answer(obeyed.caller, encode_obeyed(obeyed)); }
+
 // An answer is small: what the kernel does not take at once has no reader.
 void Management::reply(Place at, const std::string& text)
 {
@@ -165,6 +209,7 @@
     shutdown(at->socket.fd(), SHUT_WR);
     // Guards against an answer that is lost to a reset: what still comes is read for a moment.
     at->answered = true;
+    at->waits = false;
     const auto wait = to_timeval(lets_go);
     event_add(at->reading.get(), &wait);
 }
--- a/src/net/management.h
+++ b/src/net/management.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "config.h"
 #include "event.h"
@@ -23,7 +24,12 @@
     Management(event_base* base, const Address& address, std::function<void(Event)> tell);
     ~Management();
 
+    // Further orders, by their words; false: none of them. left: a caller that waits for an answer has gone.
+    void fleet_orders(std::function<bool(OperatorId, const std::vector<std::string>&)> ordered,
+                      std::function<void(OperatorId)> left);
+
     void answer(const Obeyed& obeyed);
+    void answer(OperatorId caller, const std::string& text);
 
   private:
     struct Connection;
@@ -35,6 +41,8 @@
 
     event_base* base_;
     std::function<void(Event)> tell_;
+    std::function<bool(OperatorId, const std::vector<std::string>&)> ordered_;
+    std::function<void(OperatorId)> left_;
     Descriptor listener_;
     Timer accepting_;
     OperatorId next_ = 1;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -45,18 +45,24 @@
 }
 
 // Descriptors that callers and upstreams may have: the smaller of what the configuration and the system
-// allow.
-size_t descriptors(size_t allowed)
+// allow. Those of the fleet come besides.
+size_t descriptors(size_t allowed, size_t of_fleet)
 {
     rlimit limit{};
     if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-        limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, allowed);
+        limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, allowed + of_fleet);
         setrlimit(RLIMIT_NOFILE, &limit);
-        allowed = std::min<size_t>(allowed, limit.rlim_cur);
+        allowed = std::min<size_t>(allowed, limit.rlim_cur - std::min<rlim_t>(limit.rlim_cur / 2, of_fleet));
     }
     return allowed > 2 * kept_back ? allowed - kept_back : allowed / 2;
 }
 
+// One way each to and from every member, the folder and the log, at the most.
+size_t descriptors_of(const std::optional<std::pair<fleet::FleetFile, std::string>>& fleet)
+{
+    return fleet ? fleet->first.members.size() * 3 + fleet->first.duties.size() + 32 : 0;
+}
+
 template <class F>
 struct Once {
     F what;
@@ -71,11 +77,12 @@
 
 size_t Service::part(double of) const { return static_cast<size_t>(static_cast<double>(descriptors_) * of); }
 
-Service::Service(Config config, std::function<Config()> read_again)
+Service::Service(Config config, std::function<Config()> read_again,
+                 std::optional<std::pair<fleet::FleetFile, std::string>> fleet)
     : config_(std::move(config)),
       read_again_(std::move(read_again)),
       epoch_(epoch()),
-      descriptors_(descriptors(config_.descriptors)),
+      descriptors_(descriptors(config_.descriptors, descriptors_of(fleet))),
       base_(make_base()),
       reducer_(config_.setup, config_.seed, text_of(config_.discovery), config_.bodies),
       upstreams_(base_.get(), config_.setup,
@@ -91,6 +98,13 @@
     std::signal(SIGPIPE, SIG_IGN);
     if (!config_.shared_folder.empty()) handover_.emplace(config_.shared_folder);
     if (config_.door) door_.emplace(base_.get(), *config_.door, [this](Event e) { post(std::move(e)); });
+    if (fleet) {
+        fleet_.emplace(base_.get(), std::move(fleet->first), fleet->second, hooks());
+        if (door_)
+            door_->fleet_orders(
+                [this](OperatorId caller, const auto& words) { return ordered(caller, words); },
+                [this](OperatorId caller) { fleet_->tell(fleet::DoorLeft{caller}); });
+    }
     look_.reset(event_new(
         base_.get(), -1, EV_PERSIST,
         [](evutil_socket_t, short, void* self) { static_cast<Service*>(self)->look(); }, this));
@@ -111,6 +125,30 @@
 
 Service::~Service() = default;
 
+// What the fleet asks of this balancer.
+fleet::Host::Hooks Service::hooks()
+{
+    fleet::Host::Hooks h;
+    h.reply = [this](uint64_t caller, const std::string& text) {
+        if (door_) door_->answer(caller, text);
+    };
+    return h;
+}
+
+// False: it is no order that the fleet knows.
+bool Service::ordered(OperatorId caller, const std::vector<std::string>& words)
+{
+    const auto word = [&](size_t i) { return i < words.size() ? words[i] : std::string(); };
+    const bool one = words.size() == 2;
+    if ((words.size() == 1 && word(0) == "show-fleet") ||
+        (word(0) == "hand-over" && (one || words.size() == 3)) ||
+        (one && (word(0) == "let-in" || word(0) == "put-out")))
+        fleet_->tell(fleet::DoorAsked{caller, word(0), word(1), word(2)});
+    else
+        return false;
+    return true;
+}
+
 // No descriptor is left: what stands idle goes.
 void Service::make_room()
 {
@@ -177,6 +215,7 @@
                  config_.setup.settings.tier, config_.setup.settings.self, config_.setup.settings.balancers);
     if (config_.peers) spdlog::warn(no_peers);
     post(Started{});
+    if (fleet_) fleet_->start();
     if (!config_.known.empty()) {
         if (auto list = decode_list(config_.setup, config_.known, epoch_))
             post(ListRemembered{std::move(list->told.entries)});
@@ -208,6 +247,7 @@
     if (stopping_) return;
     stopping_ = true;
     spdlog::info("stopping: {} in flight", reducer_.in_flight());
+    if (fleet_) fleet_->tell(fleet::Stops{});
     post(Stopping{config_.passed_socket.has_value()});
     if (config_.passed_socket) return stop_accepting();
     stop_accepting_.reset(evtimer_new(
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -8,6 +8,7 @@
 #include "discovery.h"
 #include "handover.h"
 #include "management.h"
+#include "src/fleet/host.h"
 #include "upstreams.h"
 
 namespace firtide::net
@@ -18,7 +19,10 @@
   public:
     // read_again: reads the configuration anew at SIGHUP, or throws; where there is none, SIGHUP is left
     // alone.
-    explicit Service(Config config, std::function<Config()> read_again = {});
+    // fleet: the file of the fleet that this balancer is a member of, and its path; where there is none,
+    // nothing of it exists.
+    explicit Service(Config config, std::function<Config()> read_again = {},
+                     std::optional<std::pair<fleet::FleetFile, std::string>> fleet = {});
     ~Service();
 
     // Serves until a SIGTERM or SIGINT has come and everything in flight is answered.
@@ -35,6 +39,8 @@
     size_t part(double of) const;  // of the descriptors
     void look();
     void count_processes();
+    fleet::Host::Hooks hooks();
+    bool ordered(OperatorId caller, const std::vector<std::string>& words);
 
     Config config_;  // its settings change with the reducer
     const std::function<Config()> read_again_;
@@ -48,6 +54,7 @@
     Discovery discovery_;
     Callers callers_;
     std::optional<Management> door_;
+    std::optional<fleet::Host> fleet_;
     std::optional<Handover> handover_;
     size_t processes_ = 1;  // of this balancer
     Point counted_processes_;
--- /dev/null
+++ b/src/toml_table.h
@@ -0,0 +1,157 @@
+// Reading operator files: a table whose keys are all known, each value checked where it is read.
+#pragma once
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <charconv>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "fault.h"
+#include "time.h"
+
+namespace firtide
+{
+
+// A fault in an operator file: ends the reading, and is a value again where that began.
+struct WrongToml {
+    Fault fault;
+};
+
+inline uint32_t line_of(const toml::node& node) { return static_cast<uint32_t>(node.source().begin.line); }
+
+[[noreturn]] inline void wrong(const std::string& key, uint32_t line, const std::string& what)
+{
+    throw WrongToml{{{key, line}, what}};
+}
+
+class TomlTable
+{
+  public:
+    // Guards against a misspelt key that is taken for a default.
+    TomlTable(const toml::table& from, std::string path, std::initializer_list<std::string_view> known)
+        : from_(from), path_(std::move(path))
+    {
+        for (const auto& [key, node] : from)
+            if (std::find(known.begin(), known.end(), key.str()) == known.end())
+                wrong(name(key.str()), line_of(node), "unknown key");
+    }
+
+    std::string name(std::string_view key) const
+    {
+        return path_.empty() ? std::string(key) : path_ + "." + std::string(key);
+    }
+    Place place() const { return {path_, line_of(from_)}; }
+    bool has(std::string_view key) const { return from_.get(key) != nullptr; }
+    uint32_t line(std::string_view key) const
+    {
+        const auto* node = from_.get(key);
+        return node ? line_of(*node) : line_of(from_);
+    }
+    std::string text(std::string_view key) const
+    {
+        const auto* node = from_.get(key);
+        if (!node) wrong(name(key), line_of(from_), "is missing");
+        const auto* value = node->as_string();
+        if (!value || value->get().empty()) wrong(name(key), line_of(*node), "a text is expected");
+        return value->get();
+    }
+    bool flag(std::string_view key, bool absent) const
+    {
+        const auto* node = from_.get(key);
+        if (!node) return absent;
+        if (!node->is_boolean()) wrong(name(key), line_of(*node), "true or false is expected");
+        return node->as_boolean()->get();
+    }
+    uint32_t count(std::string_view key, uint32_t absent, uint32_t least, uint32_t most) const
+    {
+        const auto* node = from_.get(key);
+        if (!node) return absent;
+        const auto* value = node->as_integer();
+        if (!value || value->get() < least || value->get() > most)
+            wrong(name(key), line_of(*node),
+                  "a whole number from " + std::to_string(least) + " to " + std::to_string(most) +
+                      " is expected");
+        return static_cast<uint32_t>(value->get());
+    }
+    double number(std::string_view key, double absent, double least, double most) const
+    {
+        const auto* node = from_.get(key);
+        if (!node) return absent;
+        const auto value = node->value<double>();
+        if (!node->is_number() || !value || !(*value >= least && *value <= most))
+            wrong(name(key), line_of(*node),
+                  "a number from " + short_text(least) + " to " + short_text(most) + " is expected");
+        return *value;
+    }
+    Span ms(std::string_view key, Span absent) const
+    {
+        return Span{int64_t{1000} * count(key, static_cast<uint32_t>(absent.us / 1000), 1, 3'600'000)};
+    }
+    // As "250ms", "3s" or "2m".
+    Span span(std::string_view key, Span absent, Span least, Span most) const
+    {
+        if (!has(key)) return absent;
+        const auto said = text(key);
+        double value = 0;
+        const char* end = said.data() + said.size();
+        const auto read = std::from_chars(said.data(), end, value);
+        const std::string_view unit(read.ptr, static_cast<size_t>(end - read.ptr));
+        const double times = unit == "ms" ? 1e-3 : unit == "s" ? 1 : unit == "m" ? 60 : 0;
+        if (read.ec != std::errc{} || times == 0)
+            wrong(name(key), line(key),
+                  "a time as \"250ms\", \"3s\" or \"2m\" is expected, not '" + said + "'");
+        const Span got = firtide::seconds(value * times);
+        if (got < least || got > most)
+            wrong(name(key), line(key),
+                  "must be from " + short_text(least.seconds()) + " to " + short_text(most.seconds()) + " s");
+        return got;
+    }
+    // An IPv4 address and a port, as it stands; whether it can be had shows when it is used.
+    std::string endpoint(std::string_view key) const
+    {
+        const auto said = text(key);
+        const auto colon = said.rfind(':');
+        uint32_t port = 0;
+        const char* end = said.data() + said.size();
+        if (colon == std::string::npos || colon == 0 ||
+            std::from_chars(said.data() + colon + 1, end, port).ptr != end || port == 0 || port > 65535)
+            wrong(name(key), line(key), "address:port is expected, not '" + said + "'");
+        return said;
+    }
+    // Each table of an array of tables; none where the key is absent.
+    template <class Each>
+    void each(std::string_view key, Each what) const
+    {
+        const auto* node = from_.get(key);
+        if (!node) return;
+        const auto* all = node->as_array();
+        if (!all) wrong(name(key), line_of(*node), "tables are expected, as in [[" + name(key) + "]]");
+        for (size_t i = 0; i < all->size(); ++i) {
+            const auto* table = all->get(i)->as_table();
+            if (!table) wrong(name(key), line_of(*all->get(i)), "a table is expected");
+            what(*table, name(key) + "[" + std::to_string(i) + "]");
+        }
+    }
+    const toml::table* table(std::string_view key) const
+    {
+        const auto* node = from_.get(key);
+        if (node && !node->is_table()) wrong(name(key), line_of(*node), "a table is expected");
+        return node ? node->as_table() : nullptr;
+    }
+
+  private:
+    static std::string short_text(double value)
+    {
+        char bytes[32];
+        const auto end = std::to_chars(bytes, bytes + sizeof bytes, value).ptr;
+        return {bytes, end};
+    }
+
+    const toml::table& from_;
+    std::string path_;
+};
+
+}  // namespace firtide
--- /dev/null
+++ b/tests/fleet_lab.cpp
@@ -0,0 +1,79 @@
+// Fleets in virtual time, under faults drawn from seeds; and each safety rule, taken out, is found.
+#include <cstdio>
+#include <cstring>
+
+#include "lab/walk.h"
+
+using namespace firtide;
+using namespace firtide::lab;
+
+namespace
+{
+
+struct Found {
+    size_t walks = 0;
+    std::string first;
+};
+
+Found play(Walk walk, uint64_t from, uint64_t to, const char* only = "")
+{
+    Found found;
+    for (uint64_t seed = from; seed <= to; ++seed)
+        for (const Broken& b : lab::walk(walk, seed).broken)
+            if (std::strstr(b.rule.c_str(), only)) {
+                if (found.walks++ == 0) found.first = "seed " + std::to_string(seed) + ": " + b.rule;
+                break;
+            }
+    return found;
+}
+
+void must_hold(const char* what, const Walk& walk)
+{
+    const auto found = play(walk, 1, 30);
+    std::printf("%s: %s\n", what, found.walks ? found.first.c_str() : "nothing broken");
+}
+
+void must_break(const char* what, const Walk& walk, uint64_t to, const char* rule)
+{
+    std::printf("%s: %s\n", what, play(walk, 1, to, rule).walks ? "found" : "NOT FOUND");
+}
+
+}  // namespace
+
+int main()
+{
+    Walk five;
+    five.options.list = true;
+    must_hold("five members, three voters", five);
+    Walk seven = five;
+    seven.options.members = seven.options.voters = 7;
+    seven.options.duties = 3;
+    must_hold("seven voters", seven);
+    Walk one;
+    one.options.members = 3;
+    one.options.duties = 1;
+    one.faults = 2;
+    must_hold("three members, one duty, twice the faults", one);
+
+    Walk w = five;
+    w.options.granter = [](Granter& g) { g.leave_out.wait_in_office = true; };
+    must_break("a new leader that does not wait", w, 40, "two hold");
+    w = five;
+    w.options.granter = [](Granter& g) { g.leave_out.confirm = true; };
+    must_break("renewals without a majority", w, 240, "two hold");
+    w = five;
+    w.options.granter = [](Granter& g) { g.leave_out.expiry = true; };
+    must_break("grants before the lease is over", w, 10, "two hold");
+    w = five;
+    w.options.gate = false;
+    must_break("no gate", w, 20, "without its lease");
+    w = five;
+    w.options.fences = false;
+    must_break("no fences", w, 60, "a receiver took epoch");
+    w = five;
+    w.clock_beyond = 0.5;
+    must_break("a clock beyond the drift", w, 40, "two hold");
+    std::printf("the same, at receivers: %s\n",
+                play(w, 1, 40, "receiver").walks ? "a lower epoch taken" : "no lower epoch taken");
+    return 0;
+}
--- /dev/null
+++ b/tests/fleet_store.cpp
@@ -0,0 +1,134 @@
+// A voter's file, cut at every byte and with every bit turned: what was acknowledged comes back, or the file
+// is refused.
+#include <cstdio>
+#include <map>
+
+#include "lab/world.h"
+
+using namespace firtide;
+using namespace firtide::fleet;
+
+namespace
+{
+
+constexpr const char* file = "voter.log";
+
+// Acknowledged after each sync: how long the file was, and what it held.
+struct Said {
+    size_t bytes;
+    Kept kept;
+};
+
+std::vector<Said> write(lab::Disk& disk)
+{
+    std::vector<Said> said;
+    Store store(disk);
+    std::printf("at first: %s\n", text_of(store.open("edge", "a", 7)));
+    const auto sync = [&] {
+        if (!store.sync()) std::printf("SYNC FAILED\n");
+        said.push_back({store.bytes(), store.kept()});
+    };
+    sync();
+    store.term_is(1, 0), sync();
+    store.append({{1, 1, "one"}, {1, 1, std::string(60, 'x')}}), sync();
+    store.term_is(3, 9), sync();
+    store.truncate(2);
+    store.append({{3, 1, "two"}, {3, 2, ""}}), sync();
+    return said;
+}
+
+std::string bytes_of(lab::Disk& disk)
+{
+    std::optional<std::string> text;
+    (void)disk.read(file, text);
+    return text.value_or("");
+}
+
+Opened open(const std::string& bytes, Kept& kept, const char* member = "a")
+{
+    lab::Disk disk;
+    (void)disk.replace(file, bytes);
+    Store store(disk);
+    const auto opened = store.open("edge", member, 8);
+    kept = store.kept();
+    return opened;
+}
+
+void errors()
+{
+    for (const char* what : {"full", "broken"}) {
+        lab::Disk disk;
+        Store store(disk);
+        store.open("edge", "a", 7);
+        store.term_is(1, 0);
+        (void)store.sync();
+        (what[0] == 'f' ? disk.full : disk.broken) = true;
+        store.term_is(2, 5);
+        const bool well = store.sync();
+        disk.full = disk.broken = false;
+        std::printf("%s: %s, and then %s: %s\n", what, well ? "well" : "failed",
+                    store.sync() ? "well" : "still failed", store.error().c_str());
+        Store again(disk);
+        const auto opened = again.open("edge", "a", 8);
+        std::printf("  opened again: %s, term %llu, disk %llu\n", text_of(opened),
+                    static_cast<unsigned long long>(again.kept().term),
+                    static_cast<unsigned long long>(again.owner().disk));
+    }
+}
+
+}  // namespace
+
+int main()
+{
+    lab::Disk disk;
+    const auto said = write(disk);
+    const auto whole = bytes_of(disk);
+    std::map<std::string, size_t> seen;
+    size_t wrong = 0;
+    for (size_t cut = 0; cut <= whole.size(); ++cut) {
+        Kept kept;
+        const auto opened = open(whole.substr(0, cut), kept);
+        ++seen[text_of(opened)];
+        if (opened != Opened::whole && opened != Opened::cut) continue;
+        // No more than was written, no less than was acknowledged with so many bytes.
+        const Said* last = nullptr;
+        for (const Said& s : said)
+            if (s.bytes <= cut) last = &s;
+        wrong += !last || kept.writes < last->kept.writes || kept.term < last->kept.term;
+        if (cut == whole.size()) wrong += !(kept == said.back().kept);
+    }
+    std::printf("cut at every byte of the file: %zu wrong\n", wrong);
+    for (const auto& [what, n] : seen) std::printf("  %s%s\n", what.c_str(), n ? "" : " never");
+    wrong = 0;
+    seen.clear();
+    for (size_t bit = 0; bit < whole.size() * 8; ++bit) {
+        auto bytes = whole;
+        bytes[bit / 8] = static_cast<char>(bytes[bit / 8] ^ 1 << bit % 8);
+        Kept kept;
+        const auto opened = open(bytes, kept);
+        ++seen[text_of(opened)];
+        // What can't be told from half a record at the end knows of fewer records: other voters tell.
+        if (opened == Opened::whole || opened == Opened::fresh) ++wrong;
+        if (opened == Opened::cut && kept.writes >= said.back().kept.writes) ++wrong;
+    }
+    std::printf("each bit turned: %zu wrong\n", wrong);
+    for (const auto& [what, n] : seen) std::printf("  %s%s\n", what.c_str(), n ? "" : " never");
+    Kept kept;
+    std::printf("another member's: %s\n", text_of(open(whole, kept, "b")));
+    {
+        lab::Disk small;
+        (void)small.replace(file, whole);
+        Store store(small);
+        store.open("edge", "a", 8);
+        const auto before = store.kept().writes;
+        const bool well = store.snapshot_is({3, 3, "v", 1, "table"}, 1);
+        std::printf("a snapshot: %s, entries from %llu to %llu, the count goes on: %s\n",
+                    well ? "well" : "failed", static_cast<unsigned long long>(store.kept().first),
+                    static_cast<unsigned long long>(store.kept().last()),
+                    store.kept().writes > before ? "yes" : "no");
+        const auto held = store.kept();
+        std::printf("  read again: %s\n",
+                    open(bytes_of(small), kept) == Opened::whole && kept == held ? "the same" : "OTHERWISE");
+    }
+    errors();
+}
--- a/tests/modbus_config.cpp
+++ b/tests/modbus_config.cpp
@@ -5,6 +5,7 @@
 
 #include "src/modbus/config.h"
 
+using namespace firtide;
 using namespace firtide::modbus;
 
 namespace
--- a/tests/modbus_order.cpp
+++ b/tests/modbus_order.cpp
@@ -5,6 +5,7 @@
 
 #include "src/modbus/order.h"
 
+using namespace firtide;
 using namespace firtide::modbus;
 
 namespace
--- a/tests/modbus_routes.cpp
+++ b/tests/modbus_routes.cpp
@@ -2,6 +2,7 @@
 #include "modbus.h"
 #include "src/modbus/routes.h"
 
+using namespace firtide;
 using namespace firtide::modbus;
 
 namespace
--- a/tests/operation.cpp
+++ b/tests/operation.cpp
@@ -237,7 +237,8 @@
         const size_t due = number_in(head, "Content-Length: ");
         const size_t n = chunked ? caller.chunks() : caller.skip(due);
         // Guards against counting what a reset takes back: how much of it had come is the system's affair.
-        if (!chunked && n < due) return void(std::printf("%s: %s, not whole\n", what, first_line(head).c_str()));
+        if (!chunked && n < due)
+            return void(std::printf("%s: %s, not whole\n", what, first_line(head).c_str()));
         std::printf("%s: %s, %zu bytes\n", what, first_line(head).c_str(), n);
     };
     answer("32 MB", "bytes/" + std::to_string(much));
