Three duties in use: one balancer asks for the list, one probes each upstream, drains take turns

Need: with hundreds of balancers each asks discovery and probes on its own, and drains overlap. Change: [list], [probe] and [drain] of the fleet file; news go over three rings of successors, refused by epoch; probes pass the gate once more right before their bytes; a lost turn resumes. Versions of lists are compared within one discovery address only. Not yet tried with several processes: next.

--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -363,7 +363,7 @@
     Node& n = *nodes_[node];
     if (!n.asking) return;
     ++count.list_calls;
-    tell(node, ListSeen{discovery_, "list " + std::to_string(discovery_)});
+    tell(node, ListSeen{"", discovery_, "list " + std::to_string(discovery_)});
     later(seconds(0.5), node, [this, node] { ask_discovery(node); });
 }
 
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -54,7 +54,7 @@
 };
 struct ProbeDuty {
     Span every = seconds(1);
-    uint32_t parts = 8;
+    uint32_t parts = 4;
 };
 struct DrainDuty {
     uint32_t most = 1;  // balancers drained at a time
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -8,7 +8,6 @@
 {
 
 constexpr Span order_waits = seconds(10);  // for the leader, beyond three leases
-constexpr Span probe_lasts = seconds(0.3);
 constexpr Span want_again = seconds(0.2);
 constexpr Span first_list = seconds(1.5);  // after the start, before discovery is asked all the same
 constexpr Member nobody = UINT32_MAX;
@@ -19,9 +18,10 @@
 }
 
 struct ListNews {
+    std::string source;
     uint64_t version = 0;
     std::string whole;
-    MSGPACK_DEFINE(version, whole)
+    MSGPACK_DEFINE(source, version, whole)
 };
 
 template <class... F>
@@ -297,13 +297,13 @@
         newest_[duty] = n;
     }
     Publish p;
-    for (const Member m : members_.neighbours()) p.sends.push_back({m, n});
+    for (const Member m : members_.successors()) p.sends.push_back({m, n});
     effects_.push_back(Act{duty, epoch, {}, std::move(p)});
 }
 
 void Fleet::pass_on(const News& news, Member not_to)
 {
-    for (const Member m : members_.neighbours())
+    for (const Member m : members_.successors())
         if (m != not_to) effects_.push_back(Send{m, news});
 }
 
@@ -344,15 +344,24 @@
     if (asking_ && !holder_.mine(now_, news.duty)) effects_.push_back(AskDiscovery{asking_ = false});
 }
 
+// Guards against a discovery that has fallen behind: an older list would bring back what drains or has gone.
+bool Fleet::use_list(const std::string& source, uint64_t version, const std::string& whole)
+{
+    const bool same = source == list_source_;
+    if (same && version < list_version_) return false;
+    if (!same || version > list_version_) effects_.push_back(UseList{version, whole});
+    list_source_ = source;
+    list_version_ = version;
+    return true;
+}
+
 void Fleet::on(ListSeen& seen)
 {
-    if (!file_.list || seen.version < list_version_) return;
+    if (!file_.list || !use_list(seen.source, seen.version, seen.whole)) return;
     list_fresh_ = now_;
-    if (seen.version > list_version_) effects_.push_back(UseList{seen.version, seen.whole});
-    list_version_ = seen.version;
     const auto epoch = holder_.mine(now_, "list");
     if (!epoch) return;
-    auto bytes = pack(ListNews{seen.version, std::move(seen.whole)});
+    auto bytes = pack(ListNews{seen.source, seen.version, std::move(seen.whole)});
     if (bytes == list_published_) return publish("list", *epoch, {});
     list_published_ = bytes;
     publish("list", *epoch, std::move(bytes));
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -37,6 +37,7 @@
     uint64_t caller = 0;
 };
 struct ListSeen {  // own discovery has answered
+    std::string source;  // its address: versions of another say nothing of this one's
     uint64_t version = 0;
     std::string whole;
 };
@@ -108,6 +109,15 @@
     std::variant<Send, ToDesk, Act, ResumeNow, AskDiscovery, UseList, UseReports, Reply, Noted>;
 
 inline constexpr uint32_t probe_slices = 10;
+inline constexpr Span probe_lasts = seconds(0.3);  // until its answer, or its being given up
+
+// What the news of a probing duty are made of.
+struct ProbeReport {
+    std::string upstream;
+    bool well = false;
+    std::string report;
+    MSGPACK_DEFINE(upstream, well, report)
+};
 
 class Fleet
 {
@@ -157,6 +167,7 @@
     void changed(const Change& change);
     void publish(const std::string& duty, Epoch epoch, std::string bytes);
     void list_tick();
+    bool use_list(const std::string& source, uint64_t version, const std::string& whole);
     void beat();
     void pass_on(const News& news, Member not_to);
     void reply(uint64_t caller, std::string text) { effects_.push_back(Reply{caller, std::move(text)}); }
@@ -184,7 +195,7 @@
     uint64_t list_version_ = 0, list_base_ = 0;
     Point list_fresh_;
     Span list_spread_;
-    std::string list_published_;
+    std::string list_published_, list_source_;
     bool asking_ = false;
     Point wanted_news_;
 
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -60,16 +60,21 @@
 void Members::find_neighbours()
 {
     neighbours_.clear();
+    successors_.clear();
     for (const auto& ring : rings_) {
         const auto own = static_cast<size_t>(std::find(ring.begin(), ring.end(), self_) - ring.begin());
         for (const size_t step : {size_t{1}, ring.size() - 1}) {
             size_t at = (own + step) % ring.size();
             while (ring[at] != self_ && all_[ring[at]].health == Health::gone) at = (at + step) % ring.size();
-            if (ring[at] != self_) neighbours_.push_back(ring[at]);
+            if (ring[at] == self_) continue;
+            neighbours_.push_back(ring[at]);
+            if (step == 1) successors_.push_back(ring[at]);
         }
     }
-    std::sort(neighbours_.begin(), neighbours_.end());
-    neighbours_.erase(std::unique(neighbours_.begin(), neighbours_.end()), neighbours_.end());
+    for (auto* list : {&neighbours_, &successors_}) {
+        std::sort(list->begin(), list->end());
+        list->erase(std::unique(list->begin(), list->end()), list->end());
+    }
 }
 
 bool Members::looked_after(Member m) const
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -61,6 +61,8 @@
     // Told apart by their lives: another process has been seen under this one's id.
     bool twin() const { return twin_; }
     const std::vector<Member>& neighbours() const { return neighbours_; }
+    // The next on each ring: what all pass on to these reaches everybody, with one or two to spare.
+    const std::vector<Member>& successors() const { return successors_; }
     size_t alive() const;
     Carried carried;
 
@@ -90,7 +92,7 @@
     std::vector<One> all_;
     std::vector<Watch> watch_;
     std::vector<std::vector<Member>> rings_;
-    std::vector<Member> neighbours_, by_key_;
+    std::vector<Member> neighbours_, successors_, by_key_;
     std::vector<std::pair<Member, std::pair<Member, Point>>> asked_for_;  // subject, who asked and when
     std::vector<Send> sends_;
     std::vector<HealthChange> changes_;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -69,6 +69,27 @@
     return list;
 }
 
+void take_in(std::map<std::string, std::string>& lines, const std::string& text)
+{
+    const auto in = json::parse(text, nullptr, false);
+    if (!in.is_object()) return;
+    if (in.value("all", false)) lines.clear();
+    for (const auto& target : in.value("targets", json::array())) {
+        const auto uid = value_or<std::string>(target, "uid", "");
+        if (value_or<std::string>(target, "state", "") == "gone")
+            lines.erase(uid);
+        else
+            lines[uid] = target.dump();
+    }
+}
+
+std::string whole_list(uint64_t version, const std::map<std::string, std::string>& lines)
+{
+    std::string out = R"({"rev":)" + std::to_string(version) + R"(,"all":true,"targets":[)";
+    for (const auto& [uid, line] : lines) out.append(out.back() == '[' ? "" : ",").append(line);
+    return out.append("]}");
+}
+
 void check_known(const Config& config)
 {
     if (!config.known.empty() && !decode_list(config.setup, config.known, Point{}))
@@ -95,6 +116,14 @@
     call();
 }
 
+void Discovery::rest()
+{
+    asking_ = false;
+    connection_.reset();
+    version_.reset();
+    event_del(again_.get());
+}
+
 // The versions of two agents say nothing of each other. Freeing the connection drops a call that is still out
 // there: its late answer is never heard.
 void Discovery::move(Address to)
@@ -149,7 +178,8 @@
     auto* body = evhttp_request_get_input_buffer(request);
     const size_t size = evbuffer_get_length(body);
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(body, -1));
-    auto list = decode_list(config_.setup, std::string(bytes ? bytes : "", size), epoch_);
+    const std::string text(bytes ? bytes : "", size);
+    auto list = decode_list(config_.setup, text, epoch_);
     if (!list) return failed("the answer is no list");
     // Guards against an agent that has fallen behind: an older list would bring back what drains or has gone.
     if (list->version < newest_) return failed("a list older than the last one");
@@ -165,7 +195,9 @@
     // The next call goes out before anything else, so that the watch has no gap.
     const auto now = to_timeval(Span{});
     event_add(again_.get(), &now);
-    tell_(std::move(list->told));
+    if (!whole_) return tell_(std::move(list->told));
+    take_in(lines_, text);
+    whole_(list->version, whole_list(list->version, lines_));
 }
 
 void Discovery::failed(const char* why)
@@ -174,7 +206,7 @@
     well_ = false;
     version_.reset();  // a new watch begins with the whole list
     tell_(ListFailed{});
-    if (config_.setup.settings.list_must_be_asked) {
+    if (config_.setup.settings.list_must_be_asked && !whole_) {
         asking_ = false;  // the module says when to ask again
         return;
     }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -4,6 +4,7 @@
 #include <event2/http.h>
 
 #include <functional>
+#include <map>
 
 #include "config.h"
 #include "event.h"
@@ -19,6 +20,10 @@
 // Nullopt where the text is no list.
 std::optional<List> decode_list(const Setup& setup, const std::string& text, Point epoch);
 
+// Takes a list, whole or changes, into the lines of what there is, by uid.
+void take_in(std::map<std::string, std::string>& lines, const std::string& text);
+std::string whole_list(uint64_t version, const std::map<std::string, std::string>& lines);
+
 // Throws BadConfig where the list that the configuration brings is none. A service starts without it all the
 // same.
 void check_known(const Config& config);
@@ -29,6 +34,11 @@
     // epoch: the loop's time at Unix time zero.
     Discovery(event_base* base, const Config& config, Point epoch, std::function<void(Event)> tell);
 
+    // From now on lists are told here instead, as the text of whole ones, changes taken in.
+    using Whole = std::function<void(uint64_t version, std::string text)>;
+    void tell_whole(Whole whole) { whole_ = std::move(whole); }
+
+    void rest();            // asks nothing until ask()
     void move(Address to);  // asks there from now on, for the whole list first
     void ask();  // the whole list, and then watches it; asks anew after failures, where that is its own job
 
@@ -42,6 +52,8 @@
     Address address_;
     Point epoch_;
     std::function<void(Event)> tell_;
+    Whole whole_;
+    std::map<std::string, std::string> lines_;  // by uid: what a whole list is made of
     std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> connection_;
     Timer again_;
     std::optional<uint64_t> version_;
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -299,7 +299,7 @@
     const auto& host = upstreams_[a.tgt].endpoint;
     if (!a.inv) {
         const auto probe = encode_probe(host, setup_.settings.reports_by_probe);
-        return effects_.push_back(Write{connected.attempt, probe});
+        return effects_.push_back(Write{connected.attempt, probe, false, a.stamp});
     }
     Invocation& i = invocations_[*a.inv];
     const Span wait = i.request.more ? i.request.time_left : a.until - now_;
@@ -371,6 +371,9 @@
     if (!a.inv) {
         --upstreams_[a.tgt].referred;
         const bool asked = response && setup_.settings.reports_by_probe;
+        if (a.stamp)
+            effects_.push_back(Probed{a.stamp, upstreams_[a.tgt].uid, result == Result::succeeded,
+                                      asked ? response->body : std::string()});
         return balancer_.probed(now_, a.tgt, result,
                                 asked ? decode_report(setup_, response->body) : Report{});
     }
@@ -383,6 +386,27 @@
 
 void Reducer::on(Shared shared) { room_ = all_room_ / std::max<size_t>(1, shared.processes); }
 
+// Each upstream has its part, and its slice of the period, by its id: the same at every balancer.
+void Reducer::on(ProbeDue due)
+{
+    for (Tgt t = 0; t < upstreams_.size(); ++t) {
+        const uint64_t id = id_of(upstreams_[t].uid);
+        if (upstreams_[t].presence != Presence::ready || id % due.parts != due.part ||
+            id / due.parts % due.slices != due.slice)
+            continue;
+        ++upstreams_[t].referred;
+        dial(next_attempt_++, {{}, 0, t, upstreams_[t].endpoint, now_, now_ + probe_waits, false, due.stamp});
+    }
+}
+
+void Reducer::on(const ReportHeard& heard)
+{
+    const auto at = upstream_of_.find(heard.uid);
+    if (at == upstream_of_.end() || upstreams_[at->second].presence == Presence::gone) return;
+    balancer_.probed(now_, at->second, heard.well ? Result::succeeded : Result::unreachable,
+                     heard.report.empty() ? Report{} : decode_report(setup_, heard.report));
+}
+
 void Reducer::on(Woken woken) { balancer_.woken(now_, woken.name); }
 
 void Reducer::on(Stopping stopping)
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -111,13 +111,23 @@
 struct Stopping {
     bool another_serves = false;  // at the same listening socket
 };
+// A duty's probes: of the upstreams of this part and slice of the fleet's. What they leave with is the stamp.
+struct ProbeDue {
+    uint32_t part = 0, parts = 1, slice = 0, slices = 1;
+    uint64_t stamp = 0;
+};
+struct ReportHeard {  // of a probe that another balancer has made
+    std::string uid;
+    bool well = false;
+    std::string report;
+};
 struct Reread {  // the configuration, while serving
     std::string discovery;
     std::optional<Setup> setup;  // where the settings are others
 };
 using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Brought, Taken,
                            Connected, Answered, Came, Failed, Written, TurnedAway, Ordered, Woken, Shared,
-                           Stopping, Reread>;
+                           Stopping, Reread, ProbeDue, ReportHeard>;
 
 // Effects.
 struct Answer {
@@ -134,7 +144,8 @@
 struct Write {
     AttemptId attempt;
     std::string bytes;
-    bool more = false;  // of the request follows
+    bool more = false;   // of the request follows
+    uint64_t stamp = 0;  // of the duty that it is an effect of; zero: of none
 };
 struct Limit {  // of an attempt that is out, anew
     AttemptId attempt;
@@ -171,6 +182,12 @@
 struct MoveWatch {  // to another address; what the last one says from now on is nothing
     std::string discovery;
 };
+struct Probed {  // for the other balancers
+    uint64_t stamp = 0;
+    std::string uid;
+    bool well = false;
+    std::string report;
+};
 struct Obeyed {  // or not, as the answer to an operator
     OperatorId caller;
     bool success = false;
@@ -178,7 +195,7 @@
     std::optional<Figures> figures;
 };
 using Effect = std::variant<Answer, Pass, Cut, Hear, Dial, Write, Limit, Read, HangUp, CloseIdle, Wake,
-                            WatchList, MoveWatch, Obeyed>;
+                            WatchList, MoveWatch, Obeyed, Probed>;
 
 class Reducer : private Outlet
 {
@@ -230,6 +247,7 @@
         std::string endpoint;
         Point sent, until;
         bool counted = false;  // as written whole
+        uint64_t stamp = 0;    // of a duty's probe
     };
     // Lives until its place is wanted for another, and nothing refers to it any more.
     struct Upstream {
@@ -257,6 +275,8 @@
     void on(Shared shared);
     void on(Stopping stopping);
     void on(Reread& read);
+    void on(ProbeDue due);
+    void on(const ReportHeard& heard);
 
     void settings_are(Setup setup);
     Tgt place_of(const std::string& uid);
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -22,6 +22,8 @@
 constexpr Span tell_every = seconds(1);  // of the same trouble in the log
 constexpr const char* no_peers =
     "settings.policy_limits.peers: messages are not carried on sockets; serving without";
+constexpr Span pass_on_every = seconds(0.2);  // what probes of the fleet found
+constexpr size_t most_stamps = 256;
 constexpr size_t kept_back = 48;  // descriptors for the loop, the log, discovery, the listener and the door
 // Of the others, at most; together more than all, for either may need the room that the other leaves.
 constexpr double part_of_upstreams = 0.4, part_of_callers = 0.85;
@@ -97,9 +99,20 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     if (!config_.shared_folder.empty()) handover_.emplace(config_.shared_folder);
-    if (config_.door) door_.emplace(base_.get(), *config_.door, [this](Event e) { post(std::move(e)); });
+    if (config_.door)
+        door_.emplace(base_.get(), *config_.door, [this](Event e) {
+            const auto* ordered = std::get_if<Ordered>(&e);
+            if (fleet_ && ordered && ordered->order == Order::resume)
+                fleet_->tell(fleet::DoorAsked{0, "turn-over", "", ""});
+            post(std::move(e));
+        });
     if (fleet) {
         fleet_.emplace(base_.get(), std::move(fleet->first), fleet->second, hooks());
+        if (fleet_->file().probe) config_.setup.settings.may_probe = false;  // one balancer probes for all
+        if (shares_list())
+            discovery_.tell_whole([this](uint64_t version, std::string text) {
+                fleet_->tell(fleet::ListSeen{text_of(config_.discovery), version, std::move(text)});
+            });
         if (door_)
             door_->fleet_orders(
                 [this](OperatorId caller, const auto& words) { return ordered(caller, words); },
@@ -132,15 +145,63 @@
     h.reply = [this](uint64_t caller, const std::string& text) {
         if (door_) door_->answer(caller, text);
     };
+    h.drain = [this] { post(Ordered{0, Order::drain}); };
+    h.resume = [this] { post(Ordered{0, Order::resume}); };
+    h.ask_discovery = [this](bool on) { on ? discovery_.ask() : discovery_.rest(); };
+    h.use_list = [this](const fleet::UseList& list) {
+        if (auto decoded = decode_list(config_.setup, list.whole, epoch_)) post(std::move(decoded->told));
+    };
+    h.probe = [this](const fleet::ProbeNow& now, const std::string& duty, fleet::Epoch epoch) {
+        stamps_[next_stamp_] = {duty, epoch};
+        while (stamps_.size() > most_stamps) stamps_.erase(stamps_.begin());
+        post(ProbeDue{now.part, fleet_->file().probe->parts, now.slice, fleet::probe_slices, next_stamp_++});
+    };
+    h.use_reports = [this](const fleet::UseReports& reports) {
+        const auto all = fleet::unpack<std::vector<fleet::ProbeReport>>(reports.bytes);
+        if (!all) return;
+        for (const auto& r : *all) post(ReportHeard{r.upstream, r.well, r.report});
+    };
     return h;
 }
 
+// What leaves for a duty passes the fleet's gate once more, right before its bytes: getting a connection takes time.
+void Service::carry_out(const Write& write)
+{
+    const auto at = stamps_.find(write.stamp);
+    if (!write.stamp || (at != stamps_.end() && fleet_->passes(at->second.duty, at->second.epoch, fleet::probe_lasts)))
+        return upstreams_.write(write);
+    upstreams_.hang_up(write.attempt);
+    post(Failed{write.attempt, {Progress::not_connected, Cause::no_descriptor}});
+}
+
+void Service::carry_out(Probed& probed)
+{
+    const auto at = stamps_.find(probed.stamp);
+    if (at == stamps_.end()) return;
+    auto& [epoch, reports] = found_[at->second.duty];
+    if (epoch != at->second.epoch) reports.clear();
+    epoch = at->second.epoch;
+    reports.push_back({std::move(probed.uid), probed.well, std::move(probed.report)});
+}
+
+// Several at a time: each goes over every link of the fleet.
+void Service::pass_on_probes()
+{
+    const Point now = monotonic_now();
+    if (found_.empty() || now - passed_on_ < pass_on_every) return;
+    passed_on_ = now;
+    for (auto& [duty, found] : std::exchange(found_, {}))
+        fleet_->tell(fleet::ProbesSeen{duty, found.first, fleet::pack(found.second)});
+}
+
 // False: it is no order that the fleet knows.
 bool Service::ordered(OperatorId caller, const std::vector<std::string>& words)
 {
     const auto word = [&](size_t i) { return i < words.size() ? words[i] : std::string(); };
     const bool one = words.size() == 2;
-    if ((words.size() == 1 && word(0) == "show-fleet") ||
+    if (one && word(0) == "drain" && word(1) == "turn")
+        fleet_->tell(fleet::DoorAsked{caller, "turn", "", ""});
+    else if ((words.size() == 1 && word(0) == "show-fleet") ||
         (word(0) == "hand-over" && (one || words.size() == 3)) ||
         (one && (word(0) == "let-in" || word(0) == "put-out")))
         fleet_->tell(fleet::DoorAsked{caller, word(0), word(1), word(2)});
@@ -196,10 +257,11 @@
     if (auto* limit = std::get_if<Limit>(&effect)) return upstreams_.limit(*limit);
     if (auto* read = std::get_if<Read>(&effect)) return upstreams_.read(*read);
     if (auto* dial = std::get_if<Dial>(&effect)) return upstreams_.dial(*dial);
-    if (auto* write = std::get_if<Write>(&effect)) return upstreams_.write(*write);
+    if (auto* write = std::get_if<Write>(&effect)) return carry_out(*write);
+    if (auto* probed = std::get_if<Probed>(&effect)) return carry_out(*probed);
     if (auto* up = std::get_if<HangUp>(&effect)) return upstreams_.hang_up(up->attempt);
     if (auto* idle = std::get_if<CloseIdle>(&effect)) return upstreams_.close_idle(idle->tgt);
-    if (std::get_if<WatchList>(&effect)) return discovery_.ask();
+    if (std::get_if<WatchList>(&effect)) return shares_list() ? void() : discovery_.ask();
     if (auto* to = std::get_if<MoveWatch>(&effect))
         return discovery_.move(decode_address(to->discovery, "discovery"));
     const auto wake = std::get<Wake>(effect);
@@ -222,7 +284,7 @@
         else
             spdlog::warn("known: is no list of upstreams; starting without");
     }
-    if (!config_.setup.settings.list_must_be_asked) discovery_.ask();
+    if (!config_.setup.settings.list_must_be_asked && !shares_list()) discovery_.ask();
     event_base_dispatch(base_.get());
     spdlog::info("stopped");
 }
@@ -236,6 +298,8 @@
         const bool others = read.settings != std::exchange(config_.settings, read.settings);
         spdlog::info("configuration read again{}", others ? ", new settings in force" : "");
         if (read.peers) spdlog::warn(no_peers);
+        if (fleet_ && fleet_->file().probe) read.setup.settings.may_probe = false;
+        config_.discovery = read.discovery;
         post(Reread{text_of(read.discovery), others ? std::optional(std::move(read.setup)) : std::nullopt});
     } catch (const std::exception& e) {
         spdlog::error("configuration kept as it was: {}", e.what());
@@ -289,6 +353,7 @@
 void Service::look()
 {
     count_processes();
+    pass_on_probes();
     // Guards against turning callers out while the next balancer of a rolling restart is not back yet: those
     // that are here are served for as long as their answers can still come in time.
     if (!reducer_.turns_out(monotonic_now())) return;
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -40,6 +40,10 @@
     void look();
     void count_processes();
     fleet::Host::Hooks hooks();
+    bool shares_list() const { return fleet_ && fleet_->file().list; }
+    void carry_out(const Write& write);
+    void carry_out(Probed& probed);
+    void pass_on_probes();
     bool ordered(OperatorId caller, const std::vector<std::string>& words);
 
     Config config_;  // its settings change with the reducer
@@ -55,6 +59,15 @@
     Callers callers_;
     std::optional<Management> door_;
     std::optional<fleet::Host> fleet_;
+    // Probes of duties that are on their way, and what they found and is not passed on yet.
+    struct Stamp {
+        std::string duty;
+        fleet::Epoch epoch = 0;
+    };
+    std::map<uint64_t, Stamp> stamps_;
+    uint64_t next_stamp_ = 1;
+    std::map<std::string, std::pair<fleet::Epoch, std::vector<fleet::ProbeReport>>> found_;
+    Point passed_on_;
     std::optional<Handover> handover_;
     size_t processes_ = 1;  // of this balancer
     Point counted_processes_;
