--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -383,9 +383,8 @@
                     return k.founded(p, f->first, f->second);
                 if (const auto* r = std::get_if<RaftSent>(&call)) return k.raft(p, *r);
                 if (const auto* q = std::get_if<Propose>(&call)) return k.propose(p, *q);
-                const auto& o = std::get<std::pair<uint64_t, std::pair<bool, Member>>>(call);
-                return o.second.first ? k.let_in(p, o.first, o.second.second)
-                                      : k.put_out(p, o.first, o.second.second);
+                const auto& o = std::get<Seating>(call);
+                return o.in ? k.let_in(p, o.name, o.member) : k.put_out(p, o.name, o.member);
             });
         } else if (auto* a = std::get_if<Act>(&e)) {
             if (n.freeze_at_effect) {
--- /dev/null
+++ b/rig/rig.cpp
@@ -0,0 +1,436 @@
+#include "rig.h"
+
+#include <event2/buffer.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/mman.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace firtide::rig
+{
+
+namespace fs = std::filesystem;
+using net::monotonic_now;
+using net::to_timeval;
+
+namespace
+{
+
+constexpr size_t first_port = 11000, ports_each = 300, slots = 60;
+
+Point boot_now()
+{
+    timespec at{};
+    clock_gettime(CLOCK_BOOTTIME, &at);
+    return {int64_t{at.tv_sec} * 1'000'000 + at.tv_nsec / 1000};
+}
+
+}  // namespace
+
+struct Rig::Process {
+    uint16_t fleet_port = 0, serve_port = 0, door_port = 0;
+    pid_t pid = 0;
+    std::optional<int> status;
+    std::optional<Point> stopped;
+    net::Stream log;
+    std::string text;
+    Control* control = nullptr;
+};
+
+// Below those that the system deals out to outgoing connections.
+uint16_t Rig::free_port()
+{
+    for (;;) {
+        const uint16_t port = next_port_++;
+        const net::Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        auto at = loopback(port);
+        if (bind(socket.fd(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0) return port;
+    }
+}
+
+Rig::Rig(Plan plan, std::string program, std::string shim, size_t slot)
+    : plan_(std::move(plan)),
+      program_(std::move(program)),
+      shim_(std::move(shim)),
+      next_port_(static_cast<uint16_t>(first_port + slot % slots * ports_each)),
+      base_(event_base_new())
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    char folder[] = "/tmp/firtide-rig-XXXXXX";
+    if (!mkdtemp(folder)) throw std::runtime_error("no folder can be made");
+    folder_ = folder;
+    receiver_ = std::make_unique<Receiver>(
+        base_.get(), [this](const std::string& duty, uint64_t epoch, uint64_t number, const std::string&) {
+            checker.took("the receiver", duty, epoch, number);
+        });
+    discovery_ = std::make_unique<DiscoveryStandIn>(base_.get());
+    std::map<std::string, std::pair<uint16_t, std::string>> targets;
+    for (size_t i = 0; i < plan_.upstreams; ++i) {
+        upstreams_.push_back(std::make_unique<Upstream>(
+            base_.get(), "u" + std::to_string(i + 1), [this](const std::string& name, size_t n) {
+                // By themselves balancers probe as each sees fit.
+                if (plan_.more.find("[probe]") != std::string::npos) checker.probed(name, n);
+            }));
+        targets[upstreams_.back()->name()] = {upstreams_.back()->port(), "ready"};
+    }
+    discovery_->list_is(targets);
+    for (size_t i = 0; i < plan_.members; ++i) {
+        auto p = std::make_unique<Process>();
+        p->fleet_port = free_port();
+        p->serve_port = free_port();
+        p->door_port = free_port();
+        if (plan_.shim) {
+            const auto path = folder_ + "/control" + std::to_string(i);
+            const net::Descriptor file(::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+            if (ftruncate(file.fd(), sizeof(Control)) != 0) throw std::runtime_error("no control file");
+            void* at = mmap(nullptr, sizeof(Control), PROT_READ | PROT_WRITE, MAP_SHARED, file.fd(), 0);
+            if (at == MAP_FAILED) throw std::runtime_error("no control file");
+            p->control = new (at) Control;
+        }
+        processes_.push_back(std::move(p));
+    }
+    for (size_t a = 0; a < size(); ++a)
+        for (size_t b = 0; b < size(); ++b)
+            if (a != b) relays_[{a, b}] = std::make_unique<Relay>(base_.get(), processes_[b]->fleet_port);
+    write_files();
+}
+
+Rig::~Rig()
+{
+    for (size_t i = 0; i < size(); ++i) {
+        if (processes_[i]->pid) {
+            ::kill(processes_[i]->pid, SIGKILL);
+            waitpid(processes_[i]->pid, nullptr, 0);
+        }
+        if (processes_[i]->control) munmap(processes_[i]->control, sizeof(Control));
+    }
+    std::error_code ignored;
+    fs::remove_all(folder_, ignored);
+}
+
+void Rig::files_are(std::vector<size_t> without, std::vector<size_t> voters)
+{
+    without_ = std::move(without);
+    voters_ = std::move(voters);
+    write_files();
+}
+
+void Rig::write_files()
+{
+    for (size_t i = 0; i < size(); ++i) {
+        std::ofstream file(folder_ + "/fleet" + std::to_string(i) + ".toml");
+        file << "[fleet]\nname = \"rig\"\nid = \"" << id_of(i)
+             << "\"\nlisten = \"127.0.0.1:" << processes_[i]->fleet_port << "\"\ndata = \"" << folder(i)
+             << "\"\n";
+        const auto in = [](const std::vector<size_t>& all, size_t j) {
+            return std::find(all.begin(), all.end(), j) != all.end();
+        };
+        for (size_t j = 0; j < size(); ++j) {
+            if (in(without_, j) && i != j) continue;
+            const bool votes = voters_.empty() ? j < plan_.voters : in(voters_, j);
+            file << "[[member]]\nid = \"" << id_of(j) << "\"\naddress = \"127.0.0.1:"
+                 << (i == j ? processes_[i]->fleet_port : relays_[{i, j}]->port()) << "\"\nzone = \"z"
+                 << j % 3 << "\"\n"
+                 << (votes ? "voter = true\n" : "");
+        }
+        file << "[lease]\nlength = \"" << plan_.lease << "\"\ndrift = " << plan_.drift << "\n";
+        for (size_t d = 0; d < plan_.duties; ++d)
+            file << "[[duty]]\nname = \"d" << d + 1 << "\"\ntell = \"127.0.0.1:" << receiver_->port()
+                 << "\"\nevery = \"50ms\"\n";
+        file << plan_.more;
+        std::ofstream config(folder_ + "/config" + std::to_string(i) + ".json");
+        config
+            << R"({"name":")" << id_of(i) << R"(","listen":"127.0.0.1:)" << processes_[i]->serve_port
+            << R"(","discovery":"127.0.0.1:)" << discovery_->port() << R"(","mgmt":"127.0.0.1:)"
+            << processes_[i]->door_port << R"(","seed":")" << i + 1
+            << R"(","settings":{"operations":[{"name":"safe","repeat":"free","client_timeout_us":1000000}],)"
+            << R"("policy_limits":{"max_forwards":3,"cancel":true,"conn_idle_us":400000,"connect_timeout_us":100000)"
+            << R"(,"may_probe":true},"telemetry":{"source":"pull","fields":["queue"]})" << plan_.settings
+            << "}}";
+    }
+}
+
+std::string Rig::folder(size_t member) const { return folder_ + "/data" + std::to_string(member); }
+
+void Rig::wipe(size_t member) { fs::remove_all(folder(member)); }
+
+void Rig::save(size_t member)
+{
+    fs::remove_all(folder(member) + ".saved");
+    fs::copy(folder(member), folder(member) + ".saved", fs::copy_options::recursive);
+}
+
+void Rig::put_back(size_t member)
+{
+    wipe(member);
+    fs::copy(folder(member) + ".saved", folder(member), fs::copy_options::recursive);
+}
+
+void Rig::swap_folder(size_t member, size_t with)
+{
+    wipe(member);
+    fs::copy(folder(with), folder(member), fs::copy_options::recursive);
+}
+
+void Rig::tear(size_t member, size_t bytes)
+{
+    const auto path = folder(member) + "/voter.log";
+    const auto size = fs::file_size(path);
+    fs::resize_file(path, size - std::min<uintmax_t>(size, bytes));
+}
+
+Control& Rig::control(size_t member) { return *processes_[member]->control; }
+
+void Rig::start(size_t member)
+{
+    Process& p = *processes_[member];
+    if (p.pid) return;
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+    const auto config = folder_ + "/config" + std::to_string(member) + ".json";
+    const auto fleet = folder_ + "/fleet" + std::to_string(member) + ".toml";
+    p.status.reset();
+    p.stopped.reset();
+    const pid_t parent = getpid();
+    p.pid = fork();
+    if (p.pid == 0) {
+        // Guards against processes that outlive the rig, however it ends.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (getppid() != parent) _exit(127);
+        dup2(ends[1], 2);
+        if (plan_.shim) {
+            setenv("LD_PRELOAD", shim_.c_str(), 1);
+            setenv("RIG_CONTROL", (folder_ + "/control" + std::to_string(member)).c_str(), 1);
+            setenv("RIG_FOLDER", folder(member).c_str(), 1);
+        }
+        if (plan_.fleet)
+            execl(program_.c_str(), program_.c_str(), "serve", config.c_str(), "--fleet", fleet.c_str(),
+                  nullptr);
+        else
+            execl(program_.c_str(), program_.c_str(), "serve", config.c_str(), nullptr);
+        _exit(127);
+    }
+    close(ends[1]);
+    evutil_make_socket_nonblocking(ends[0]);
+    p.log.reset(bufferevent_socket_new(base_.get(), ends[0], BEV_OPT_CLOSE_ON_FREE));
+    struct Reads {
+        Rig* rig;
+        size_t member;
+    };
+    // Lives as long as the rig does: a few bytes for each start.
+    auto* reads = new Reads{this, member};
+    bufferevent_setcb(
+        p.log.get(),
+        [](bufferevent* log, void* arg) {
+            auto* r = static_cast<Reads*>(arg);
+            size_t length = 0;
+            while (char* line = evbuffer_readln(bufferevent_get_input(log), &length, EVBUFFER_EOL_LF)) {
+                const std::string text(line, length);
+                std::free(line);
+                r->rig->heard(r->member, text);
+            }
+        },
+        nullptr, [](bufferevent*, short, void*) {}, reads);
+    bufferevent_enable(p.log.get(), EV_READ);
+}
+
+void Rig::heard(size_t member, const std::string& line)
+{
+    processes_[member]->text += line + "\n";
+    if (on_line) on_line(member, line);
+    if (line.empty() || line[0] != '{') return;
+    const auto in = nlohmann::json::parse(line, nullptr, false);
+    if (!in.is_object()) return;
+    const auto event = in.value("event", "");
+    // By its own clock where that is the rig's too; else by when it was heard.
+    const bool own = !plan_.shim || processes_[member]->control->rate == 1;
+    const Point at = own ? Point{in.value("boot_us", int64_t{0})} : now();
+    if (event == "gained")
+        checker.gained(at, id_of(member), in.value("duty", ""), in.value("epoch", uint64_t{0}));
+    if (event == "lost")
+        checker.lost(own ? Point{in.value("until_us", int64_t{0})} : at, id_of(member), in.value("duty", ""),
+                     in.value("epoch", uint64_t{0}));
+}
+
+void Rig::kill(size_t member, int signal)
+{
+    Process& p = *processes_[member];
+    if (!p.pid) return;
+    ::kill(p.pid, signal);
+    if (signal == SIGSTOP) p.stopped = now();
+    if (signal == SIGCONT) p.stopped.reset();
+    if (signal != SIGKILL) return;
+    waitpid(p.pid, nullptr, 0);
+    p.pid = 0;
+    run(seconds(0.02));  // what it had logged
+    checker.ended(now(), id_of(member));
+}
+
+pid_t Rig::process(size_t member) const { return processes_[member]->pid; }
+bool Rig::up(size_t member) const { return processes_[member]->pid != 0; }
+std::optional<int> Rig::exit_status(size_t member) const { return processes_[member]->status; }
+Point Rig::now() const { return boot_now(); }
+std::string Rig::log(size_t member) const { return processes_[member]->text; }
+
+void Rig::run(Span span)
+{
+    const auto most = to_timeval(span);
+    event_base_loopexit(base_.get(), &most);
+    event_base_dispatch(base_.get());
+    for (size_t i = 0; i < size(); ++i) {
+        Process& p = *processes_[i];
+        int status = 0;
+        if (!p.pid || waitpid(p.pid, &status, WNOHANG) != p.pid) continue;
+        p.pid = 0;
+        p.status = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+        checker.ended(now(), id_of(i));
+    }
+}
+
+bool Rig::until(const std::function<bool()>& so, Span most)
+{
+    const Point end = monotonic_now() + most;
+    while (!so()) {
+        if (monotonic_now() > end) return false;
+        run(seconds(0.02));
+    }
+    return true;
+}
+
+Road Rig::road(size_t from, size_t to) const { return relays_.at({from, to})->road(); }
+void Rig::road_is(size_t from, size_t to, const Road& road) { relay(from, to).road_is(road); }
+Relay& Rig::relay(size_t from, size_t to) { return *relays_.at({from, to}); }
+
+void Rig::whole()
+{
+    for (auto& [pair, relay] : relays_) relay->road_is({});
+}
+
+namespace
+{
+
+// A line there, all that comes back, and the end.
+struct Call {
+    net::Stream stream;
+    std::string got;
+    std::function<void(std::string)> then;
+
+    static void ended(bufferevent* stream, short what, void* arg)
+    {
+        if (what & BEV_EVENT_CONNECTED) return;
+        auto* call = static_cast<Call*>(arg);
+        auto* input = bufferevent_get_input(stream);
+        call->got.resize(evbuffer_get_length(input));
+        evbuffer_remove(input, call->got.data(), call->got.size());
+        const std::unique_ptr<Call> own(call);
+        own->then(own->got);
+    }
+};
+
+void call(event_base* base, uint16_t port, const std::string& bytes, Span wait,
+          std::function<void(std::string)> then)
+{
+    auto* c =
+        new Call{net::Stream(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)), {}, std::move(then)};
+    bufferevent_setcb(c->stream.get(), nullptr, nullptr, Call::ended, c);
+    const auto most = to_timeval(wait);
+    bufferevent_set_timeouts(c->stream.get(), &most, &most);
+    bufferevent_enable(c->stream.get(), EV_READ | EV_WRITE);
+    bufferevent_write(c->stream.get(), bytes.data(), bytes.size());
+    auto at = loopback(port);
+    bufferevent_socket_connect(c->stream.get(), reinterpret_cast<sockaddr*>(&at), sizeof at);
+}
+
+}  // namespace
+
+void Rig::ask_later(size_t member, const std::string& line, std::function<void(std::string)> then)
+{
+    call(base_.get(), processes_[member]->door_port, line + "\n", seconds(60), std::move(then));
+}
+
+std::string Rig::ask(size_t member, const std::string& line, Span wait)
+{
+    auto got = std::make_shared<std::optional<std::string>>();
+    call(base_.get(), processes_[member]->door_port, line + "\n", wait,
+         [got](std::string text) { *got = std::move(text); });
+    until([&] { return got->has_value(); }, wait + seconds(0.5));
+    return got->value_or("");
+}
+
+int Rig::request(size_t member, Span wait)
+{
+    static uint64_t next = 1;
+    auto got = std::make_shared<std::optional<std::string>>();
+    call(base_.get(), processes_[member]->serve_port,
+         "GET /safe/x HTTP/1.1\r\nReq-Id: " + std::to_string(next++) + "\r\nConnection: close\r\n\r\n", wait,
+         [got](std::string text) { *got = std::move(text); });
+    until([&] { return got->has_value(); }, wait + seconds(0.5));
+    const auto text = got->value_or("");
+    return text.size() > 12 && text.starts_with("HTTP/1.1 ") ? std::atoi(text.c_str() + 9) : 0;
+}
+
+void Rig::garbage(size_t member, const std::string& bytes)
+{
+    call(base_.get(), processes_[member]->fleet_port, bytes, seconds(0.3), [](const std::string&) {});
+}
+
+size_t Rig::index_of(const std::string& id) const
+{
+    for (size_t i = 0; i < size(); ++i)
+        if (id_of(i) == id) return i;
+    throw std::runtime_error("'" + id + "' is no process");
+}
+
+std::optional<size_t> Rig::leader()
+{
+    std::optional<size_t> found;
+    unsigned long best = 0;
+    for (size_t i = 0; i < size(); ++i) {
+        if (!up(i) || processes_[i]->stopped) continue;
+        const auto text = ask(i, "show-fleet", seconds(0.4));
+        const auto at = text.find(" leader "), term = text.find(" term ");
+        if (at == std::string::npos || term == std::string::npos) continue;
+        const auto id = text.substr(at + 8, text.find(' ', at + 8) - at - 8);
+        const auto number = std::strtoul(text.c_str() + term + 6, nullptr, 10);
+        if (id != "none" && number >= best && up(index_of(id))) best = number, found = index_of(id);
+    }
+    return found;
+}
+
+std::optional<size_t> Rig::holder(const std::string& duty)
+{
+    for (size_t i = 0; i < size(); ++i) {
+        if (!up(i) || processes_[i]->stopped) continue;
+        const auto text = ask(i, "show-fleet", seconds(0.4));
+        const auto at = text.find("duty " + duty + " ");
+        if (at == std::string::npos) continue;
+        const auto line = text.substr(at, text.find('\n', at) - at);
+        if (line.ends_with(" mine")) return i;
+    }
+    return {};
+}
+
+std::vector<std::string> Rig::judge()
+{
+    for (size_t i = 0; i < size(); ++i)
+        if (processes_[i]->stopped) kill(i, SIGCONT);
+    run(seconds(0.5));
+    auto wrong = checker.wrong(now());
+    for (size_t i = 0; i < size(); ++i)
+        if (const auto status = processes_[i]->status; status && *status != 0 && *status != 2)
+            wrong.push_back(id_of(i) + " ended by itself, with status " + std::to_string(*status));
+    return wrong;
+}
+
+}  // namespace firtide::rig
--- /dev/null
+++ b/rig/scenario.cpp
@@ -0,0 +1,542 @@
+#include "scenario.h"
+
+#include <cerrno>
+#include <csignal>
+#include <sstream>
+
+#include "src/toml_table.h"
+
+namespace firtide::rig
+{
+namespace
+{
+
+// A step that cannot be done, or something expected that was not seen.
+struct Failed {
+    std::string what;
+};
+
+class Player
+{
+  public:
+    Player(const Scenario& scenario, Rig& rig) : scenario_(scenario), rig_(rig)
+    {
+        for (size_t i = 0; i < scenario.plan.duties; ++i) duties_.push_back("d" + std::to_string(i + 1));
+    }
+
+    void play(const std::string& line)
+    {
+        std::istringstream in(line);
+        words_.clear();
+        for (std::string w; in >> w;) words_.push_back(w);
+        at_ = 0;
+        const auto verb = next();
+        if (verb == "wait") return rig_.run(span());
+        if (verb == "settle") return settle();
+        if (verb == "let") return let();
+        if (verb == "start") return each([&](size_t i) { rig_.start(i); });
+        if (verb == "kill") return each([&](size_t i) { rig_.kill(i, SIGKILL); });
+        if (verb == "term") return each([&](size_t i) { rig_.kill(i, SIGTERM); });
+        if (verb == "stop") return each([&](size_t i) { rig_.kill(i, SIGSTOP); });
+        if (verb == "continue") return each([&](size_t i) { rig_.kill(i, SIGCONT); });
+        if (verb == "save") return rig_.save(who());
+        if (verb == "disk") return disk();
+        if (verb == "files") return files();
+        if (verb == "clock") {
+            Control& c = rig_.control(who());
+            return (void)(c.rate = number());
+        }
+        if (verb == "cut" || verb == "delay" || verb == "hold" || verb == "refuse" || verb == "rate")
+            return road(verb);
+        if (verb == "cut-off") return cut_off();
+        if (verb == "split") return split();
+        if (verb == "whole") return rig_.whole();
+        if (verb == "flap") return flap();
+        if (verb == "change" || verb == "repeat" || verb == "tear") return bytes(verb);
+        if (verb == "garbage") return garbage();
+        if (verb == "door") return door();
+        if (verb == "door-later") return door_later();
+        if (verb == "until-door") return until_door();
+        if (verb == "discovery") return discovery();
+        if (verb == "served-by") return served_by();
+        if (verb == "spread") return spread();
+        if (verb == "without") return rig_.files_are({who()}, {});
+        if (verb == "voters") return rig_.files_are({}, some());
+        if (verb == "roll") return roll();
+        if (verb == "expect") return expect();
+        throw Failed{"no such step"};
+    }
+
+  private:
+    std::string next()
+    {
+        if (at_ >= words_.size()) throw Failed{"a word is missing"};
+        return words_[at_++];
+    }
+    bool more() const { return at_ < words_.size(); }
+    std::string rest()
+    {
+        std::string out;
+        while (more()) out += (out.empty() ? "" : " ") + next();
+        return out;
+    }
+    double number() { return std::strtod(next().c_str(), nullptr); }
+    static Span to_span(const std::string& text)
+    {
+        char* unit = nullptr;
+        const double value = std::strtod(text.c_str(), &unit);
+        return seconds(value * (std::string(unit) == "ms" ? 1e-3 : 1));
+    }
+    Span span() { return to_span(next()); }
+    // "... within 3s" at the end of an expectation.
+    Span within()
+    {
+        for (size_t i = at_; i + 1 < words_.size(); ++i)
+            if (words_[i] == "within") {
+                const Span s = to_span(words_[i + 1]);
+                words_.erase(words_.begin() + static_cast<ptrdiff_t>(i),
+                             words_.begin() + static_cast<ptrdiff_t>(i) + 2);
+                return s;
+            }
+        return seconds(0.05);
+    }
+    size_t who() { return who(next()); }
+    size_t who(const std::string& name)
+    {
+        if (const auto known = names_.find(name); known != names_.end()) return known->second;
+        if (name == "leader" || name.starts_with("holder:")) {
+            std::optional<size_t> found;
+            rig_.until(
+                [&] {
+                    found = name == "leader" ? rig_.leader() : rig_.holder(name.substr(7));
+                    return found.has_value();
+                },
+                seconds(5));
+            if (!found) throw Failed{"there is no " + name};
+            return *found;
+        }
+        // A voter, or a member without a vote, that has no name yet and leads nothing.
+        if (name == "voter" || name == "member") {
+            const auto leader = rig_.leader();
+            for (size_t i = 0; i < rig_.size(); ++i) {
+                bool named = leader == i;
+                for (const auto& [n, m] : names_) named |= m == i;
+                if (!named && (i < scenario_.plan.voters) == (name == "voter")) return i;
+            }
+            throw Failed{"there is no other " + name};
+        }
+        return rig_.index_of(name);
+    }
+    std::vector<size_t> some()
+    {
+        std::vector<size_t> out;
+        while (more()) {
+            const auto name = next();
+            if (name == "all")
+                for (size_t i = 0; i < rig_.size(); ++i) out.push_back(i);
+            else
+                out.push_back(who(name));
+        }
+        return out;
+    }
+    template <class F>
+    void each(F what)
+    {
+        for (const size_t i : some()) what(i);
+    }
+
+    void settle()
+    {
+        const bool held = rig_.until(
+            [&] {
+                for (const auto& d : duties_)
+                    if (!rig_.checker.holder(d)) return false;
+                return rig_.leader().has_value();
+            },
+            seconds(15));
+        if (!held) throw Failed{"the duties were not all held within 15 s"};
+        rig_.run(seconds(0.3));
+    }
+    void let()
+    {
+        const auto name = next();
+        (void)next();  // "="
+        names_[name] = who();
+    }
+    void disk()
+    {
+        const size_t i = who();
+        const auto what = next();
+        if (rig_.up(i)) throw Failed{"its process is up"};
+        if (what == "lost")
+            rig_.wipe(i);
+        else if (what == "saved")
+            rig_.put_back(i);
+        else if (what == "of")
+            rig_.swap_folder(i, who());
+        else if (what == "torn")
+            rig_.tear(i, static_cast<size_t>(number()));
+        else
+            throw Failed{"no such disk"};
+    }
+    void files()
+    {
+        Control& c = rig_.control(who());
+        const auto what = next();
+        const double rate = c.rate;
+        if (what == "well")
+            c = {}, c.rate = rate;
+        else if (what == "slow")
+            c.sync_ms = static_cast<int>(span().us / 1000);
+        else if (what == "full")
+            c.write_error = ENOSPC;
+        else if (what == "broken")
+            c.write_error = c.sync_error = EIO;
+        else if (what == "short")
+            c.short_writes = 1;
+        else if (what == "read-only")
+            c.read_only = 1;
+        else if (what == "lying")
+            c.sync_lost = 1;
+        else
+            throw Failed{"no such trouble of files"};
+    }
+    // "cut A B", "delay 2s", "delay 2s A B": one way; without names all roads.
+    void road(const std::string& verb)
+    {
+        Span delay;
+        double rate = 0;
+        if (verb == "delay") delay = span();
+        if (verb == "rate") rate = number();
+        const auto change = [&](size_t a, size_t b) {
+            Road r = rig_.road(a, b);
+            if (verb == "cut") r.cut = true;
+            if (verb == "hold") r.held = true;
+            if (verb == "refuse") r.refused = true;
+            if (verb == "delay") r.delay = delay;
+            if (verb == "rate") r.rate = rate;
+            rig_.road_is(a, b, r);
+        };
+        if (more()) {
+            const size_t a = who(), b = who();
+            return change(a, b);
+        }
+        for (size_t a = 0; a < rig_.size(); ++a)
+            for (size_t b = 0; b < rig_.size(); ++b)
+                if (a != b) change(a, b);
+    }
+    void cut(size_t a, size_t b)
+    {
+        Road r = rig_.road(a, b);
+        r.cut = true;
+        rig_.road_is(a, b, r);
+    }
+    // "cut-off A": both ways; "cut-off A deaf": it hears nobody; "cut-off A mute": nobody hears it; "...
+    // voters": these only.
+    void cut_off()
+    {
+        const size_t a = who();
+        bool deaf = true, mute = true, voters = false;
+        while (more()) {
+            const auto w = next();
+            if (w == "deaf") mute = false;
+            if (w == "mute") deaf = false;
+            if (w == "voters") voters = true;
+        }
+        for (size_t b = 0; b < rig_.size(); ++b) {
+            if (a == b || (voters && b >= scenario_.plan.voters)) continue;
+            if (mute) cut(a, b);
+            if (deaf) cut(b, a);
+        }
+    }
+    void split()
+    {
+        const auto side = some();
+        const auto in = [&](size_t i) { return std::find(side.begin(), side.end(), i) != side.end(); };
+        for (size_t a = 0; a < rig_.size(); ++a)
+            for (size_t b = 0; b < rig_.size(); ++b)
+                if (a != b && in(a) != in(b)) cut(a, b);
+    }
+    void flap()
+    {
+        const size_t a = who();
+        const Span every = span();
+        const int times = static_cast<int>(number());
+        for (int n = 0; n < times; ++n) {
+            for (size_t b = 0; b < rig_.size(); ++b)
+                if (a != b) cut(a, b), cut(b, a);
+            rig_.run(every);
+            rig_.whole();
+            rig_.run(every);
+        }
+    }
+    void bytes(const std::string& verb)
+    {
+        const size_t a = who();
+        const auto spoil = [&](size_t b) {
+            Relay& r = rig_.relay(a, b);
+            if (verb == "change") r.change_next();
+            if (verb == "repeat") r.repeat_next();
+            if (verb == "tear") r.cut_within(7);
+        };
+        if (more()) return spoil(who());
+        for (size_t b = 0; b < rig_.size(); ++b)
+            if (a != b) spoil(b);
+    }
+    void garbage()
+    {
+        const size_t i = who();
+        rig_.garbage(i, "GET / HTTP/1.1\r\n\r\n");
+        rig_.garbage(i, std::string(64, '\xff'));
+        rig_.garbage(i, std::string(24, '\0') + "x");
+        rig_.garbage(i, "x");
+        rig_.run(seconds(0.2));
+    }
+    // A line for the door, up to "->", with names as the processes know them; and what stands behind that.
+    std::pair<std::string, std::string> line_for_door()
+    {
+        std::string line;
+        while (more()) {
+            const auto w = next();
+            if (w == "->") return {line, rest()};
+            const auto known = names_.find(w);
+            line += (line.empty() ? "" : " ") + (known == names_.end() ? w : Rig::id_of(known->second));
+        }
+        return {line, ""};
+    }
+    // "door A LINE -> START OF THE ANSWER"
+    void door()
+    {
+        const size_t i = who();
+        const auto [line, start] = line_for_door();
+        const auto got = rig_.ask(i, line, seconds(12));
+        if (!got.starts_with(start)) throw Failed{"the door said: " + got.substr(0, got.find('\n'))};
+    }
+    // Asked, and not waited for.
+    void door_later()
+    {
+        const size_t i = who();
+        rig_.ask_later(i, line_for_door().first, [](const std::string&) {});
+        rig_.run(seconds(0.01));
+    }
+    // "until-door A LINE 5s -> START": asked again and again
+    void until_door()
+    {
+        const size_t i = who();
+        auto [line, start] = line_for_door();
+        const auto space = line.rfind(' ');
+        const Span most = to_span(line.substr(space + 1));
+        line.resize(space);
+        std::string got;
+        seen([&] { return (got = rig_.ask(i, line)).starts_with(start); }, most,
+             "the door never said " + start + ", but " + got.substr(0, got.find('\n')));
+    }
+    // "served-by A... not U": none of a few requests goes there
+    void served_by()
+    {
+        std::vector<size_t> from;
+        for (auto w = next(); w != "not"; w = next()) {
+            if (w != "all") {
+                from.push_back(who(w));
+                continue;
+            }
+            for (size_t i = 0; i < rig_.size(); ++i)
+                if (rig_.up(i)) from.push_back(i);
+        }
+        const size_t upstream = std::strtoul(next().c_str() + 1, nullptr, 10) - 1;
+        const auto before = rig_.upstream(upstream).served();
+        for (const size_t i : from)
+            for (int n = 0; n < 6; ++n)
+                if (rig_.request(i) != 200) throw Failed{Rig::id_of(i) + " does not serve"};
+        if (rig_.upstream(upstream).served() != before) throw Failed{"some were served by " + words_.back()};
+    }
+    // "spread LEAST MOST within T": so many duties a process
+    void spread()
+    {
+        const Span most_wait = within();
+        const auto least = static_cast<size_t>(number()), most = static_cast<size_t>(number());
+        seen(
+            [&] {
+                std::map<std::string, size_t> loads;
+                for (const auto& d : duties_)
+                    if (const auto h = rig_.checker.holder(d)) ++loads[*h];
+                for (size_t i = 0; i < rig_.size(); ++i)
+                    if (const size_t n = loads[Rig::id_of(i)]; rig_.up(i) && (n < least || n > most))
+                        return false;
+                return true;
+            },
+            most_wait, "duties are spread unevenly");
+    }
+    // One after the other, as operators do.
+    void roll()
+    {
+        for (const size_t i : some()) {
+            rig_.kill(i, SIGTERM);
+            rig_.until([&] { return !rig_.up(i); }, seconds(6));
+            rig_.start(i);
+            rig_.run(seconds(1));
+        }
+    }
+    void discovery()
+    {
+        const auto what = next();
+        if (what == "silent") return rig_.discovery().silent(true);
+        if (what == "speaks") return rig_.discovery().silent(false);
+        rig_.discovery().state_is(next(), what);
+    }
+
+    void expect()
+    {
+        const auto what = next();
+        const Span most = within();
+        if (what == "held") return held(next(), most);
+        if (what == "holder") {
+            const auto duty = next();
+            const size_t i = who();
+            return seen([&] { return rig_.holder(duty) == i; }, most,
+                        Rig::id_of(i) + " does not hold " + duty);
+        }
+        if (what == "leader")
+            return seen([&] { return rig_.leader().has_value(); }, most, "there is no leader");
+        if (what == "serves") {
+            for (const size_t i : some())
+                seen([&] { return rig_.request(i) == 200; }, most, Rig::id_of(i) + " does not serve");
+            return;
+        }
+        if (what == "exit") {
+            const size_t i = who();
+            const int status = static_cast<int>(number());
+            return seen([&] { return rig_.exit_status(i) == status; }, most,
+                        Rig::id_of(i) + " did not end so");
+        }
+        if (what == "show" || what == "log") {
+            const size_t i = who();
+            const bool no = more() && words_[at_] == "no" && next() == "no";
+            auto text = rest();
+            if (text.starts_with(": ")) text.erase(0, 2);
+            for (const auto& [name, m] : names_)
+                for (size_t at; (at = text.find("{" + name + "}")) != std::string::npos;)
+                    text.replace(at, name.size() + 2, Rig::id_of(m));
+            const auto so = [&] {
+                const auto all = what == "log" ? rig_.log(i) : rig_.ask(i, "show-fleet");
+                return (all.find(text) != std::string::npos) != no;
+            };
+            return seen(so, most,
+                        "the " + what + " of " + Rig::id_of(i) + (no ? " has '" : " has no '") + text + "'");
+        }
+        if (what == "refused") {
+            const auto least = static_cast<uint64_t>(number());
+            return seen([&] { return rig_.receiver().refused() >= least; }, most,
+                        "the receiver refused fewer");
+        }
+        if (what == "probes") {
+            const auto before = probes();
+            rig_.run(most);
+            const double rate = static_cast<double>(probes() - before) / most.seconds();
+            const double least = number(), greatest = number();
+            if (rate < least || rate > greatest) throw Failed{std::to_string(rate) + " probes a second"};
+            return;
+        }
+        if (what == "calls") {
+            const auto before = rig_.discovery().calls();
+            rig_.run(most);
+            const double rate = static_cast<double>(rig_.discovery().calls() - before) / most.seconds();
+            const double greatest = number();
+            if (rate > greatest) throw Failed{std::to_string(rate) + " calls for lists a second"};
+            return;
+        }
+        throw Failed{"no such expectation"};
+    }
+    uint64_t probes()
+    {
+        uint64_t n = 0;
+        for (size_t i = 0; i < scenario_.plan.upstreams; ++i) n += rig_.upstream(i).probes();
+        return n;
+    }
+    void held(const std::string& which, Span most)
+    {
+        seen(
+            [&] {
+                for (const auto& d : duties_)
+                    if ((which == "all" || which == d) && !rig_.checker.holder(d)) return false;
+                return true;
+            },
+            most, which + " not held");
+    }
+    void seen(const std::function<bool()>& so, Span most, const std::string& otherwise)
+    {
+        if (!rig_.until(so, most)) throw Failed{otherwise};
+    }
+
+    const Scenario& scenario_;
+    Rig& rig_;
+    std::vector<std::string> duties_, words_;
+    size_t at_ = 0;
+    std::map<std::string, size_t> names_;
+};
+
+}  // namespace
+
+std::variant<Scenario, Fault> decode_scenario(std::string_view text)
+{
+    try {
+        const auto from = toml::parse(text);
+        const TomlTable top(from, "",
+                            {"name", "members", "voters", "duties", "upstreams", "lease", "drift", "shim",
+                             "fleet", "more", "settings", "overlap", "steps"});
+        Scenario s;
+        s.name = top.text("name");
+        s.plan.members = top.count("members", 5, 1, 60);
+        s.plan.voters = top.count("voters", 3, 1, 7);
+        s.plan.duties = top.count("duties", 3, 0, 200);
+        s.plan.upstreams = top.count("upstreams", 2, 1, 40);
+        if (top.has("lease")) s.plan.lease = top.text("lease");
+        s.plan.drift = top.number("drift", 0.02, 0, 0.1);
+        s.plan.shim = top.flag("shim", false);
+        s.plan.fleet = top.flag("fleet", true);
+        if (top.has("more")) s.plan.more = top.text("more");
+        if (top.has("settings")) s.plan.settings = top.text("settings");
+        s.overlap_allowed = top.flag("overlap", false);
+        const auto* steps = from["steps"].as_array();
+        if (!steps) wrong("steps", top.line("steps"), "an array of steps is expected");
+        for (const auto& step : *steps) {
+            const auto* line = step.as_string();
+            if (!line) wrong("steps", line_of(step), "a step is a text");
+            s.steps.push_back(line->get());
+        }
+        return s;
+    } catch (const toml::parse_error& e) {
+        return Fault{{"TOML", static_cast<uint32_t>(e.source().begin.line)}, std::string(e.description())};
+    } catch (const WrongToml& w) {
+        return w.fault;
+    }
+}
+
+Verdict play(const Scenario& scenario, const std::string& program, const std::string& shim, size_t slot)
+{
+    Verdict v;
+    Rig rig(scenario.plan, program, shim, slot);
+    rig.checker.overlap_allowed = scenario.overlap_allowed;
+    Player player(scenario, rig);
+    for (const auto& step : scenario.steps) {
+        try {
+            player.play(step);
+        } catch (const Failed& f) {
+            v.wrong.push_back("at '" + step + "': " + f.what);
+            for (size_t i = 0; i < rig.size(); ++i)
+                if (rig.up(i)) v.logs += "-- shown by " + Rig::id_of(i) + "\n" + rig.ask(i, "show-fleet");
+            break;
+        } catch (const std::exception& e) {
+            v.wrong.push_back("at '" + step + "': " + e.what());
+            break;
+        }
+    }
+    for (auto& w : rig.judge()) v.wrong.push_back(std::move(w));
+    v.gaps = rig.checker.gaps();
+    v.accepted = rig.checker.accepted();
+    if (!v.wrong.empty())
+        for (size_t i = 0; i < rig.size(); ++i) v.logs += "-- " + Rig::id_of(i) + "\n" + rig.log(i);
+    return v;
+}
+
+}  // namespace firtide::rig
--- /dev/null
+++ b/rig/scenario.h
@@ -0,0 +1,33 @@
+// A script of what happens to several processes, and of what has to be seen: TOML, a line of words for each
+// step. docs/rig.md names the steps.
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "rig.h"
+#include "src/fault.h"
+
+namespace firtide::rig
+{
+
+struct Scenario {
+    std::string name;
+    Plan plan;
+    bool overlap_allowed = false;
+    std::vector<std::string> steps;
+};
+
+std::variant<Scenario, Fault> decode_scenario(std::string_view text);
+
+struct Verdict {
+    std::vector<std::string> wrong;  // empty: all was safe and as expected
+    std::vector<Span> gaps;          // times without a holder
+    size_t accepted = 0;             // effects that receivers took
+    std::string logs;                // of all processes, where something was wrong
+};
+
+Verdict play(const Scenario& scenario, const std::string& program, const std::string& shim, size_t slot);
+
+}  // namespace firtide::rig
--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -244,6 +244,8 @@
 
 std::vector<DeskEffect> Desk::raft(Point now, const RaftSent& sent)
 {
+    auto& seen = seen_[sent.from];
+    seen = std::max(seen, sent.writes);
     const bool may = stage_ == Stage::voting || (stage_ == Stage::empty && Voter::brings_log(sent.bytes));
     if (!may || !voter_ || store_->failed() || sent.to != store_->owner().disk) return {};
     take(voter_->receive(now, sent.from, sent.bytes));
@@ -259,14 +261,15 @@
     return out(now);
 }
 
-std::vector<DeskEffect> Desk::let_in(Point now, uint64_t name, Member member)
+std::vector<DeskEffect> Desk::let_in(Point now, uint64_t name, const std::string& id)
 {
-    const auto at = heard_.find(member);
+    const auto member = file_.member_of(std::string_view(id));
+    const auto at = member ? heard_.find(*member) : heard_.end();
     if (stage_ != Stage::voting || at == heard_.end() || now - at->second.at > heard_for) {
         effects_.push_back(Proposed{name, false, "nothing has been heard of its disk lately"});
         return out(now);
     }
-    const Seat seat{at->second.word.disk, file_.members[member].id, true};
+    const Seat seat{at->second.word.disk, id, true};
     for (const Seat& s : standing_.seats)
         if (s.disk == seat.disk && s.votes) {
             effects_.push_back(Proposed{name, true, "it votes already"});
@@ -279,10 +282,10 @@
     return out(now);
 }
 
-std::vector<DeskEffect> Desk::put_out(Point now, uint64_t name, Member member)
+std::vector<DeskEffect> Desk::put_out(Point now, uint64_t name, const std::string& member)
 {
     for (const Seat& s : standing_.seats)
-        if (stage_ == Stage::voting && s.member == file_.members[member].id) {
+        if (stage_ == Stage::voting && s.member == member) {
             take(voter_->put_out(now, name, s.disk));
             return out(now);
         }
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -46,8 +46,8 @@
     std::vector<DeskEffect> founded(Point now, Member from, const Founded& founded);
     std::vector<DeskEffect> raft(Point now, const RaftSent& sent);
     std::vector<DeskEffect> propose(Point now, const Propose& propose);
-    std::vector<DeskEffect> let_in(Point now, uint64_t name, Member member);
-    std::vector<DeskEffect> put_out(Point now, uint64_t name, Member member);
+    std::vector<DeskEffect> let_in(Point now, uint64_t name, const std::string& member);
+    std::vector<DeskEffect> put_out(Point now, uint64_t name, const std::string& member);
     std::vector<DeskEffect> lead_no_more(Point now);
 
   private:
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -86,7 +86,7 @@
         for (const Change& c : holder_.take_changes()) changed(c), more = true;
         for (const HealthChange& h : members_.take_changes())
             effects_.push_back(
-                Noted{"member", file_.members[h.member].id, "", h.incarnation, text_of(h.health)});
+                Noted{"member", file_.members[h.member].id, "", h.incarnation, text_of(h.health), {}});
     }
 }
 
@@ -123,8 +123,12 @@
                    [&](const Ask& a) { members_.on(now_, from, a); },
                    [&](const Reached& r) { members_.on(now_, from, r); },
                    [&](const Rumors& r) { members_.on(now_, from, r); },
-                   [&](RaftSent& r) { effects_.push_back(ToDesk{std::move(r)}); },
+                   [&](RaftSent& r) {
+                       disks_[r.from] = from;
+                       effects_.push_back(ToDesk{std::move(r)});
+                   },
                    [&](Word& w) {
+                       disks_[w.disk] = from;
                        effects_.push_back(ToDesk{std::pair{from, std::move(w)}});
                    },
                    [&](Founded& f) {
@@ -155,14 +159,10 @@
 {
     std::visit(Cases{
                    [&](SendRaft& s) {
-                       if (!standing_) return;
-                       for (const Seat& seat : standing_->standing.seats)
-                           if (const auto m = seat.disk == s.to
-                                                  ? file_.member_of(std::string_view(seat.member))
-                                                  : std::nullopt;
-                               m && *m != self_)
-                               return effects_.push_back(
-                                   Send{*m, RaftSent{standing_->disk, s.to, std::move(s.bytes)}});
+                       // Whoever is being let in knows nobody but those that it has heard of.
+                       if (const auto at = disks_.find(s.to); standing_ && at != disks_.end())
+                           effects_.push_back(Send{
+                               at->second, RaftSent{standing_->disk, s.to, s.writes, std::move(s.bytes)}});
                    },
                    [&](SayWord& s) {
                        for (Member m = 0; m < file_.members.size(); ++m)
@@ -191,7 +191,7 @@
                        const Term before = standing_ ? standing_->standing.term : 0;
                        const std::string trouble = standing_ ? standing_->trouble : "";
                        if (s.trouble != trouble)
-                           effects_.push_back(Noted{"voter", text_of(s.stage), s.trouble, 0, ""});
+                           effects_.push_back(Noted{"voter", text_of(s.stage), s.trouble, 0, "", {}});
                        standing_ = std::move(s);
                        const auto& st = standing_->standing;
                        if (st.role != Role::leader) {
@@ -201,8 +201,8 @@
                            granter_.office(now_, st.term);
                        }
                        if (led != granter_.leads())
-                           effects_.push_back(Noted{granter_.leads() ? "office" : "out of office", file_.id,
-                                                    "", st.term, ""});
+                           effects_.push_back(Noted{
+                               granter_.leads() ? "office" : "out of office", file_.id, "", st.term, "", {}});
                        holder_.leader_is(leader_key(), st.term);
                    },
                },
@@ -223,7 +223,8 @@
     list_tick();
     beat();
     if (members_.twin() && !std::exchange(twin_told_, true))
-        effects_.push_back(Noted{"trouble", file_.id, "another process has been seen under this id", 0, ""});
+        effects_.push_back(
+            Noted{"trouble", file_.id, "another process has been seen under this id", 0, "", {}});
     for (auto at = callers_.begin(); at != callers_.end();) {
         if (now_ < at->second.until) {
             ++at;
@@ -257,12 +258,13 @@
 
 void Fleet::changed(const Change& c)
 {
-    effects_.push_back(Noted{c.gained ? "gained" : "lost", c.duty, c.why, c.epoch, ""});
+    effects_.push_back(Noted{c.gained ? "gained" : "lost", c.duty, c.why, c.epoch, "", c.until});
     const auto d = file_.duty_of(c.duty);
     if (!d) return;
     const DutyKind kind = file_.duties[*d].kind;
+    // Guards against a probe that is still out as its prober gives the duty up.
     if (c.gained)
-        beats_[c.duty] = {c.epoch, 0, now_, 0};
+        beats_[c.duty] = {c.epoch, 0, kind == DutyKind::probe ? now_ + probe_lasts : now_, 0};
     else
         beats_.erase(c.duty);
     if (kind == DutyKind::list) {
@@ -373,7 +375,7 @@
     if (now_ - list_fresh_ <= file_.list->stale + list_spread_) return;
     effects_.push_back(AskDiscovery{asking_ = true});
     effects_.push_back(
-        Noted{"list", "", "it is older than stated: discovery is asked by this member itself", 0, ""});
+        Noted{"list", "", "it is older than stated: discovery is asked by this member itself", 0, "", {}});
 }
 
 void Fleet::on(ProbesSeen& seen)
@@ -425,7 +427,7 @@
             if (duty.starts_with("drain.")) holder_.release(now_, duty, "its turn is over");
         return;
     }
-    if (asked.what != "hand-over" && !file_.member_of(std::string_view(asked.first)))
+    if (asked.what == "let-in" && !file_.member_of(std::string_view(asked.first)))
         return reply(asked.caller, "FAILURE no such member\n");
     if (asked.what == "hand-over" && !file_.duty_of(asked.first))
         return reply(asked.caller, "FAILURE no such duty\n");
@@ -449,17 +451,20 @@
 void Fleet::hear(Member from, const Order& o)
 {
     if (o.what == "hand-over") return granter_.hand_over(now_, from, o);
+    // A vote can be taken from whoever has one, also from who has left the fleet file.
     const auto m = file_.member_of(std::string_view(o.first));
-    if (!granter_.leads() || !m || !file_.members[*m].voter) {
-        const Obeyed no{
-            o.number, false,
-            granter_.leads() ? "the leader's fleet file has no such voter" : "this member does not lead"};
+    const bool in = o.what == "let-in";
+    const char* why = !granter_.leads()                        ? "this member does not lead"
+                      : in && (!m || !file_.members[*m].voter) ? "the leader's fleet file has no such voter"
+                                                               : nullptr;
+    if (why) {
+        const Obeyed no{o.number, false, why};
         if (from == self_) return hear(self_, no);
         return effects_.push_back(Send{from, no});
     }
     const auto name = next_desk_++;
     desk_orders_[name] = {from, o.number};
-    effects_.push_back(ToDesk{std::pair{name, std::pair{o.what == "let-in", *m}}});
+    effects_.push_back(ToDesk{Seating{name, in, o.first}});
 }
 
 void Fleet::hear(Member, const Obeyed& o)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -36,7 +36,7 @@
 struct DoorLeft {
     uint64_t caller = 0;
 };
-struct ListSeen {  // own discovery has answered
+struct ListSeen {        // own discovery has answered
     std::string source;  // its address: versions of another say nothing of this one's
     uint64_t version = 0;
     std::string whole;
@@ -56,10 +56,13 @@
     std::variant<Begun, Heard, Ticked, DeskSaid, DoorAsked, DoorLeft, ListSeen, ProbesSeen, Refused, Stops>;
 
 // Effects. Send is one of them.
+struct Seating {  // of a member among the voters
+    uint64_t name = 0;
+    bool in = false;  // or out
+    std::string member;
+};
 struct ToDesk {
-    std::variant<std::pair<Member, Word>, std::pair<Member, Founded>, RaftSent, Propose,
-                 std::pair<uint64_t, std::pair<bool, Member>>>
-        call;  // the last one lets a member in, or puts it out
+    std::variant<std::pair<Member, Word>, std::pair<Member, Founded>, RaftSent, Propose, Seating> call;
 };
 struct Publish {
     std::vector<Send> sends;
@@ -104,6 +107,7 @@
     std::string event, subject, why;
     Epoch epoch = 0;
     std::string health;
+    Point until;  // of a duty that was lost: when its lease ended, at the latest
 };
 using FleetEffect =
     std::variant<Send, ToDesk, Act, ResumeNow, AskDiscovery, UseList, UseReports, Reply, Noted>;
@@ -184,6 +188,7 @@
     Granter granter_;
     Table table_;  // as committed, at a voter
     std::optional<DeskStanding> standing_;
+    std::map<DiskId, Member> disks_;  // of voters, as heard of
     std::vector<FleetEffect> effects_;
     std::vector<std::pair<Member, Message>> to_self_;
 
--- a/src/fleet/host.cpp
+++ b/src/fleet/host.cpp
@@ -117,9 +117,8 @@
                 out(desk.raft(now, *r));
             else if (auto* p = std::get_if<Propose>(&c.call))
                 out(desk.propose(now, *p));
-            else if (auto* o = std::get_if<std::pair<uint64_t, std::pair<bool, Member>>>(&c.call))
-                out(o->second.first ? desk.let_in(now, o->first, o->second.second)
-                                    : desk.put_out(now, o->first, o->second.second));
+            else if (auto* o = std::get_if<Seating>(&c.call))
+                out(o->in ? desk.let_in(now, o->name, o->member) : desk.put_out(now, o->name, o->member));
         }
         if (const Point now = fleet_now(); now - tick >= desk_ticks_every) {
             tick = now;
@@ -164,7 +163,7 @@
     if (fleet_.incarnation() == kept_) return;
     kept_ = fleet_.incarnation();
     if (const auto error = folder_.replace(incarnation_file, pack(MemberRecord{file_.name, file_.id, kept_})))
-        note({"trouble", file_.id, "the incarnation is not kept: " + error.message(), 0, ""});
+        note({"trouble", file_.id, "the incarnation is not kept: " + error.message(), 0, "", {}});
 }
 
 Host::Host(event_base* base, FleetFile file, const std::string& path, Hooks hooks)
@@ -274,6 +273,7 @@
     if (n.event == "gained" || n.event == "lost") {
         line["duty"] = n.subject;
         line["epoch"] = n.epoch;
+        line["until_us"] = n.until.us;
     } else {
         if (!n.subject.empty()) line["subject"] = n.subject;
         if (!n.health.empty()) line["health"] = n.health;
--- a/src/fleet/leases.cpp
+++ b/src/fleet/leases.cpp
@@ -64,7 +64,8 @@
 {
     if (!answered_) leader_.reset();  // it does not answer: another voter may know better
     const Member to = leader_ ? *leader_ : voters_[next_voter_++ % voters_.size()];
-    Renew r{life_, ++nonce_, table_.version(), {wants_.begin(), wants_.end()}, {}, leaving_};
+    Renew r{life_, ++nonce_, table_.version(), {wants_.begin(), wants_.end()}, {}, leaving_, heard_, {}};
+    for (const auto& [duty, epoch] : owed_) r.done.push_back({duty, epoch});
     for (const auto& [duty, epoch] : done_)
         if (epoch > table_.of(duty).epoch) r.seen.push_back({duty, epoch});
     asked_.emplace_back(nonce_, now);
@@ -78,6 +79,7 @@
 
 void Holder::tick(Point now)
 {
+    now_ = now;
     if (now >= until_ && !held_.empty())
         while (!held_.empty()) lose(held_.begin()->first, "its lease ran out unrenewed");
     if (now >= next_) renew(now);
@@ -89,7 +91,8 @@
     if (at == held_.end()) return;
     auto& done = done_[duty];
     done = std::max(done, at->second);
-    changes_.push_back({duty, at->second, false, why});
+    owed_[duty] = done;
+    changes_.push_back({duty, at->second, false, why, std::min(now_, until_)});
     held_.erase(at);
 }
 
@@ -98,8 +101,9 @@
     if (leader_) sends_.push_back({*leader_, Released{duty, epoch, life_}});
 }
 
-void Holder::release(Point, const std::string& duty, const std::string& why)
+void Holder::release(Point now, const std::string& duty, const std::string& why)
 {
+    now_ = now;
     const auto at = held_.find(duty);
     if (at == held_.end()) return;
     const Epoch epoch = at->second;
@@ -109,6 +113,7 @@
 
 void Holder::leave(Point now)
 {
+    now_ = now;
     leaving_ = true;
     wants_.clear();
     while (!held_.empty()) release(now, held_.begin()->first, "this process stops");
@@ -126,6 +131,7 @@
 
 void Holder::on(Point now, Member from, const Renewed& renewed)
 {
+    now_ = now;
     if (renewed.term < term_) return;
     if (renewed.term > term_) term_ = renewed.term, leader_term_ = std::max(leader_term_, term_);
     leader_ = from;
@@ -136,8 +142,11 @@
         until_ = std::max(until_, asked->second + file_.lease.of_holder());
         asked_.erase(asked_.begin(), asked + 1);
         answered_ = true;
+        const bool first = std::exchange(heard_, renewed.nonce) == 0;
         const double spread = 0.9 + 0.2 * std::uniform_real_distribution<>(0, 1)(chance_);
         next_ = std::max(now, until_ - file_.lease.of_holder() + file_.lease.length * (renew_every * spread));
+        // Only who is known to hear answers can be granted anything.
+        if (first) next_ = now;
     }
     if (now >= until_ || renewed.table < table_.version()) return;
     if (renewed.whole) {
@@ -152,21 +161,20 @@
         if (row.life != life_) continue;  // of a process before this one: its lease has to run out
         listed.insert(row.duty);
         if (held_.count(row.duty) && held_[row.duty] == row.epoch) continue;
-        if (const auto done = done_.find(row.duty); done != done_.end() && row.epoch <= done->second) {
-            send_released(row.duty, row.epoch);  // it was said before and got lost
-            continue;
-        }
-        if (leaving_ || !file_.duty_of(row.duty)) {
-            done_[row.duty] = row.epoch;
+        const auto done = done_.find(row.duty);
+        if (leaving_ || !file_.duty_of(row.duty) || (done != done_.end() && row.epoch <= done->second)) {
+            // Also where it was said before and got lost.
+            done_[row.duty] = owed_[row.duty] = std::max(row.epoch, done_[row.duty]);
             send_released(row.duty, row.epoch);
             continue;
         }
         lose(row.duty, "it was granted anew");
         held_[row.duty] = row.epoch;
-        changes_.push_back(
-            {row.duty, row.epoch, true, "granted by the leader of term " + std::to_string(renewed.term)});
+        changes_.push_back({row.duty, row.epoch, true,
+                            "granted by the leader of term " + std::to_string(renewed.term), until_});
     }
     if (!renewed.nonce) return;
+    std::erase_if(owed_, [&](const auto& owed) { return !listed.count(owed.first); });
     for (const auto& [duty, epoch] : std::map(held_))
         if (!listed.count(duty)) lose(duty, "it is not this member's any more");
 }
@@ -187,6 +195,7 @@
 
 void Holder::on(Point now, Member from, const Revoke& revoke)
 {
+    now_ = now;
     const auto at = held_.find(revoke.duty);
     if (at != held_.end() && at->second == revoke.epoch) {
         leader_ = from;
@@ -248,8 +257,9 @@
 bool Granter::fresh(Point now, Member m) const
 {
     const auto at = sessions_.find(m);
-    return at != sessions_.end() && !at->second.leaving &&
-           now - at->second.received < file_.lease.length * 0.6;
+    return at != sessions_.end() && !at->second.leaving && at->second.heard_at &&
+           now - at->second.received < file_.lease.length * 0.6 &&
+           now - *at->second.heard_at < file_.lease.length * 0.6;
 }
 
 // Nobody can hold it any more, at whatever clock within the drift.
@@ -266,7 +276,9 @@
 {
     if (!in_office_) return;
     Session& s = sessions_[from];
-    if (s.life != renew.life) s = {renew.life, now, now, false, {}};
+    if (s.life != renew.life) s = {renew.life, now, now, renew.heard, {}, false, {}};
+    if (renew.heard > s.heard || (renew.heard && renew.heard + 1 == renew.nonce))
+        s.heard = renew.heard, s.heard_at = now;
     s.received = now;
     s.leaving = renew.leaving;
     std::map<std::string, Point> wants;
@@ -277,6 +289,7 @@
     s.wants = std::move(wants);
     received_[{file_.members[from].key, renew.life}] = now;
     for (const SeenEpoch& seen : renew.seen) floors_[seen.duty] = std::max(floors_[seen.duty], seen.epoch);
+    for (const SeenEpoch& done : renew.done) take_back(now, from, renew.life, done.duty, done.epoch);
     std::erase_if(waiting_, [&](const Waiting& w) { return w.from == from && w.renew.life == renew.life; });
     waiting_.push_back({from, renew});
     if (leave_out.confirm && table_) {
@@ -333,7 +346,7 @@
         const auto e = table_->of(d.name);
         if (e.holder) {
             if (!over(now, e)) continue;
-            commands.push_back({Command::release, d.name, e.epoch, 0, 0, "its lease ran out"});
+            commands.push_back({Command::release, d.name, e.epoch, 0, 0, "its lease ran out", false});
             in_log_.insert(d.name);
             // Guards against renewing what is being taken away.
             const auto m = file_.member_of(e.holder);
@@ -425,26 +438,30 @@
 
 void Granter::on(Point now, Member from, const Released& released)
 {
-    if (!in_office_ || !table_) return;
-    const auto e = table_->of(released.duty);
-    if (e.holder != file_.members[from].key || e.life != released.life || e.epoch != released.epoch ||
-        in_log_.count(released.duty))
+    if (in_office_) take_back(now, from, released.life, released.duty, released.epoch);
+}
+
+// Its holder says that it does not hold it any more.
+void Granter::take_back(Point now, Member from, Life life, const std::string& name, Epoch epoch)
+{
+    if (!table_) return;
+    const auto e = table_->of(name);
+    if (e.holder != file_.members[from].key || e.life != life || e.epoch != epoch || in_log_.count(name))
         return;
-    std::vector<Command> commands{{Command::release, released.duty, released.epoch, 0, 0, "released"}};
-    in_log_.insert(released.duty);
+    std::vector<Command> commands{{Command::release, name, epoch, 0, 0, "released", false}};
+    in_log_.insert(name);
     // Guards against a gap: who comes next is in the same entry of the log.
-    const auto duty = file_.duty_of(released.duty);
+    const auto duty = file_.duty_of(name);
     if (duty && file_.duties[*duty].kind != DutyKind::drain) {
         auto load = loads(now);
-        const auto moving = moving_.find(released.duty);
+        const auto moving = moving_.find(name);
         std::optional<Member> to;
         if (moving != moving_.end() && moving->second.to && fresh(now, *moving->second.to))
             to = moving->second.to;
         load.erase(from);
-        if (!to) to = choose(released.duty, load);
+        if (!to) to = choose(name, load);
         if (!to && !load.empty()) to = load.begin()->first;
-        if (to)
-            grant(now, commands, released.duty, *to, moving != moving_.end() ? "handed over" : "released");
+        if (to) grant(now, commands, name, *to, moving != moving_.end() ? "handed over" : "released");
     }
     propose(now, std::move(commands));
 }
--- a/src/fleet/leases.h
+++ b/src/fleet/leases.h
@@ -37,6 +37,7 @@
     Epoch epoch = 0;
     bool gained = false;
     std::string why;
+    Point until;  // lost: no later than this, by this member's clock, it was not held any more
 };
 
 class Holder
@@ -83,10 +84,12 @@
     size_t next_voter_ = 0;
     uint64_t nonce_ = 0;
     std::deque<std::pair<uint64_t, Point>> asked_;  // not answered yet
-    Point next_, until_;
+    Point now_, next_, until_;
     bool answered_ = true, leaving_ = false;
     std::map<std::string, Epoch> held_;
     std::map<std::string, Epoch> done_;  // no epoch up to it is held any more
+    std::map<std::string, Epoch> owed_;  // of these, what the leader may not know
+    uint64_t heard_ = 0;
     std::set<std::string> wants_;
     Table table_;
     std::vector<Send> sends_;
@@ -123,6 +126,8 @@
     struct Session {
         Life life = 0;
         Point received, since;
+        uint64_t heard = 0;
+        std::optional<Point> heard_at;  // an answer: who hears none can be granted nothing
         bool leaving = false;
         std::map<std::string, Point> wants;
     };
@@ -147,6 +152,7 @@
     void balance(Point now);
     void propose(Point now, std::vector<Command> commands);
     void answer(const Waiting& w, const Table& table);
+    void take_back(Point now, Member from, Life life, const std::string& duty, Epoch epoch);
     void obey(const std::optional<std::pair<Member, uint64_t>>& order, bool well, const std::string& text);
 
     const FleetFile& file_;
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -103,8 +103,13 @@
 void Members::ping(Point now, Member to, uint64_t answers)
 {
     const One& o = all_[to];
-    Ping p{++pings_,      answers,        incarnation(), view(),       static_cast<uint8_t>(o.health),
-           o.incarnation, carried.leader, carried.term,  carried.list, carried.list_epoch};
+    Ping p;
+    p.number = ++pings_, p.answers = answers;
+    p.incarnation = incarnation(), p.life = all_[self_].life;
+    p.view = view();
+    p.held = static_cast<uint8_t>(o.health), p.held_at = o.incarnation;
+    p.leader = carried.leader, p.term = carried.term;
+    p.list = carried.list, p.list_epoch = carried.list_epoch;
     if (!answers) watch_[to].pinged = now;
     send(to, p);
 }
@@ -154,8 +159,7 @@
 
 void Members::on(Point now, Member from, const Ping& p)
 {
-    if (all_[from].incarnation < p.incarnation &&
-        accept(now, from, Health::alive, p.incarnation, all_[from].life))
+    if (all_[from].incarnation < p.incarnation && accept(now, from, Health::alive, p.incarnation, p.life))
         spread({rumor_of(from)}, from);
     if (p.held != static_cast<uint8_t>(Health::alive) && p.held_at)
         accept(now, self_, Health::suspect, p.held_at, 0);
--- a/src/fleet/voter.cpp
+++ b/src/fleet/voter.cpp
@@ -317,7 +317,7 @@
             }
             default: return;
         }
-        effects.push_back(SendRaft{m.server_id, pack(e)});
+        effects.push_back(SendRaft{m.server_id, pack(e), 0});
     }
 
     // False: it is no message.
@@ -443,6 +443,8 @@
     // What was sent in this turn rests on what was written in it.
     if (!s.store.sync())
         std::erase_if(s.effects, [](const VoterEffect& e) { return std::get_if<SendRaft>(&e); });
+    for (VoterEffect& e : s.effects)
+        if (auto* sent = std::get_if<SendRaft>(&e)) sent->writes = s.store.written();
     return std::exchange(s.effects, {});
 }
 
--- a/src/fleet/voter.h
+++ b/src/fleet/voter.h
@@ -39,6 +39,7 @@
 struct SendRaft {
     DiskId to = 0;
     std::string bytes;
+    uint64_t writes = 0;  // that were on the disk when it was said
 };
 struct Committed {  // by a majority, in the order of the log; never taken back
     std::string bytes;
--- a/src/fleet/words.h
+++ b/src/fleet/words.h
@@ -45,6 +45,7 @@
 struct Ping {
     uint64_t number = 0, answers = 0;
     Incarnation incarnation = 0;
+    Life life = 0;
     uint64_t view = 0;  // digest of all that its sender holds of the members
     uint8_t held = 0;   // what its sender holds of its receiver, and at which incarnation
     Incarnation held_at = 0;
@@ -52,7 +53,7 @@
     Term term = 0;
     uint64_t list = 0;  // newest list that its sender has
     Epoch list_epoch = 0;
-    MSGPACK_DEFINE(number, answers, incarnation, view, held, held_at, leader, term, list, list_epoch)
+    MSGPACK_DEFINE(number, answers, incarnation, life, view, held, held_at, leader, term, list, list_epoch)
 };
 struct Ask {  // whether the receiver reaches this member
     Key member = 0;
@@ -70,8 +71,9 @@
 };
 struct RaftSent {
     DiskId from = 0, to = 0;
+    uint64_t writes = 0;  // of the sender's disk: what the message says rests on these
     std::string bytes;
-    MSGPACK_DEFINE(from, to, bytes)
+    MSGPACK_DEFINE(from, to, writes, bytes)
 };
 // What a voter last heard of another's disk: a disk that knows less of itself is not the one that it was.
 struct SeenDisk {
@@ -102,7 +104,9 @@
     std::vector<std::string> wants;  // duties, or families of them, asked for
     std::vector<SeenEpoch> seen;     // higher than that table has them
     bool leaving = false;            // wants nothing any more
-    MSGPACK_DEFINE(life, nonce, table, wants, seen, leaving)
+    uint64_t heard = 0;              // the newest of its askings that it had an answer to
+    std::vector<SeenEpoch> done;     // granted to it, and not held any more
+    MSGPACK_DEFINE(life, nonce, table, wants, seen, leaving, heard, done)
 };
 struct Row {
     std::string duty;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -65,6 +65,13 @@
     return fleet ? fleet->first.members.size() * 3 + fleet->first.duties.size() + 32 : 0;
 }
 
+// Where one balancer probes for all, none does for itself.
+Config in_fleet(Config config, const fleet::FleetFile* fleet)
+{
+    if (fleet && fleet->probe) config.setup.settings.may_probe = false;
+    return config;
+}
+
 template <class F>
 struct Once {
     F what;
@@ -81,7 +88,7 @@
 
 Service::Service(Config config, std::function<Config()> read_again,
                  std::optional<std::pair<fleet::FleetFile, std::string>> fleet)
-    : config_(std::move(config)),
+    : config_(in_fleet(std::move(config), fleet ? &fleet->first : nullptr)),
       read_again_(std::move(read_again)),
       epoch_(epoch()),
       descriptors_(descriptors(config_.descriptors, descriptors_of(fleet))),
@@ -108,7 +115,6 @@
         });
     if (fleet) {
         fleet_.emplace(base_.get(), std::move(fleet->first), fleet->second, hooks());
-        if (fleet_->file().probe) config_.setup.settings.may_probe = false;  // one balancer probes for all
         if (shares_list())
             discovery_.tell_whole([this](uint64_t version, std::string text) {
                 fleet_->tell(fleet::ListSeen{text_of(config_.discovery), version, std::move(text)});
@@ -164,11 +170,13 @@
     return h;
 }
 
-// What leaves for a duty passes the fleet's gate once more, right before its bytes: getting a connection takes time.
+// What leaves for a duty passes the fleet's gate once more, right before its bytes: getting a connection
+// takes time.
 void Service::carry_out(const Write& write)
 {
     const auto at = stamps_.find(write.stamp);
-    if (!write.stamp || (at != stamps_.end() && fleet_->passes(at->second.duty, at->second.epoch, fleet::probe_lasts)))
+    if (!write.stamp ||
+        (at != stamps_.end() && fleet_->passes(at->second.duty, at->second.epoch, fleet::probe_lasts)))
         return upstreams_.write(write);
     upstreams_.hang_up(write.attempt);
     post(Failed{write.attempt, {Progress::not_connected, Cause::no_descriptor}});
@@ -202,8 +210,8 @@
     if (one && word(0) == "drain" && word(1) == "turn")
         fleet_->tell(fleet::DoorAsked{caller, "turn", "", ""});
     else if ((words.size() == 1 && word(0) == "show-fleet") ||
-        (word(0) == "hand-over" && (one || words.size() == 3)) ||
-        (one && (word(0) == "let-in" || word(0) == "put-out")))
+             (word(0) == "hand-over" && (one || words.size() == 3)) ||
+             (one && (word(0) == "let-in" || word(0) == "put-out")))
         fleet_->tell(fleet::DoorAsked{caller, word(0), word(1), word(2)});
     else
         return false;
@@ -298,7 +306,7 @@
         const bool others = read.settings != std::exchange(config_.settings, read.settings);
         spdlog::info("configuration read again{}", others ? ", new settings in force" : "");
         if (read.peers) spdlog::warn(no_peers);
-        if (fleet_ && fleet_->file().probe) read.setup.settings.may_probe = false;
+        read = in_fleet(std::move(read), fleet_ ? &fleet_->file() : nullptr);
         config_.discovery = read.discovery;
         post(Reread{text_of(read.discovery), others ? std::optional(std::move(read.setup)) : std::nullopt});
     } catch (const std::exception& e) {
