The model checker: every place and way in which one or two things go wrong, on the real parts

The rig also draws scenarios from seeds (seed:N), so that thousands of faults can be played on real processes.

--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,140 @@
+// firtide-lab: fleets in virtual time, from the command line.
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdio>
+
+#include "check.h"
+#include "walk.h"
+
+using namespace firtide;
+using namespace firtide::lab;
+
+namespace
+{
+
+struct Seeds {
+    uint64_t first = 1, last = 20;
+};
+
+struct Rules {
+    std::string without;
+
+    void take_out_of(World::Options& o) const
+    {
+        if (without == "office") o.granter = [](Granter& g) { g.leave_out.wait_in_office = true; };
+        if (without == "majority") o.granter = [](Granter& g) { g.leave_out.confirm = true; };
+        if (without == "expiry") o.granter = [](Granter& g) { g.leave_out.expiry = true; };
+        if (without == "gate") o.gate = false;
+        if (without == "fence") o.fences = false;
+    }
+};
+
+void print(const std::vector<std::string>& trace)
+{
+    for (const auto& line : trace) std::puts(line.c_str());
+}
+
+int walks(const Walk& walk, Seeds seeds, bool traced)
+{
+    uint64_t faults = 0, broken = 0;
+    for (uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
+        const auto got = lab::walk(walk, seed, traced);
+        faults += got.faults;
+        if (traced) print(got.trace);
+        if (got.broken.empty()) continue;
+        ++broken;
+        std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), got.broken[0].rule.c_str());
+    }
+    std::printf("%llu walks, %llu faults, %llu broken\n",
+                static_cast<unsigned long long>(seeds.last - seeds.first + 1),
+                static_cast<unsigned long long>(faults), static_cast<unsigned long long>(broken));
+    return broken ? 1 : 0;
+}
+
+int checks(const Check& c)
+{
+    const auto got = check(c);
+    std::printf("%llu runs, up to %zu of %llu things that can go wrong at a time, %llu broken\n",
+                static_cast<unsigned long long>(got.runs), c.most, static_cast<unsigned long long>(got.forks),
+                static_cast<unsigned long long>(got.broken));
+    if (!got.broken) return 0;
+    std::printf("%s\n", got.rule.c_str());
+    print(got.trace);
+    return 1;
+}
+
+// What a fleet at rest says, and how long a duty is held by nobody.
+int rest(World::Options options, uint64_t seed)
+{
+    World w(options, seed);
+    for (size_t i = 0; i < w.size(); ++i) w.start(i);
+    w.run(seconds(10));
+    const auto before = w.count;
+    const auto sent_before = w.sent;
+    w.run(seconds(10));
+    std::vector<uint64_t> sent;
+    for (size_t i = 0; i < w.size(); ++i) sent.push_back((w.sent[i] - sent_before[i]) / 10);
+    std::sort(sent.begin(), sent.end());
+    const double n = static_cast<double>(w.size()) * 10;
+    std::printf(
+        "%zu members, %zu voters, %zu duties, at rest: %.1f messages and %.0f bytes a second and member; "
+        "median %llu, "
+        "greatest %llu messages; %.1f calls for lists a second\n",
+        w.size(), options.voters, options.duties, static_cast<double>(w.count.messages - before.messages) / n,
+        static_cast<double>(w.count.bytes - before.bytes) / n,
+        static_cast<unsigned long long>(sent[sent.size() / 2]), static_cast<unsigned long long>(sent.back()),
+        static_cast<double>(w.count.list_calls - before.list_calls) / 10);
+    return w.broken().empty() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("firtide-lab, fleets of balancers in virtual time");
+    app.require_subcommand(1);
+    Walk w;
+    Check c;
+    Seeds seeds;
+    Rules rules;
+    double lasts = 60, faults = 1, lease = 3;
+    bool traced = false;
+    World::Options options;
+    const auto common = [&](CLI::App* of) {
+        of->add_option("--members", options.members);
+        of->add_option("--voters", options.voters)->check(CLI::IsMember({3, 5, 7}));
+        of->add_option("--duties", options.duties);
+        of->add_option("--lease", lease, "seconds")->check(CLI::Range(1.0, 300.0));
+        of->add_option("--without", rules.without, "a safety rule taken out")
+            ->check(CLI::IsMember({"office", "majority", "expiry", "gate", "fence"}));
+        of->add_flag("--list", options.list, "one member asks discovery");
+        return of;
+    };
+    auto* walking = common(app.add_subcommand("walk", "faults drawn from seeds"));
+    walking->add_option("--from", seeds.first, "seed");
+    walking->add_option("--to", seeds.last, "seed");
+    walking->add_option("--lasts", lasts, "seconds of each");
+    walking->add_option("--faults", faults, "a second");
+    walking->add_option("--clock-beyond", w.clock_beyond, "one clock is slower by this part than the others");
+    walking->add_flag("--trace", traced);
+    auto* checking = common(app.add_subcommand("check", "every way in which up to so many things go wrong"));
+    checking->add_option("--most", c.most, "things that go wrong in one run")->check(CLI::Range(1, 3));
+    checking->add_option("--part", c.part);
+    checking->add_option("--parts", c.parts);
+    checking->add_option("--seed", c.seed);
+    checking->add_option("--lasts", lasts, "seconds in which they can");
+    auto* resting = common(app.add_subcommand("rest", "what a fleet at rest says"));
+    resting->add_option("--seed", seeds.first);
+    CLI11_PARSE(app, argc, argv);
+    options.lease.length = seconds(lease);
+    rules.take_out_of(options);
+    if (walking->parsed()) {
+        w.options = options, w.lasts = seconds(lasts), w.faults = faults;
+        return walks(w, seeds, traced);
+    }
+    if (resting->parsed()) return rest(options, seeds.first);
+    options.voters_times = {seconds(0.2), seconds(0.1)};
+    c.options = options;
+    c.lasts = seconds(lasts);
+    return checks(c);
+}
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -66,7 +66,7 @@
     std::optional<Span> freeze_at_effect;
     std::vector<Point> arrives;  // of the last message from each: links keep their order
     bool asking = false;
-    uint64_t list = 0;
+    uint64_t list = 0, ticks = 0;
 };
 
 World::World(Options options, uint64_t seed)
@@ -190,7 +190,8 @@
     if (options_.granter) options_.granter(n.fleet->granter());
     note(n.file.id + " starts");
     if (n.file.members[node].voter) {
-        n.desk = std::make_unique<Desk>(n.file, n.disk, VoterTimes{}, uint64_t{chance_()} << 24 | chance_());
+        n.desk = std::make_unique<Desk>(n.file, n.disk, options_.voters_times,
+                                        uint64_t{chance_()} << 24 | chance_());
         later({}, node,
               [this, node] { desk(node, [this, node](Point p) { return nodes_[node]->desk->start(p); }); });
     }
@@ -198,9 +199,28 @@
     later(options_.tick * roll(), node, [this, node] { tick(node); });
 }
 
+// Another way for a process to go on than to go on.
+bool World::forked_turn(size_t node)
+{
+    const Span lease = options_.lease.length;
+    switch (fork(Fork::turn)) {
+        case 1: freeze(node, lease * 0.7); break;
+        case 2: freeze(node, lease * 1.4); break;
+        case 3:
+            crash(node);
+            start(node);
+            return true;
+        case 4: crash(node); return true;
+        default: return false;
+    }
+    later({}, node, [this, node] { tick(node); });
+    return true;
+}
+
 void World::tick(size_t node)
 {
     Node& n = *nodes_[node];
+    if (options_.fork && ++n.ticks % 10 == 0 && forked_turn(node)) return;
     tell(node, Ticked{});
     if (n.desk) desk(node, [&n](Point p) { return n.desk->tick(p); });
     later(options_.tick, node, [this, node] { tick(node); });
@@ -309,7 +329,15 @@
     ++count.messages, ++sent[from];
     count.bytes += frame.size();
     if (l.cut || !nodes_[to]->up || roll() < l.loss) return;
-    const Span takes = l.least + (l.most - l.least) * roll();
+    Span takes = l.least + (l.most - l.least) * roll();
+    if (options_.fork && urgency_of(s.message) == Urgency::leases) {
+        const size_t way = fork(Fork::message);
+        if (way == 1)
+            return note(nodes_[from]->file.id + " to " + nodes_[to]->file.id + ": a message is lost");
+        if (way > 1)
+            takes = options_.lease.length * (way == 2 ? 0.6 : 1.3),
+            note(nodes_[from]->file.id + " to " + nodes_[to]->file.id + ": a message is late");
+    }
     Point& before = nodes_[to]->arrives[from];
     const Point at = std::max(before, now_ + takes);
     before = at;
@@ -323,7 +351,7 @@
     if (l.repeat > 0 && roll() < l.repeat) later(at - now_ + seconds(0.5 * roll()), to, deliver);
 }
 
-void World::act(size_t node, const Act& a)
+void World::act(size_t node, const Act& a, Span travels)
 {
     Node& n = *nodes_[node];
     if (options_.gate && !n.fleet->may(clock_of(node), a)) {
@@ -337,7 +365,7 @@
         for (const Send& s : publish->sends) send(node, s);
     } else if (const auto* told = std::get_if<Tell>(&a.what)) {
         // To a receiver outside the fleet, that knows nothing but the epochs that it has met.
-        later(seconds(0.0002 + 0.002 * roll()), node,
+        later(travels + seconds(0.0002 + 0.002 * roll()), node,
               [this, node, duty = a.duty, epoch = a.epoch, number = told->number] {
                   auto& taken = taken_[duty];
                   if (options_.fences && epoch < taken.first) {
@@ -387,11 +415,13 @@
                 return o.in ? k.let_in(p, o.name, o.member) : k.put_out(p, o.name, o.member);
             });
         } else if (auto* a = std::get_if<Act>(&e)) {
+            const size_t way = options_.fork ? fork(Fork::effect) : 0;
+            if (way == 1 || way == 2) n.freeze_at_effect = options_.lease.length * (way == 1 ? 0.7 : 1.4);
             if (n.freeze_at_effect) {
                 freeze(node, *std::exchange(n.freeze_at_effect, std::nullopt));
                 later({}, node, [this, node, held = *a] { act(node, held); });
             } else {
-                act(node, *a);
+                act(node, *a, way == 3 ? options_.lease.length * 1.4 : Span{});
             }
         } else if (auto* q = std::get_if<AskDiscovery>(&e)) {
             const bool was = std::exchange(n.asking, q->on);
--- a/lab/world.h
+++ b/lab/world.h
@@ -39,6 +39,10 @@
     std::map<std::string, std::string> kept_, now_;
 };
 
+// Where the world could go on in several ways: the model checker takes each. The first way is that nothing
+// goes wrong.
+enum class Fork { message, effect, turn };
+
 struct Link {  // from one member to another
     bool cut = false;
     double loss = 0;  // of messages: their connection is made anew
@@ -61,9 +65,11 @@
         bool list = false;
         std::optional<uint32_t> probe_parts, drain_most;
         Span tick = seconds(0.02);
+        VoterTimes voters_times;
         bool fences = true;                     // receivers refuse lower epochs
         bool gate = true;                       // the check before each effect
         std::function<void(Granter&)> granter;  // a safety rule taken out
+        std::function<size_t(Fork)> fork;       // which way; absent: the first
     };
     World(Options options, uint64_t seed);
     ~World();
@@ -129,12 +135,14 @@
     void later(Span after, size_t node, std::function<void()> what);
     void tell(size_t node, FleetEvent event);
     void carry_out(size_t node, std::vector<FleetEffect> effects);
-    void act(size_t node, const Act& act);
+    void act(size_t node, const Act& act, Span travels = {});
     void send(size_t from, const Send& send);
     void desk(size_t node, const std::function<std::vector<DeskEffect>(Point)>& call);
     void tick(size_t node);
     void ask_discovery(size_t node);
     Point clock_of(size_t node) const;
+    size_t fork(Fork at) { return options_.fork ? options_.fork(at) : 0; }
+    bool forked_turn(size_t node);
     void check();
     void breaks(const std::string& rule);
     void note(const std::string& text);
--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -23,12 +23,15 @@
 
 // In a process of its own: what it started ends with it.
 int play_one(const std::string& path, const std::string& program, const std::string& shim, size_t slot,
-             bool gaps)
+             size_t faults, bool gaps)
 {
     std::ifstream file(path);
     std::stringstream text;
     text << file.rdbuf();
-    auto decoded = rig::decode_scenario(text.str());
+    const bool drawn = path.starts_with("seed:");
+    std::variant<rig::Scenario, Fault> decoded =
+        drawn ? rig::draw_scenario(std::strtoull(path.c_str() + 5, nullptr, 10), faults)
+              : rig::decode_scenario(text.str());
     if (const auto* fault = std::get_if<Fault>(&decoded)) {
         std::printf("%s:%u: %s: %s\n", path.c_str(), fault->at.line, fault->at.key.c_str(),
                     fault->what.c_str());
@@ -55,7 +58,10 @@
     size_t first_slot = 0;
     size_t jobs = 4;
     bool gaps = false;
-    app.add_option("scenario", files, "scenarios (TOML)")->required();
+    app.add_option("scenario", files, "scenarios (TOML), or seed:N for troubles drawn from a seed")
+        ->required();
+    size_t faults = 40;
+    app.add_option("--faults", faults, "of those that are drawn");
     app.add_option("--program", program, "the program under test");
     app.add_option("--shim", shim, "the layer under files and clocks");
     app.add_option("--slot", first_slot, "of ports: rigs that run at once need others")
@@ -78,7 +84,7 @@
                 dup2(ends[1], 1);
                 close(ends[0]);
                 _exit(play_one(job.file, program, shim, static_cast<size_t>(&job - all.data()) + first_slot,
-                               gaps));
+                               faults, gaps));
             }
             close(ends[1]);
             job.out = ends[0];
--- a/rig/scenario.cpp
+++ b/rig/scenario.cpp
@@ -2,6 +2,7 @@
 
 #include <cerrno>
 #include <csignal>
+#include <random>
 #include <sstream>
 
 #include "src/toml_table.h"
@@ -512,6 +513,55 @@
     }
 }
 
+Scenario draw_scenario(uint64_t seed, size_t faults)
+{
+    std::ranlux24_base chance(static_cast<uint32_t>(seed * 2654435761u + 1));
+    const auto pick = [&](size_t n) { return std::uniform_int_distribution<size_t>(0, n - 1)(chance); };
+    Scenario s;
+    s.name = "seed " + std::to_string(seed);
+    s.plan.members = 5 + pick(3);
+    s.plan.voters = pick(2) ? 3 : 5;
+    s.plan.duties = 1 + pick(5);
+    s.plan.shim = true;
+    const auto any = [&] { return Rig::id_of(pick(s.plan.members)); };
+    const auto voter = [&] { return Rig::id_of(pick(s.plan.voters)); };
+    const auto ms = [&](size_t least, size_t most) {
+        return std::to_string(least + pick(most - least)) + "ms";
+    };
+    s.steps = {"start all", "settle"};
+    for (size_t n = 0; n < faults; ++n) {
+        switch (pick(14)) {
+            case 0: s.steps.push_back("kill " + any()); break;
+            case 1:
+            case 2: s.steps.push_back("start " + any()); break;
+            case 3: s.steps.push_back("stop " + any()); break;
+            case 4:
+            case 5: s.steps.push_back("continue all"); break;
+            case 6: s.steps.push_back("cut-off " + any()); break;
+            case 7: s.steps.push_back("cut-off " + any() + (pick(2) ? " deaf" : " mute")); break;
+            case 8: s.steps.push_back("whole"); break;
+            case 9: s.steps.push_back("delay " + ms(1, 900)); break;
+            case 10: s.steps.push_back("split " + any() + " " + any() + " " + any()); break;
+            case 11: {
+                const char* how[] = {"slow 400ms", "full", "broken", "short", "well", "well"};
+                s.steps.push_back("files " + voter() + " " + how[pick(6)]);
+                break;
+            }
+            case 12: s.steps.push_back("term " + any()); break;
+            default: {
+                const char* how[] = {"change ", "repeat ", "tear "};
+                s.steps.push_back(how[pick(3)] + any());
+            }
+        }
+        s.steps.push_back("wait " + ms(50, 1500));
+    }
+    s.steps.insert(s.steps.end(), {"whole", "continue all"});
+    for (size_t i = 0; i < s.plan.members; ++i) s.steps.push_back("files " + Rig::id_of(i) + " well");
+    s.steps.insert(s.steps.end(),
+                   {"wait 3s", "start all", "expect leader within 10s", "expect held all within 10s"});
+    return s;
+}
+
 Verdict play(const Scenario& scenario, const std::string& program, const std::string& shim, size_t slot)
 {
     Verdict v;
--- a/rig/scenario.h
+++ b/rig/scenario.h
@@ -21,6 +21,9 @@
 
 std::variant<Scenario, Fault> decode_scenario(std::string_view text);
 
+// A scenario whose troubles are drawn from a seed; at its end all heals, and all has to be held.
+Scenario draw_scenario(uint64_t seed, size_t faults);
+
 struct Verdict {
     std::vector<std::string> wrong;  // empty: all was safe and as expected
     std::vector<Span> gaps;          // times without a holder
