--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -35,6 +35,7 @@
     if (const auto* fault = std::get_if<Fault>(&decoded)) {
         std::printf("%s:%u: %s: %s\n", path.c_str(), fault->at.line, fault->at.key.c_str(),
                     fault->what.c_str());
+        std::fflush(stdout);
         return 2;
     }
     const auto& scenario = std::get<rig::Scenario>(decoded);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -243,7 +243,9 @@
         if (!d || now_ < b.next) continue;
         const Duty& duty = file_.duties[*d];
         if (duty.kind == DutyKind::probe) {
-            b.next = now_ + file_.probe->every * (1.0 / probe_slices);
+            // In step, though ticks come between its times.
+            const Span slice = file_.probe->every * (1.0 / probe_slices);
+            b.next = std::max(b.next, now_ - slice) + slice;
             effects_.push_back(
                 Act{name, b.epoch, probe_lasts,
                     ProbeNow{static_cast<uint32_t>(std::stoul(name.substr(name.find('.') + 1))), b.slice}});
