--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 
 #include "check.h"
+#include "subsets.h"
 #include "walk.h"
 
 using namespace firtide;
@@ -87,6 +88,20 @@
     return w.broken().empty() ? 0 : 1;
 }
 
+int subsets(size_t members, size_t upstreams, uint32_t size, size_t seeds)
+{
+    std::printf("%zu members, %zu upstreams, %u in a subset, mean of %zu seeds\n", members, upstreams, size,
+                seeds);
+    std::printf(
+        "| way | connections | greatest over mean | views differ | unequal | a member moves | an upstream "
+        "|\n");
+    std::printf("| --- | --- | --- | --- | --- | --- | --- |\n");
+    for (const auto& c : compare_subsets(members, upstreams, size, seeds))
+        std::printf("| %s | %.0f | %.3f | %.3f | %.3f | %.2f | %.2f |\n", c.way.c_str(), c.connections,
+                    c.one_view, c.views_differ, c.unequal, c.member_moves, c.upstream_moves);
+    return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv)
@@ -125,7 +140,14 @@
     checking->add_option("--lasts", lasts, "seconds in which they can");
     auto* resting = common(app.add_subcommand("rest", "what a fleet at rest says"));
     resting->add_option("--seed", seeds.first);
+    auto* subsetting = app.add_subcommand("subsets", "ways to choose subsets of the upstreams, compared");
+    size_t members = 300, upstreams = 60, size = 18;
+    subsetting->add_option("--members", members)->check(CLI::Range(2, 5000));
+    subsetting->add_option("--upstreams", upstreams)->check(CLI::Range(1, 5000));
+    subsetting->add_option("--size", size)->check(CLI::Range(1, 5000));
+    subsetting->add_option("--seeds", seeds.last)->check(CLI::Range(1, 1000));
     CLI11_PARSE(app, argc, argv);
+    if (subsetting->parsed()) return subsets(members, upstreams, static_cast<uint32_t>(size), seeds.last);
     options.lease.length = seconds(lease);
     rules.take_out_of(options);
     if (walking->parsed()) {
--- /dev/null
+++ b/lab/subsets.cpp
@@ -0,0 +1,218 @@
+#include "subsets.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <numeric>
+#include <random>
+
+namespace firtide::lab
+{
+namespace
+{
+
+using namespace fleet;
+
+struct Fleet {
+    std::vector<Sharer> members;
+    std::vector<Choosable> upstreams;
+};
+using Way = std::function<Parts(const Fleet&, Key self, uint32_t size)>;
+
+uint64_t hash(uint64_t a, uint64_t b)
+{
+    const uint64_t both[] = {a, b};
+    return XXH3_64bits(both, sizeof both);
+}
+
+// The `size` highest by a hash of both.
+Parts rendezvous(const Fleet& f, Key self, uint32_t size)
+{
+    std::vector<std::pair<uint64_t, size_t>> order;
+    for (size_t i = 0; i < f.upstreams.size(); ++i)
+        if (f.upstreams[i].size > 0) order.emplace_back(hash(self, f.upstreams[i].id), i);
+    std::sort(order.rbegin(), order.rend());
+    Parts parts(f.upstreams.size(), 0);
+    for (size_t i = 0; i < std::min<size_t>(size, order.size()); ++i) parts[order[i].second] = 1;
+    return parts;
+}
+
+// Members in rounds; each round deals one shuffle of the upstreams out.
+Parts rounds(const Fleet& f, Key self, uint32_t size)
+{
+    std::vector<uint64_t> keys;
+    for (const Sharer& s : f.members) keys.push_back(hash(s.key, 3));
+    std::sort(keys.begin(), keys.end());
+    const auto number =
+        static_cast<size_t>(std::lower_bound(keys.begin(), keys.end(), hash(self, 3)) - keys.begin());
+    std::vector<size_t> there;
+    for (size_t i = 0; i < f.upstreams.size(); ++i)
+        if (f.upstreams[i].size > 0) there.push_back(i);
+    Parts parts(f.upstreams.size(), 0);
+    if (there.empty()) return parts;
+    const size_t each = std::max<size_t>(1, there.size() / size);
+    std::sort(there.begin(), there.end(), [&](size_t a, size_t b) {
+        return hash(number / each, f.upstreams[a].id) < hash(number / each, f.upstreams[b].id);
+    });
+    for (size_t i = 0; i < std::min<size_t>(size, there.size()); ++i)
+        parts[there[(number % each * size + i) % there.size()]] = 1;
+    return parts;
+}
+
+// A ring whose places do not follow from who else is there: by the golden ratio of the member's number.
+Parts golden(const Fleet& f, Key self, uint32_t size)
+{
+    std::vector<std::pair<uint64_t, size_t>> ring;
+    for (size_t i = 0; i < f.upstreams.size(); ++i)
+        if (f.upstreams[i].size > 0) ring.emplace_back(hash(f.upstreams[i].id, 1), i);
+    std::sort(ring.begin(), ring.end());
+    Parts parts(f.upstreams.size(), 0);
+    const double turn = static_cast<double>(self) * 0.6180339887498949;
+    const auto from = static_cast<size_t>((turn - std::floor(turn)) * static_cast<double>(ring.size()));
+    for (size_t i = 0; i < std::min<size_t>(size, ring.size()); ++i)
+        parts[ring[(from + i) % ring.size()].second] = 1;
+    return parts;
+}
+
+// Rendezvous where nobody takes an upstream that has its share already: by all, in their order.
+Parts bounded(const Fleet& f, Key self, uint32_t size)
+{
+    const double n = static_cast<double>(std::max<size_t>(1, f.members.size()));
+    const auto there = static_cast<double>(
+        std::count_if(f.upstreams.begin(), f.upstreams.end(), [](const auto& u) { return u.size > 0; }));
+    const auto most = static_cast<size_t>(1.05 * n * size / std::max(1.0, there)) + 1;
+    std::vector<Key> keys;
+    for (const Sharer& s : f.members) keys.push_back(s.key);
+    std::sort(keys.begin(), keys.end(), [](Key a, Key b) { return hash(a, 5) < hash(b, 5); });
+    std::vector<size_t> taken(f.upstreams.size(), 0);
+    for (const Key k : keys) {
+        std::vector<std::pair<uint64_t, size_t>> order;
+        for (size_t i = 0; i < f.upstreams.size(); ++i)
+            if (f.upstreams[i].size > 0 && taken[i] < most) order.emplace_back(hash(k, f.upstreams[i].id), i);
+        std::sort(order.rbegin(), order.rend());
+        Parts parts(f.upstreams.size(), 0);
+        for (size_t i = 0; i < std::min<size_t>(size, order.size()); ++i)
+            parts[order[i].second] = 1, ++taken[order[i].second];
+        if (k == self) return parts;
+    }
+    return rendezvous(f, self, size);
+}
+
+Parts ring(const Fleet& f, Key self, uint32_t size)
+{
+    SubsetRule rule;
+    rule.size = size;
+    return choose(rule, f.members, self, f.upstreams, 1);
+}
+
+Fleet make(size_t members, size_t upstreams, bool unequal, std::ranlux24_base& chance)
+{
+    Fleet f;
+    const auto some = [&] { return unequal ? 1 + 3 * std::uniform_real_distribution<>(0, 1)(chance) : 1.0; };
+    const uint64_t salt = chance();
+    for (size_t i = 0; i < members; ++i) f.members.push_back({i + 1, true, some()});
+    for (size_t i = 0; i < upstreams; ++i) f.upstreams.push_back({hash(salt + 1, i), some(), true});
+    return f;
+}
+
+// What each upstream is offered for its size: each member's traffic goes by parts and sizes.
+std::vector<double> offered(const Fleet& f, const std::vector<Parts>& all)
+{
+    std::vector<double> load(f.upstreams.size(), 0);
+    for (size_t m = 0; m < f.members.size(); ++m) {
+        double sum = 0;
+        for (size_t u = 0; u < load.size(); ++u) sum += all[m][u] * f.upstreams[u].size;
+        for (size_t u = 0; u < load.size(); ++u)
+            if (sum > 0) load[u] += f.members[m].weight * all[m][u] / sum;
+    }
+    return load;
+}
+
+double greatest_over_mean(const std::vector<double>& load)
+{
+    return *std::max_element(load.begin(), load.end()) * static_cast<double>(load.size()) /
+           std::accumulate(load.begin(), load.end(), 0.0);
+}
+
+std::vector<Parts> by_all(const Way& way, const Fleet& f, uint32_t size)
+{
+    std::vector<Parts> all;
+    for (const Sharer& s : f.members) all.push_back(way(f, s.key, size));
+    return all;
+}
+
+size_t taken_up(const Parts& before, const Parts& after)
+{
+    size_t n = 0;
+    for (size_t u = 0; u < after.size(); ++u) n += after[u] > 0 && !(before[u] > 0);
+    return n;
+}
+
+}  // namespace
+
+std::vector<Compared> compare_subsets(size_t members, size_t upstreams, uint32_t size, size_t seeds)
+{
+    const std::pair<const char*, Way> ways[] = {{"rendezvous hashing", rendezvous},
+                                                {"rendezvous with bounded loads", bounded},
+                                                {"deterministic rounds", rounds},
+                                                {"golden-ratio ring, fixed places", golden},
+                                                {"ring by weights", ring}};
+    std::vector<Compared> out;
+    for (const auto& [name, way] : ways) {
+        Compared c;
+        c.way = name;
+        for (size_t seed = 0; seed < seeds; ++seed) {
+            std::ranlux24_base chance(static_cast<uint32_t>(seed + 1));
+            const Fleet f = make(members, upstreams, false, chance);
+            const auto all = by_all(way, f, size);
+            for (const Parts& p : all)
+                c.connections += static_cast<double>(
+                    std::count_if(p.begin(), p.end(), [](double part) { return part > 0; }));
+            c.one_view += greatest_over_mean(offered(f, all));
+            const Fleet u = make(members, upstreams, true, chance);
+            c.unequal += greatest_over_mean(offered(u, by_all(way, u, size)));
+
+            // Each sees a tenth of the others, and of the upstreams a twentieth, not.
+            std::vector<Parts> apart;
+            const auto unseen = [&](double part) {
+                return std::uniform_real_distribution<>(0, 1)(chance) < part;
+            };
+            for (const Sharer& s : f.members) {
+                Fleet own = f;
+                std::erase_if(own.members, [&](const Sharer& o) { return o.key != s.key && unseen(0.1); });
+                for (Choosable& o : own.upstreams)
+                    if (unseen(0.05)) o.size = 0;
+                apart.push_back(way(own, s.key, size));
+            }
+            c.views_differ += greatest_over_mean(offered(f, apart));
+
+            Fleet less = f;
+            less.members.erase(less.members.begin() + static_cast<std::ptrdiff_t>(chance() % members));
+            size_t moved = 0, at = 0;
+            for (size_t m = 0; m < members; ++m) {
+                if (at < less.members.size() && less.members[at].key == f.members[m].key)
+                    moved += taken_up(all[m], way(less, less.members[at++].key, size));
+            }
+            c.member_moves += static_cast<double>(moved) / size;
+            Fleet fewer = f;
+            const size_t gone = chance() % upstreams;
+            fewer.upstreams[gone].size = 0;
+            moved = 0;
+            double had = 0;
+            for (size_t m = 0; m < members; ++m) {
+                moved += taken_up(all[m], way(fewer, f.members[m].key, size));
+                had += all[m][gone] > 0;
+            }
+            c.upstream_moves += static_cast<double>(moved) / std::max(1.0, had);
+        }
+        const double n = static_cast<double>(seeds);
+        c.connections /= n, c.one_view /= n, c.views_differ /= n, c.unequal /= n;
+        c.member_moves /= n, c.upstream_moves /= n;
+        out.push_back(c);
+    }
+    return out;
+}
+
+}  // namespace firtide::lab
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -216,6 +216,7 @@
     std::vector<double> felts;
     double first_felt = 0, first_n = 0;
     double room = 0;              // upstreams' worth, see weigh_room
+    double listed_part = 1;       // of what all balancers share
     double limit = 1e9;           // mean own outstanding work
     double good_outstanding = 0;  // the most it was while the aim was met, forgotten slowly
     double outstanding = 0, overdue = 0;
@@ -565,7 +566,7 @@
     // ---- own outstanding work against the latency objective ----
 
     // About two for each upstream from all instances together: less would leave them idle.
-    double two_each() const { return 2 * room / (heard > 0 ? 1 : std::max(1u, set.balancers)); }
+    double two_each() const { return 2 * room / (heard > 0 ? 1 : std::max(1.0, set.balancers * listed_part)); }
 
     // Own work out; where the others tell theirs, all of it.
     double held() const { return outstanding - overdue + peers_out; }
@@ -1199,15 +1200,13 @@
 
 void Balancer::sent(Point now, Inv inv, Span time_left) { at(now).sent(inv, time_left); }
 
-size_t Balancer::avoided(Point now)
+double Balancer::reduction(Point now, Tgt tgt)
 {
-    const State& s = at(now);
-    return static_cast<size_t>(std::count_if(s.ups.begin(), s.ups.end(), [&](const Upstream& u) {
-        if (u.listing.presence == Presence::ready) return s.reduction(u) >= 0.5;
-        return u.listing.presence == Presence::draining;
-    }));
+    return tgt < state_->ups.size() ? at(now).reduction(state_->ups[tgt]) : 0;
 }
 
+void Balancer::share_of_list(double part) { state_->listed_part = part; }
+
 void Balancer::woken(Point now, uint64_t name) { at(now).wake(name); }
 
 }  // namespace firtide
--- a/src/fleet/config.cpp
+++ b/src/fleet/config.cpp
@@ -65,7 +65,7 @@
         if (table.has("tell")) d.tell = table.endpoint("tell");
         if (!names.insert(d.name).second)
             wrong(table.name("name"), table.line("name"), "'" + d.name + "' is another duty's name too");
-        for (const char* own : {"list", "probe", "drain"})
+        for (const char* own : {"list", "probe", "drain", "parts"})
             if (d.name == own || d.name.starts_with(std::string(own) + "."))
                 wrong(table.name("name"), table.line("name"),
                       "'" + d.name + "' is a name of the balancer's own duties");
@@ -101,10 +101,69 @@
     }
 }
 
+// Guards against floors that are more than what is kept for them.
+void check_floor(const TomlTable& turns, const TurnsRule& rule, size_t members, const std::string& budget,
+                 double whole)
+{
+    if (rule.floor && *rule.floor * static_cast<double>(members) > whole * kept_for_floors)
+        wrong("turns.floor", turns.line("floor"),
+              "for each of " + std::to_string(members) + " members is more than the fifth of turns." +
+                  budget + " that is kept for floors");
+}
+
+void read_turns(const toml::table& t, FleetFile& file)
+{
+    const TomlTable table(t, "turns", {"length", "floor", "retries", "probes", "cold", "tenant"});
+    TurnsRule turns;
+    turns.length = table.span("length", turns.length, seconds(0.2), seconds(60));
+    if (table.has("floor")) turns.floor = table.number("floor", 0, 0, 1e6);
+    for (const char* budget : {"retries", "probes", "cold"}) {
+        if (!table.has(budget)) continue;
+        turns.whole[budget] = table.number(budget, 0, 0.01, 1e7);
+        check_floor(table, turns, file.members.size(), budget, turns.whole[budget]);
+    }
+    table.each("tenant", [&](const toml::table& one, const std::string& where) {
+        const TomlTable tenant(one, where, {"name", "rate"});
+        const auto name = "tenant." + word(tenant, "name");
+        if (!turns.whole.emplace(name, tenant.number("rate", 0, 0.01, 1e7)).second)
+            wrong(tenant.name("name"), tenant.line("name"), "this tenant has a rate already");
+        check_floor(table, turns, file.members.size(), name, turns.whole[name]);
+    });
+    if (turns.whole.empty()) wrong("turns", table.place().line, "no budget is named");
+    file.turns = std::move(turns);
+    file.duties.push_back({"parts", DutyKind::parts, "", {}, table.place().line});
+}
+
+void read_choices(const TomlTable& top, FleetFile& file)
+{
+    if (const auto* t = top.table("subset")) {
+        const TomlTable table(*t, "subset", {"size", "zones", "beyond", "narrow"});
+        SubsetRule subset;
+        subset.size = table.count("size", subset.size, 2, 5000);
+        subset.zones = table.flag("zones", subset.zones);
+        subset.beyond = table.count("beyond", subset.beyond, 1, 5000);
+        subset.narrow = table.span("narrow", subset.narrow, seconds(1), seconds(3600));
+        if (table.has("beyond") && !subset.zones)
+            wrong("subset.beyond", table.line("beyond"), "says nothing without subset.zones");
+        file.subset = subset;
+    }
+    if (const auto* t = top.table("signals")) {
+        const TomlTable table(*t, "signals", {"alone", "validity", "bytes"});
+        SignalRule signals;
+        signals.alone = table.number("alone", signals.alone, 0, 0.9);
+        signals.validity = table.span("validity", signals.validity, seconds(0.2), seconds(60));
+        signals.bytes = table.count("bytes", signals.bytes, 200, 1'000'000);
+        file.signals = signals;
+    }
+    if (const auto* t = top.table("turns")) read_turns(*t, file);
+}
+
 FleetFile read(const toml::table& from)
 {
     FleetFile file;
-    const TomlTable top(from, "", {"fleet", "member", "lease", "duty", "list", "probe", "drain"});
+    const TomlTable top(
+        from, "",
+        {"fleet", "member", "lease", "duty", "list", "probe", "drain", "subset", "signals", "turns"});
     const auto* own = top.table("fleet");
     if (!own) wrong("fleet", 1, "is missing");
     const TomlTable fleet(*own, "fleet", {"name", "id", "listen", "data"});
@@ -124,6 +183,7 @@
         file.lease.drift = table.number("drift", file.lease.drift, 0, 0.1);
     }
     read_duties(top, file);
+    read_choices(top, file);
     return file;
 }
 
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "rules.h"
 #include "src/fault.h"
 #include "src/time.h"
 #include "words.h"
@@ -39,6 +40,7 @@
     list,   // asks discovery
     probe,  // probes some of the upstreams
     drain,  // a turn to drain: held on request only
+    parts,  // gives parts of the fleet's budgets
 };
 
 struct Duty {
@@ -69,6 +71,9 @@
     std::optional<ListDuty> list;
     std::optional<ProbeDuty> probe;
     std::optional<DrainDuty> drain;
+    std::optional<SubsetRule> subset;
+    std::optional<SignalRule> signals;
+    std::optional<TurnsRule> turns;
 
     size_t voters() const;
     std::optional<Member> member_of(Key key) const;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace firtide::fleet
 {
@@ -11,6 +12,7 @@
 constexpr Span want_again = seconds(0.2);
 constexpr Span first_list = seconds(1.5);  // after the start, before discovery is asked all the same
 constexpr Member nobody = UINT32_MAX;
+constexpr Span weigh_every = seconds(10), sharers_every = seconds(0.2);
 
 Span period_of(const FleetFile& file)
 {
@@ -40,6 +42,11 @@
       granter_(file, seed + 3)
 {
     granter_.table_is(table_);
+    if (file_.signals) signals_.emplace(*file_.signals, file_.members[self_].key, life);
+    if (file_.turns) {
+        shares_.emplace(*file_.turns, file_.members.size(), life);
+        allocator_.emplace(*file_.turns, file_.lease.drift);
+    }
 }
 
 std::vector<FleetEffect> Fleet::reduce(Point now, FleetEvent event)
@@ -151,6 +158,13 @@
                        if (const auto at = newest_.find(w.duty); at != newest_.end())
                            effects_.push_back(Send{from, at->second});
                    },
+                   [&](const Digest& d) {
+                       if (signals_) signals_->heard(now_, d);
+                   },
+                   [&](const WantParts& w) { hear(from, w); },
+                   [&](const GivenParts& g) {
+                       if (shares_) shares_->given_to(now_, g);
+                   },
                },
                heard.message);
 }
@@ -221,6 +235,7 @@
     holder_.tick(now_);
     granter_.tick(now_);
     list_tick();
+    choices_tick();
     beat();
     if (members_.twin() && !std::exchange(twin_told_, true))
         effects_.push_back(
@@ -274,6 +289,8 @@
         numbers_[c.duty] = 0;
         if (asking_ != c.gained) effects_.push_back(AskDiscovery{asking_ = c.gained});
         list_fresh_ = std::max(list_fresh_, now_ - file_.list->stale * 0.5);
+    } else if (kind == DutyKind::parts) {
+        if (c.gained) allocator_->begin(now_, c.epoch);
     } else if (kind == DutyKind::drain && c.gained) {
         if (wants_turn_) {
             effects_.push_back(Act{c.duty, c.epoch, {}, DrainNow{}});
@@ -477,6 +494,129 @@
     callers_.erase(at);
 }
 
+// ---- choices that add up ----
+
+void Fleet::on(Observed& observed)
+{
+    if (signals_) signals_->seen(now_, observed.evidence);
+    if (shares_) shares_->asked(now_, observed.asked);
+    // Weights move in steps, and seldom: each step moves the subsets of all a little.
+    const double steps = std::clamp(64 + 2 * std::log2(std::max(observed.rate, 1e-6)), 1.0, 255.0);
+    const auto held = members_.of(self_).weight;
+    const bool differs = std::abs(steps - held) >= (held ? 1.5 : 0);
+    if (file_.subset && observed.rate > 0 && differs && now_ - weighed_ > (held ? weigh_every : seconds(2))) {
+        members_.weigh(static_cast<uint8_t>(std::lround(steps)));
+        weighed_ = now_;
+    }
+    observed_ = std::move(observed);
+}
+
+// Suspects stay until they are gone: guards against subsets that move for a moment's silence.
+void Fleet::tell_sharers()
+{
+    if (!file_.subset || now_ - sharers_at_ < sharers_every) return;
+    sharers_at_ = now_;
+    std::vector<Sharer> now;
+    double sum = 0, known = 0;
+    const auto weight_of = [](uint8_t w) { return std::exp2((w - 64) / 2.0); };
+    for (Member m = 0; m < file_.members.size(); ++m) {
+        const auto& one = members_.of(m);
+        if (m != self_ && (one.health == Health::gone || one.incarnation == 0)) continue;
+        now.push_back({file_.members[m].key, file_.members[m].zone == file_.members[self_].zone,
+                       one.weight ? weight_of(one.weight) : 0});
+        if (one.weight) sum += weight_of(one.weight), ++known;
+    }
+    for (Sharer& s : now)
+        if (s.weight <= 0) s.weight = known > 0 ? sum / known : 1;
+    if (now == sharers_) return;
+    sharers_ = now;
+    effects_.push_back(UseFleet{std::move(now)});
+}
+
+void Fleet::choices_tick()
+{
+    tell_sharers();
+    if (signals_) {
+        const auto& to = members_.successors();
+        const Digest digest = signals_->take(now_, to.size());
+        if (!digest.all.empty())
+            for (const Member m : to) effects_.push_back(Send{m, digest});
+        auto results = signals_->results(now_);
+        if (std::exchange(signalled_, !results.empty()) || signalled_)
+            effects_.push_back(UseSignals{std::move(results)});
+    }
+    if (!shares_) return;
+    if (now_ - wanted_parts_ >= file_.turns->length * 0.25 && !stopping_) {
+        wanted_parts_ = now_;
+        const auto own = holder_.mine(now_, "parts");
+        const auto entry = holder_.table().of("parts");
+        const auto holder = own            ? std::optional(self_)
+                            : entry.holder ? file_.member_of(entry.holder)
+                                           : std::nullopt;
+        if (holder) {
+            auto want = shares_->want(now_, own ? *own : entry.epoch);
+            if (*holder == self_)
+                hear(self_, want);
+            else
+                effects_.push_back(Send{*holder, std::move(want)});
+        }
+    }
+    effects_.push_back(UseParts{shares_->parts(now_)});
+}
+
+void Fleet::hear(Member from, const WantParts& want)
+{
+    const auto epoch = holder_.mine(now_, "parts");
+    if (!allocator_ || !epoch || *epoch != allocator_->epoch()) return;
+    auto parts = allocator_->answer(now_, file_.members[from].key, want);
+    if (parts.all.empty()) return;
+    if (from == self_) return shares_->given_to(now_, parts);
+    Publish p;
+    p.sends.push_back({from, std::move(parts)});
+    effects_.push_back(Act{"parts", *epoch, {}, std::move(p)});
+}
+
+std::string Fleet::show_choices() const
+{
+    std::string out;
+    const auto number = [](double x) {
+        char text[32];
+        std::snprintf(text, sizeof text, "%.2f", x);
+        return std::string(text);
+    };
+    if (file_.subset)
+        out += "subset upstreams " + std::to_string(observed_.shown) + " of " +
+               std::to_string(observed_.listed) + " wider " + std::to_string(observed_.wider) + " sharers " +
+               std::to_string(sharers_.size()) + " weight " +
+               number(members_.of(self_).weight ? std::exp2((members_.of(self_).weight - 64) / 2.0) : 0) +
+               "\n";
+    if (signals_) {
+        const auto results = signals_->results(now_);
+        for (const auto& [upstream, name] : observed_.names) {
+            const auto counts = results.find(upstream);
+            for (const auto& t : signals_->told(now_, upstream)) {
+                const auto by = file_.member_of(t.by);
+                out += "told " + name + " by " + (by ? file_.members[*by].id : "-") + " reduction " +
+                       number(t.reduction) + " age_ms " + std::to_string(t.age.us / 1000) + " counts " +
+                       number(counts == results.end() ? 0 : counts->second.reduction) + "\n";
+            }
+        }
+    }
+    if (shares_)
+        for (const Part& p : shares_->parts(now_)) {
+            std::string which = text_of(p.name.of);
+            if (const auto at = observed_.names.find(p.name.which); p.name.of == Budget::cold)
+                which += "." + (at == observed_.names.end() ? "-" : at->second);
+            for (const auto& [name, rate] : file_.turns->whole)
+                if (p.name.of == Budget::tenant && name.starts_with("tenant.") &&
+                    key_of(name.substr(7)) == p.name.which)
+                    which = name;
+            out += "part " + which + " rate " + number(p.at(now_)) + " floor " + number(p.floor) +
+                   " left_ms " + std::to_string(std::max<int64_t>(0, (p.none_from - now_).us / 1000)) + "\n";
+        }
+    return out;
+}
+
 std::string Fleet::show() const
 {
     const Term term = std::max(holder_.term(), standing_ ? standing_->standing.term : 0);
@@ -513,7 +653,7 @@
                " epoch " + std::to_string(epoch) + " left_ms " +
                std::to_string(own ? holder_.left(now_).us / 1000 : 0) + (own ? " mine" : "") + "\n";
     }
-    return out + "EOT\n";
+    return out + show_choices() + "EOT\n";
 }
 
 }  // namespace firtide::fleet
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -13,6 +13,7 @@
 #include "desk.h"
 #include "leases.h"
 #include "members.h"
+#include "view.h"
 
 namespace firtide::fleet
 {
@@ -52,8 +53,8 @@
 };
 struct Stops {
 };
-using FleetEvent =
-    std::variant<Begun, Heard, Ticked, DeskSaid, DoorAsked, DoorLeft, ListSeen, ProbesSeen, Refused, Stops>;
+using FleetEvent = std::variant<Begun, Heard, Ticked, DeskSaid, DoorAsked, DoorLeft, ListSeen, ProbesSeen,
+                                Refused, Stops, Observed>;
 
 // Effects. Send is one of them.
 struct Seating {  // of a member among the voters
@@ -99,6 +100,15 @@
     std::string bytes;
     Span age;
 };
+struct UseFleet {  // who shares the upstreams
+    std::vector<Sharer> sharers;
+};
+struct UseSignals {
+    std::map<uint64_t, Signals::Result> results;  // by upstream
+};
+struct UseParts {
+    std::vector<Part> parts;
+};
 struct Reply {
     uint64_t caller = 0;
     std::string text;
@@ -109,8 +119,8 @@
     std::string health;
     Point until;  // of a duty that was lost: when its lease ended, at the latest
 };
-using FleetEffect =
-    std::variant<Send, ToDesk, Act, ResumeNow, AskDiscovery, UseList, UseReports, Reply, Noted>;
+using FleetEffect = std::variant<Send, ToDesk, Act, ResumeNow, AskDiscovery, UseList, UseReports, Reply,
+                                 Noted, UseFleet, UseSignals, UseParts>;
 
 inline constexpr uint32_t probe_slices = 10;
 inline constexpr Span probe_lasts = seconds(0.3);  // until its answer, or its being given up
@@ -163,6 +173,7 @@
     void on(ProbesSeen& seen);
     void on(const Refused& refused);
     void on(const Stops&);
+    void on(Observed& observed);
 
     void hear(Member from, const Order& order);
     void hear(Member from, const Obeyed& obeyed);
@@ -171,6 +182,10 @@
     void changed(const Change& change);
     void publish(const std::string& duty, Epoch epoch, std::string bytes);
     void list_tick();
+    void choices_tick();
+    void tell_sharers();
+    void hear(Member from, const WantParts& want);
+    std::string show_choices() const;
     bool use_list(const std::string& source, uint64_t version, const std::string& whole);
     void beat();
     void pass_on(const News& news, Member not_to);
@@ -204,6 +219,15 @@
     bool asking_ = false;
     Point wanted_news_;
 
+    // Choices that add up, where the fleet file has them.
+    std::optional<Signals> signals_;
+    std::optional<Shares> shares_;
+    std::optional<Allocator> allocator_;
+    Observed observed_;
+    std::vector<Sharer> sharers_;
+    Point weighed_, sharers_at_, wanted_parts_;
+    bool signalled_ = false;
+
     std::map<uint64_t, Caller> callers_;  // of orders on their way to the leader
     std::map<uint64_t, std::pair<Member, uint64_t>> desk_orders_;
     uint64_t next_order_ = 1, next_desk_ = uint64_t{1} << 63;
--- a/src/fleet/host.cpp
+++ b/src/fleet/host.cpp
@@ -260,6 +260,12 @@
         if (hooks_.use_list) hooks_.use_list(*list);
     } else if (auto* reports = std::get_if<UseReports>(&effect)) {
         if (hooks_.use_reports) hooks_.use_reports(*reports);
+    } else if (auto* uses = std::get_if<UseFleet>(&effect)) {
+        if (hooks_.use_fleet) hooks_.use_fleet(*uses);
+    } else if (auto* signals = std::get_if<UseSignals>(&effect)) {
+        if (hooks_.use_signals) hooks_.use_signals(*signals);
+    } else if (auto* parts = std::get_if<UseParts>(&effect)) {
+        if (hooks_.use_parts) hooks_.use_parts(*parts);
     } else if (std::get_if<ResumeNow>(&effect)) {
         if (hooks_.resume) hooks_.resume();
     }
--- a/src/fleet/host.h
+++ b/src/fleet/host.h
@@ -59,6 +59,9 @@
         std::function<void(const ProbeNow&, const std::string& duty, Epoch epoch)> probe;
         std::function<void(const UseReports&)> use_reports;
         std::function<void()> drain, resume;
+        std::function<void(UseFleet&)> use_fleet;
+        std::function<void(UseSignals&)> use_signals;
+        std::function<void(UseParts&)> use_parts;  // its points are of fleet_now()
     };
 
     // Makes or opens the member's folder; throws CannotStart where that, or the address, cannot be had.
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -24,7 +24,7 @@
       all_(file.members.size()),
       watch_(file.members.size())
 {
-    all_[self_] = {Health::alive, incarnation, life, {}};
+    all_[self_] = {Health::alive, incarnation, life, {}, 0};
     for (Member m = 0; m < all_.size(); ++m) by_key_.push_back(m);
     std::sort(by_key_.begin(), by_key_.end(),
               [&](Member a, Member b) { return file_.members[a].key < file_.members[b].key; });
@@ -97,7 +97,7 @@
 Rumor Members::rumor_of(Member m) const
 {
     const One& o = all_[m];
-    return {file_.members[m].key, static_cast<uint8_t>(o.health), o.incarnation, o.life};
+    return {file_.members[m].key, static_cast<uint8_t>(o.health), o.incarnation, o.life, o.weight};
 }
 
 void Members::ping(Point now, Member to, uint64_t answers)
@@ -110,6 +110,7 @@
     p.held = static_cast<uint8_t>(o.health), p.held_at = o.incarnation;
     p.leader = carried.leader, p.term = carried.term;
     p.list = carried.list, p.list_epoch = carried.list_epoch;
+    p.weight = all_[self_].weight;
     if (!answers) watch_[to].pinged = now;
     send(to, p);
 }
@@ -121,7 +122,7 @@
         if (m != not_to) send(m, Rumors{rumors, false});
 }
 
-bool Members::accept(Point now, Member m, Health health, Incarnation incarnation, Life life)
+bool Members::accept(Point now, Member m, Health health, Incarnation incarnation, Life life, uint8_t weight)
 {
     One& o = all_[m];
     if (m == self_) {
@@ -138,7 +139,7 @@
     if (incarnation < o.incarnation || (incarnation == o.incarnation && health <= o.health)) return false;
     const bool gone_before = o.health == Health::gone;
     const bool other = o.health != health;
-    o = {health, incarnation, life ? life : o.life, other ? now : o.since};
+    o = {health, incarnation, life ? life : o.life, other ? now : o.since, weight};
     if (health == Health::alive) watch_[m].asking = false;
     if (gone_before != (health == Health::gone)) find_neighbours();
     if (other) changes_.push_back({m, health, incarnation});
@@ -159,12 +160,13 @@
 
 void Members::on(Point now, Member from, const Ping& p)
 {
-    if (all_[from].incarnation < p.incarnation && accept(now, from, Health::alive, p.incarnation, p.life))
+    if (all_[from].incarnation < p.incarnation &&
+        accept(now, from, Health::alive, p.incarnation, p.life, p.weight))
         spread({rumor_of(from)}, from);
     if (p.held != static_cast<uint8_t>(Health::alive) && p.held_at)
-        accept(now, self_, Health::suspect, p.held_at, 0);
+        accept(now, self_, Health::suspect, p.held_at, 0, 0);
     else if (p.held_at > incarnation())
-        accept(now, self_, Health::suspect, p.held_at, 0);
+        accept(now, self_, Health::suspect, p.held_at, 0, 0);
     if (!p.answers) ping(now, from, p.number);
     // Mends what rumours have lost. Guards against telling all, again and again, where files name other
     // members.
@@ -205,7 +207,7 @@
     for (const Rumor& r : rumors.all) {
         const auto m = file_.member_of(r.member);
         if (!m || r.health > static_cast<uint8_t>(Health::gone)) continue;
-        if (accept(now, *m, static_cast<Health>(r.health), r.incarnation, r.life))
+        if (accept(now, *m, static_cast<Health>(r.health), r.incarnation, r.life, r.weight))
             news.push_back(rumor_of(*m));
     }
     spread(news, from);
@@ -216,6 +218,14 @@
     send(from, std::move(back));
 }
 
+void Members::weigh(uint8_t weight)
+{
+    One& o = all_[self_];
+    o.weight = weight;
+    ++o.incarnation;
+    spread({rumor_of(self_)}, nobody);
+}
+
 void Members::leave(Point)
 {
     left_ = true;
@@ -247,7 +257,8 @@
             for (const Member o : others) send(o, Ask{file_.members[m].key});
         } else if (w.asking && now - w.asked > period_ * suspect_after) {
             w.asking = false;
-            if (accept(now, m, Health::suspect, all_[m].incarnation, 0)) found.push_back(rumor_of(m));
+            if (accept(now, m, Health::suspect, all_[m].incarnation, 0, all_[m].weight))
+                found.push_back(rumor_of(m));
         }
     }
     std::vector<Member> gone;
@@ -255,7 +266,8 @@
         if (all_[m].health == Health::gone) gone.push_back(m);
         if (all_[m].health != Health::suspect || now - all_[m].since <= period_ * gone_after) continue;
         const bool rumoured = all_[m].incarnation > 0;
-        if (accept(now, m, Health::gone, all_[m].incarnation, 0) && rumoured) found.push_back(rumor_of(m));
+        if (accept(now, m, Health::gone, all_[m].incarnation, 0, all_[m].weight) && rumoured)
+            found.push_back(rumor_of(m));
     }
     spread(found, nobody);
     // Those that are gone are tried in turn: two halves that hold each other for gone find together again.
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -39,6 +39,7 @@
         Incarnation incarnation = 0;
         Life life = 0;
         Point since;  // of this health
+        uint8_t weight = 0;
     };
 
     // period: of watching; a silent member is suspect after some four and gone after some eight of them.
@@ -51,7 +52,8 @@
     void on(Point now, Member from, const Ask& ask);
     void on(Point now, Member from, const Reached& reached);
     void on(Point now, Member from, const Rumors& rumors);
-    void leave(Point now);  // says that it is gone
+    void leave(Point now);       // says that it is gone
+    void weigh(uint8_t weight);  // tells all of its own
 
     std::vector<Send> take_sends() { return std::exchange(sends_, {}); }
     std::vector<HealthChange> take_changes() { return std::exchange(changes_, {}); }
@@ -78,7 +80,7 @@
     void send(Member to, Message message) { sends_.push_back({to, std::move(message)}); }
     void ping(Point now, Member to, uint64_t answers = 0);
     // True where it is news.
-    bool accept(Point now, Member m, Health health, Incarnation incarnation, Life life);
+    bool accept(Point now, Member m, Health health, Incarnation incarnation, Life life, uint8_t weight);
     void spread(const std::vector<Rumor>& rumors, Member not_to);
     Rumor rumor_of(Member m) const;
     void find_neighbours();
--- /dev/null
+++ b/src/fleet/rules.h
@@ -0,0 +1,48 @@
+// What the fleet file says of choices that many balancers make: how they share upstreams, what they tell each
+// other, and budgets.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "src/time.h"
+
+namespace firtide::fleet
+{
+
+struct SubsetRule {
+    uint32_t size = 20;         // upstreams of middling size in an arc
+    bool zones = false;         // an arc of the own zone's, and a smaller one of the others
+    uint32_t beyond = 4;        // in that smaller one
+    Span narrow = seconds(10);  // without need at the present width: one step back
+};
+
+struct SignalRule {
+    double alone = 0.5;  // one balancer's word counts so far
+    Span validity = seconds(1.5);
+    uint32_t bytes = 2000;  // a second that a member sends
+};
+
+enum class Budget : uint8_t { retries, probes, cold, tenant };
+struct BudgetName {
+    Budget of = Budget::retries;
+    uint64_t which = 0;  // cold: the upstream; tenant: by its name
+
+    auto operator<=>(const BudgetName&) const = default;
+};
+const char* text_of(Budget budget);
+
+// Of each budget, what is dealt out by demand, and what is everybody's by right: an even part for each member
+// of the fleet file, also of one that is cut off. What is left over covers files that name too few.
+inline constexpr double dealt_out = 0.7, kept_for_floors = 0.2;
+
+struct TurnsRule {
+    Span length = seconds(1);
+    std::map<std::string, double> whole;  // a second: "retries", "probes", "cold", "tenant.NAME"
+    std::optional<double> floor;          // of each member; absent: an even part of what is kept for that
+
+    double whole_of(BudgetName name) const;  // zero: there is no such budget
+};
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/signals.cpp
@@ -0,0 +1,167 @@
+#include "signals.h"
+
+#include <algorithm>
+
+namespace firtide::fleet
+{
+namespace
+{
+
+constexpr double worth_telling = 0.1;  // of an entry
+constexpr Span again = seconds(0.5);   // the same finding, with new evidence
+constexpr size_t witnesses = 3;        // of one upstream that are passed on
+constexpr size_t most_signals = 64;    // in one digest
+constexpr size_t most_upstreams = 10000;
+constexpr double bytes_of_one = 48, bytes_of_frame = 40;
+constexpr uint32_t well_enough = 3;  // own good answers, and no bad one: own evidence against
+
+double part_of(const Signal& s) { return s.reduction / 255.0; }
+
+}  // namespace
+
+Signals::Signals(SignalRule rule, Key own, Life life) : rule_(rule), own_(own), life_(life) {}
+
+void Signals::seen(Point now, const std::vector<Evidence>& all)
+{
+    evidence_.clear();
+    for (const Evidence& e : all) {
+        evidence_[e.upstream] = e;
+        const bool reduced = e.reduction >= worth_telling && e.bad > 0 && e.age < rule_.validity;
+        if (!reduced && !e.started) continue;
+        auto& [when, before] = own_told_[e.upstream];
+        if (now - when < again && e.reduction < before + worth_telling) continue;
+        const Point found = reduced ? now - e.age : now;
+        Held& h = held_[e.upstream][own_];
+        // Nothing but new evidence renews what was found.
+        if (reduced && h.signal.number && found <= h.found && e.reduction <= part_of(h.signal)) continue;
+        if (!reduced && now - when < rule_.validity * 0.5) continue;
+        when = now, before = e.reduction;
+        h.signal = {e.upstream,
+                    own_,
+                    life_,
+                    ++number_,
+                    static_cast<uint8_t>(reduced ? std::min(1.0, e.reduction) * 255 : 0),
+                    static_cast<uint8_t>(std::min<uint32_t>(e.bad, 255)),
+                    0,
+                    e.started ? static_cast<uint32_t>(e.started->seconds()) + 1 : 0};
+        h.found = found, h.until = found + rule_.validity;
+        due(e.upstream, own_);
+    }
+}
+
+void Signals::heard(Point now, const Digest& digest)
+{
+    for (const Signal& s : digest.all) {
+        if (s.by == own_) continue;
+        const Span age{int64_t{s.age_ms} * 1000};
+        Newest& of = newest_[s.by];
+        if (of.life != s.life) of = {s.life, {}};
+        uint64_t& newest = of.of[s.upstream];
+        // Guards against what comes twice, late or out of order: it renews nothing.
+        if (s.number <= newest || age >= rule_.validity ||
+            (held_.size() >= most_upstreams && !held_.count(s.upstream))) {
+            ++stale_;
+            continue;
+        }
+        newest = s.number;
+        auto& by = held_[s.upstream];
+        std::erase_if(by, [&](const auto& h) { return h.second.until <= now; });
+        const bool enough = by.size() >= witnesses && !by.count(s.by);
+        by[s.by] = {s, now - age, now - age + rule_.validity};
+        if (!enough) due(s.upstream, s.by);
+    }
+}
+
+Digest Signals::take(Point now, size_t successors)
+{
+    room_ = std::min<double>(rule_.bytes, room_ + rule_.bytes * (now - filled_).seconds());
+    filled_ = now;
+    for (auto at = held_.begin(); at != held_.end();) {
+        std::erase_if(at->second, [&](const auto& h) { return h.second.until <= now; });
+        at = at->second.empty() ? held_.erase(at) : std::next(at);
+    }
+    std::erase_if(due_, [&](const auto& d) {
+        const auto at = held_.find(d.first);
+        return at == held_.end() || !at->second.count(d.second);
+    });
+    Digest out;
+    if (due_.empty() || successors == 0) return out;
+    const double copies = static_cast<double>(successors);
+    const double room = std::min(room_ / copies, most_signals * bytes_of_one + bytes_of_frame);
+    const auto most = static_cast<size_t>(std::max(0.0, (room - bytes_of_frame) / bytes_of_one));
+    std::vector<const Held*> order;
+    for (const auto& [upstream, by] : due_) order.push_back(&held_[upstream][by]);
+    // The gravest first, own ones before others'; the rest waits until it is too old to be told.
+    std::stable_sort(order.begin(), order.end(), [&](const Held* a, const Held* b) {
+        const auto rank = [&](const Held* h) {
+            return h->signal.reduction + (h->signal.by == own_ ? 32 : 0);
+        };
+        return rank(a) > rank(b);
+    });
+    if (order.size() > most) dropped_ += order.size() - most, order.resize(most);
+    if (order.empty()) return out;
+    for (const Held* h : order) {
+        out.all.push_back(h->signal);
+        out.all.back().age_ms = static_cast<uint32_t>(std::max<int64_t>(0, (now - h->found).us / 1000));
+        due_.erase({h->signal.upstream, h->signal.by});
+    }
+    room_ -= copies * (bytes_of_frame + bytes_of_one * static_cast<double>(out.all.size()));
+    return out;
+}
+
+// The second greatest of what others say is agreed on; the greatest counts alone up to a part. Own good
+// answers hold both down to that part: an own road that is well says more than others' that may not be.
+Signals::Result Signals::result(Point now, uint64_t upstream, const std::map<Key, Held>& by) const
+{
+    double first = 0, second = 0;
+    uint32_t youngest = 0, next = 0;  // starts: the youngest that two name
+    for (const auto& [key, h] : by) {
+        if (key == own_ || h.until <= now) continue;
+        const double r = part_of(h.signal);
+        second = std::max(second, std::min(first, r));
+        first = std::max(first, r);
+        if (const uint32_t s = h.signal.started_s) {
+            if (!youngest || s < youngest)
+                next = youngest, youngest = s;
+            else if (!next || s < next)
+                next = s;
+        }
+    }
+    Result out;
+    out.reduction = std::max(second, std::min(first, rule_.alone));
+    if (const auto at = evidence_.find(upstream); at != evidence_.end()) {
+        const Evidence& e = at->second;
+        if (e.reduction >= worth_telling)
+            out.reduction = first;
+        else if (e.well >= well_enough && e.bad == 0)
+            out.reduction = std::min(out.reduction, rule_.alone);
+        if (e.started) next = 0;  // it knows
+    }
+    if (next)
+        out.started = seconds(next - 1);
+    else if (youngest)
+        out.reduction = std::max(out.reduction, rule_.alone);
+    return out;
+}
+
+std::map<uint64_t, Signals::Result> Signals::results(Point now) const
+{
+    std::map<uint64_t, Result> out;
+    for (const auto& [upstream, by] : held_) {
+        const Result r = result(now, upstream, by);
+        if (r.reduction > 0 || r.started) out.emplace(upstream, r);
+    }
+    return out;
+}
+
+std::vector<Signals::Counted> Signals::told(Point now, uint64_t upstream) const
+{
+    std::vector<Counted> out;
+    const auto at = held_.find(upstream);
+    if (at == held_.end()) return out;
+    for (const auto& [by, h] : at->second)
+        if (h.until > now) out.push_back({by, part_of(h.signal), now - h.found});
+    return out;
+}
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/signals.h
@@ -0,0 +1,83 @@
+// What balancers tell each other of upstreams, and how far it counts. No I/O, no clock.
+//
+// Each tells what it has found itself, with its age; what it was told it only passes on as it was. It holds
+// for `validity` from when it was found, as a report of RFC 8581 does, whenever it arrives, and nothing but a
+// new finding of the same balancer renews it. One balancer alone counts up to a part; two that agree, or own
+// evidence, make it count in full.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "config.h"
+
+namespace firtide::fleet
+{
+
+// What this balancer itself knows of an upstream.
+struct Evidence {
+    uint64_t upstream = 0;
+    double reduction = 0;         // of its own entry
+    uint32_t well = 0, bad = 0;   // answers lately
+    Span age;                     // of the last bad one
+    std::optional<Span> started;  // where it is cold: so long ago
+};
+
+class Signals
+{
+  public:
+    struct Counted {  // one that was told
+        Key by = 0;
+        double reduction = 0;
+        Span age;
+    };
+    struct Result {
+        double reduction = 0;  // that counts
+        std::optional<Span> started;
+    };
+
+    Signals(SignalRule rule, Key own, Life life);
+
+    // All own evidence; what of it others should know is told once the time for it has come.
+    void seen(Point now, const std::vector<Evidence>& all);
+    void heard(Point now, const Digest& digest);
+    // What is due to be told, to each of the successors; empty: nothing.
+    Digest take(Point now, size_t successors);
+
+    // Of the upstreams that anything counts for.
+    std::map<uint64_t, Result> results(Point now) const;
+    std::vector<Counted> told(Point now, uint64_t upstream) const;
+    uint64_t dropped() const { return dropped_; }  // for want of room in what may be sent
+    uint64_t stale() const { return stale_; }      // repeated or too old
+
+  private:
+    struct Held {
+        Signal signal;
+        Point found, until;
+    };
+
+    Result result(Point now, uint64_t upstream, const std::map<Key, Held>& by) const;
+    void due(uint64_t upstream, Key by) { due_.emplace(upstream, by); }
+
+    const SignalRule rule_;
+    const Key own_;
+    const Life life_;
+    uint64_t number_ = 0;
+    std::map<uint64_t, std::map<Key, Held>> held_;
+    std::map<uint64_t, Evidence> evidence_;
+    std::map<uint64_t, std::pair<Point, double>> own_told_;  // when, and which reduction
+    struct Newest {
+        Life life = 0;
+        std::map<uint64_t, uint64_t> of;  // number by upstream
+    };
+    std::map<Key, Newest> newest_;
+    std::set<std::pair<uint64_t, Key>> due_;
+    double room_ = 0;  // bytes
+    Point filled_;
+    uint64_t dropped_ = 0, stale_ = 0;
+};
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/view.cpp
@@ -0,0 +1,230 @@
+#include "view.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace firtide::fleet
+{
+namespace
+{
+
+constexpr Span observe_every = seconds(0.1), doubles_in = seconds(0.5);
+constexpr double least_factor = 0.02;   // of its size: what is left to find out that all is well again
+constexpr double worth_showing = 0.05;  // of a size
+constexpr Span another_start = seconds(5);
+constexpr double rate_gain = 0.05;  // of an observation
+constexpr double none = 1e-9;
+
+}  // namespace
+
+View::View(Rules rules, Span cold)
+    : rules_(std::move(rules)), cold_(cold), width_(rules_.subset ? rules_.subset->narrow : Span{})
+{
+}
+
+void View::list_is(const std::vector<Listing>& all)
+{
+    all_.resize(std::max(all_.size(), all.size()));
+    choosable_.resize(all_.size());
+    for (Tgt t = 0; t < all.size(); ++t) {
+        One& one = all_[t];
+        if (one.real.id != all[t].id) one = {};
+        one.real = all[t];
+        choosable_[t] = {all[t].id, all[t].presence == Presence::gone ? 0 : all[t].size, true};
+        choosable_[t].own_zone = all[t].zone == rules_.zone;
+    }
+    dirty_ = due_ = true;
+}
+
+void View::fleet_is(std::vector<Sharer> sharers)
+{
+    sharers_ = std::move(sharers);
+    dirty_ = due_ = true;
+}
+
+void View::told(Point now, const std::map<uint64_t, Signals::Result>& results)
+{
+    for (One& one : all_) {
+        const auto at = results.find(one.real.id);
+        factor(now, one);
+        one.told = at == results.end() ? 0 : at->second.reduction;
+        if (at == results.end() || !at->second.started) continue;
+        const Point start = now - *at->second.started;
+        const Point before = std::max(one.told_start.value_or(Point{INT64_MIN / 2}),
+                                      one.real.started.value_or(Point{INT64_MIN / 2}));
+        if (start - before > another_start) one.told_start = start;
+    }
+}
+
+void View::parts_are(const std::vector<Part>& parts)
+{
+    budgets_.clear();
+    for (const Part& p : parts) budgets_[p.name] = p;
+}
+
+void View::answered(Point now, Tgt tgt, bool well)
+{
+    if (tgt >= all_.size()) return;
+    ++(well ? all_[tgt].well : all_[tgt].bad)[0];
+    if (!well) all_[tgt].bad_at = now;
+}
+
+bool View::is_cold(Point now, const Listing& l) const { return l.started && now - *l.started < cold_; }
+
+double View::factor(Point now, One& one) const
+{
+    const double most = std::max(least_factor, 1 - one.told);
+    const double grown = one.factor * std::exp2((now - one.factor_at) / doubles_in);
+    one.factor = std::min(most, std::max(least_factor, std::min(1.0, grown)));
+    one.factor_at = now;
+    return one.factor;
+}
+
+Listing View::wanted(Point now, Tgt tgt)
+{
+    One& one = all_[tgt];
+    Listing l = one.real;
+    if (one.told_start && (!l.started || *l.started < *one.told_start)) l.started = one.told_start;
+    const double part = rules_.subset && tgt < parts_.size() ? parts_[tgt] : rules_.subset ? 0 : 1;
+    if (part <= 0) l.presence = Presence::gone;
+    if (rules_.signals) l.size *= factor(now, one);
+    l.size *= part > 0 ? part : 1;
+    if (rules_.turns && l.presence == Presence::ready && is_cold(now, l)) {
+        const BudgetName name{Budget::cold, l.id};
+        if (rules_.turns->whole_of(name) > 0) {
+            const auto at = budgets_.find(name);
+            if (at == budgets_.end() || !buckets_[name].has(now, at->second)) l.presence = Presence::gone;
+        }
+    }
+    return l;
+}
+
+// Of an arc, by sizes.
+double View::free_of(const Parts& parts, const Reduction& reduction) const
+{
+    double all = 0, free = 0;
+    bool any = false;
+    for (Tgt t = 0; t < parts.size(); ++t) {
+        if (parts[t] <= 0) continue;
+        const double size = parts[t] * choosable_[t].size;
+        all += size;
+        if (all_[t].real.presence != Presence::ready) continue;
+        const double r = reduction(t);
+        any = any || r <= 0;
+        free += size * (1 - std::max(r, all_[t].told));
+    }
+    return any && all > 0 ? free / all : 0;
+}
+
+void View::widen(Point now, const Reduction& reduction)
+{
+    if (std::exchange(dirty_, false)) {
+        parts_ = choose(*rules_.subset, sharers_, rules_.self, choosable_, width_.wider());
+        if (width_.steps() > 0)
+            narrower_ = choose(*rules_.subset, sharers_, rules_.self, choosable_, width_.wider() / 2);
+    }
+    for (;;) {
+        const bool whole = std::all_of(choosable_.begin(), choosable_.end(), [&](const Choosable& c) {
+            return c.size <= 0 || parts_[static_cast<size_t>(&c - choosable_.data())] > 1 - none;
+        });
+        const double free = free_of(parts_, reduction);
+        const double narrower = width_.steps() > 0 ? free_of(narrower_, reduction) : 0;
+        const bool up = free < 0.5;
+        if (!width_.look(now, free, narrower, whole)) return;
+        parts_ = choose(*rules_.subset, sharers_, rules_.self, choosable_, width_.wider());
+        narrower_ = choose(*rules_.subset, sharers_, rules_.self, choosable_, width_.wider() / 2);
+        if (!up) return;
+    }
+}
+
+std::vector<Listing> View::update(Point now, const Reduction& reduction)
+{
+    due_ = false;
+    if (rules_.subset) widen(now, reduction);
+    std::vector<Listing> out;
+    for (Tgt t = 0; t < all_.size(); ++t) {
+        const Listing l = wanted(now, t);
+        if (t >= shown_.size()) shown_.resize(t + 1);
+        Listing& was = shown_[t];
+        if (l.presence == Presence::gone && was.presence == Presence::gone) continue;
+        const bool same = l.id == was.id && l.presence == was.presence && l.started == was.started &&
+                          l.zone == was.zone && l.cell == was.cell && l.kind == was.kind;
+        // What is whole again is shown as whole, however little was missing.
+        const bool near =
+            std::abs(l.size - was.size) <= worth_showing * was.size && l.size != all_[t].real.size;
+        if (same && (near || l.size == was.size)) continue;
+        was = l;
+        out.push_back(l);
+    }
+    return out;
+}
+
+bool View::due(const Reduction& reduction) const
+{
+    if (due_ || !rules_.subset) return due_;
+    for (Tgt t = 0; t < shown_.size(); ++t)
+        if (shown_[t].presence == Presence::ready && reduction(t) <= 0) return false;
+    return !shown_.empty();
+}
+
+double View::part_shown() const
+{
+    double shown = 0, listed = 0;
+    for (Tgt t = 0; t < all_.size(); ++t) {
+        if (choosable_[t].size <= 0) continue;
+        listed += 1;
+        shown += t < parts_.size() ? parts_[t] : 0;
+    }
+    return rules_.subset && listed > 0 && shown > 0 ? shown / listed : 1;
+}
+
+bool View::take(Point now, BudgetName name)
+{
+    if (!rules_.turns || rules_.turns->whole_of(name) <= 0) return true;
+    ++asked_.try_emplace(name).first->second;
+    const auto at = budgets_.find(name);
+    return at != budgets_.end() && buckets_[name].take(now, at->second);
+}
+
+bool View::take_cold(Point now, Tgt tgt)
+{
+    if (tgt >= shown_.size() || !is_cold(now, shown_[tgt])) return true;
+    due_ = true;  // until its next turn it is not shown
+    return take(now, {Budget::cold, shown_[tgt].id});
+}
+
+std::optional<Observed> View::observe(Point now, const Reduction& reduction, const Out& out)
+{
+    if (now - observed_ < observe_every) return {};
+    const double since = std::min(1.0, (now - std::exchange(observed_, now)).seconds());
+    rate_ += rate_gain * (std::exchange(arrived_, 0) / std::max(0.01, since) - rate_);
+    Observed o;
+    o.rate = rate_;
+    o.asked = std::exchange(asked_, {});
+    o.wider = width_.steps();
+    for (Tgt t = 0; t < all_.size(); ++t) {
+        One& one = all_[t];
+        if (one.real.presence == Presence::gone) continue;
+        ++o.listed;
+        if (rules_.subset && !(t < parts_.size() && parts_[t] > 0)) continue;
+        ++o.shown;
+        Evidence e{
+            one.real.id, reduction(t), one.well[0] + one.well[1], one.bad[0] + one.bad[1], now - one.bad_at,
+            {}};
+        // Whoever holds work and gives none back is found out by that, not by an answer.
+        if (e.reduction >= 0.5 && e.well + e.bad == 0 && out(t)) e.bad = 1, e.age = {};
+        const BudgetName cold{Budget::cold, one.real.id};
+        if (t < shown_.size() && is_cold(now, shown_[t]) && rules_.turns && rules_.turns->whole_of(cold) > 0)
+            ++o.asked[cold];
+        if (is_cold(now, one.real)) e.started = now - *one.real.started;
+        if (e.reduction > 0 || e.well > 0 || e.bad > 0 || e.started) o.evidence.push_back(e);
+    }
+    if (now - second_ >= seconds(1)) {
+        second_ = now;
+        for (One& one : all_)
+            one.well[1] = std::exchange(one.well[0], 0), one.bad[1] = std::exchange(one.bad[0], 0);
+    }
+    return o;
+}
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/view.h
@@ -0,0 +1,101 @@
+// What the decision module of one balancer is shown of the upstreams, so that the choices of many add up: its
+// subset of the list, sizes by what other balancers tell, cold ones by its part of their budget. Off without
+// a fleet. No I/O, no clock.
+//
+// The module picks, retries and refuses as it does alone, from what it is shown here.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "shares.h"
+#include "signals.h"
+#include "src/balance.h"
+#include "subset.h"
+
+namespace firtide::fleet
+{
+
+// What a balancer tells its fleet of itself, again and again.
+struct Observed {
+    double rate = 0;  // invocations a second
+    std::vector<Evidence> evidence;
+    std::map<BudgetName, uint32_t> asked;  // since the last one
+    // For the door.
+    size_t shown = 0, listed = 0;
+    uint32_t wider = 0;
+    std::map<uint64_t, std::string> names;  // of upstreams
+};
+
+class View
+{
+  public:
+    struct Rules {
+        std::optional<SubsetRule> subset;
+        std::optional<SignalRule> signals;
+        std::optional<TurnsRule> turns;
+        Key self = 0;
+        uint32_t zone = 0;  // as the list numbers them
+    };
+    View(Rules rules, Span cold);
+
+    // The list as discovery has it, by place; gone ones too.
+    void list_is(const std::vector<Listing>& all);
+    void fleet_is(std::vector<Sharer> sharers);
+    void told(Point now, const std::map<uint64_t, Signals::Result>& results);
+    void parts_are(const std::vector<Part>& parts);
+    void answered(Point now, Tgt tgt, bool well);
+    void arrived() { ++arrived_; }
+
+    // Where the module's own entry for an upstream stands, and whether something is out to it.
+    using Reduction = std::function<double(Tgt)>;
+    using Out = std::function<bool(Tgt)>;
+    // What the module has to be shown anew. Guards against refusing while an upstream beyond the subset
+    // carries no reduction: it is widened before.
+    std::vector<Listing> update(Point now, const Reduction& reduction);
+    // Whether that cannot wait for the next tick.
+    bool due(const Reduction& reduction) const;
+    bool shows(Tgt tgt) const { return tgt < shown_.size() && shown_[tgt].presence != Presence::gone; }
+    double part_shown() const;  // of the listed
+
+    // The gate of budgets. True where there is none of that name.
+    bool take(Point now, BudgetName name);
+    bool take_cold(Point now, Tgt tgt);
+    std::optional<Observed> observe(Point now, const Reduction& reduction, const Out& out);
+
+  private:
+    struct One {
+        Listing real;
+        double told = 0, factor = 1;  // of its size: down at once, back by doublings
+        Point factor_at;
+        std::optional<Point> told_start;
+        uint32_t well[2] = {0, 0}, bad[2] = {0, 0};  // this second's and the last one's
+        Point bad_at;
+    };
+
+    bool is_cold(Point now, const Listing& l) const;
+    double factor(Point now, One& one) const;
+    Listing wanted(Point now, Tgt tgt);
+    void widen(Point now, const Reduction& reduction);
+    double free_of(const Parts& parts, const Reduction& reduction) const;
+
+    const Rules rules_;
+    const Span cold_;
+    std::vector<One> all_;
+    std::vector<Choosable> choosable_;
+    std::vector<Sharer> sharers_;
+    std::vector<Listing> shown_;
+    Parts parts_, narrower_;
+    Width width_;
+    bool dirty_ = true, due_ = true;
+    std::map<BudgetName, Part> budgets_;
+    std::map<BudgetName, Bucket> buckets_;
+    std::map<BudgetName, uint32_t> asked_;
+    uint32_t arrived_ = 0;
+    double rate_ = 0;
+    Point observed_, second_;
+};
+
+}  // namespace firtide::fleet
--- a/src/fleet/words.h
+++ b/src/fleet/words.h
@@ -39,7 +39,8 @@
     uint8_t health = 0;
     Incarnation incarnation = 0;
     Life life = 0;
-    MSGPACK_DEFINE(member, health, incarnation, life)
+    uint8_t weight = 0;  // of its traffic: twice the logarithm of invocations a second, from 64; 0: unknown
+    MSGPACK_DEFINE(member, health, incarnation, life, weight)
 };
 // Also answers one: then `answers` is that one's number.
 struct Ping {
@@ -53,7 +54,9 @@
     Term term = 0;
     uint64_t list = 0;  // newest list that its sender has
     Epoch list_epoch = 0;
-    MSGPACK_DEFINE(number, answers, incarnation, life, view, held, held_at, leader, term, list, list_epoch)
+    uint8_t weight = 0;
+    MSGPACK_DEFINE(number, answers, incarnation, life, view, held, held_at, leader, term, list, list_epoch,
+                   weight)
 };
 struct Ask {  // whether the receiver reaches this member
     Key member = 0;
@@ -167,8 +170,56 @@
     MSGPACK_DEFINE(duty)
 };
 
-using Message = std::variant<Hello, Ping, Ask, Reached, Rumors, RaftSent, Word, Founded, Renew, Renewed,
-                             Refer, Revoke, Released, Order, Obeyed, News, WantNews>;
+// Of what a balancer has found of upstreams: signals.h.
+struct Signal {
+    uint64_t upstream = 0;  // as all members name it
+    Key by = 0;
+    Life life = 0;
+    uint64_t number = 0;     // grows with each of this life
+    uint8_t reduction = 0;   // of 255
+    uint8_t seen = 0;        // bad answers that it rests on
+    uint32_t age_ms = 0;     // since the last of them
+    uint32_t started_s = 0;  // since the upstream's start, plus one; zero: it is not cold
+    MSGPACK_DEFINE(upstream, by, life, number, reduction, seen, age_ms, started_s)
+};
+// Of what its sender has found, or heard of others and passes on.
+struct Digest {
+    std::vector<Signal> all;
+    MSGPACK_DEFINE(all)
+};
+// Parts of budgets, asked of who gives them: shares.h.
+struct WantPart {
+    uint8_t of = 0;
+    uint64_t which = 0;
+    float demand = 0, have = 0;  // a second; have: what it was given and may still use
+    MSGPACK_DEFINE(of, which, demand, have)
+};
+struct WantParts {
+    Life life = 0;
+    Epoch epoch = 0;      // of the holder that is asked
+    uint64_t number = 0;  // of the asking
+    uint64_t heard =
+        0;  // the newest that it had an answer to: what was given before that is not used any more
+    std::vector<WantPart> all;
+    MSGPACK_DEFINE(life, epoch, number, heard, all)
+};
+struct GivenPart {
+    uint8_t of = 0;
+    uint64_t which = 0;
+    float rate = 0;
+    MSGPACK_DEFINE(of, which, rate)
+};
+struct GivenParts {
+    Epoch epoch = 0;
+    Life life = 0;
+    uint64_t number = 0;  // of the asking
+    std::vector<GivenPart> all;
+    MSGPACK_DEFINE(epoch, life, number, all)
+};
+
+using Message =
+    std::variant<Hello, Ping, Ask, Reached, Rumors, RaftSent, Word, Founded, Renew, Renewed, Refer, Revoke,
+                 Released, Order, Obeyed, News, WantNews, Digest, WantParts, GivenParts>;
 
 inline constexpr uint32_t wire_version = 1;
 inline constexpr size_t most_message = 4 << 20;  // bytes
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -60,9 +60,16 @@
     for (const auto& name : setup.operations) outcomes_[name];
 }
 
+void Reducer::join(fleet::View::Rules rules)
+{
+    rules.zone = setup_.settings.zone;
+    view_.emplace(std::move(rules), setup_.settings.cold + setup_.settings.ready_margin);
+}
+
 std::vector<Effect> Reducer::reduce(Point now, Event event)
 {
     now_ = now;
+    if (view_ && view_->due([this](Tgt t) { return reduction(t); })) show();
     std::visit([this](auto& e) { on(e); }, event);
     // The module is told only now of a forward that was cancelled, or that could not be made: it may not be
     // called while it decides.
@@ -129,15 +136,80 @@
 
 void Reducer::on(ListTold& told)
 {
-    const auto listed = listings(told.entries, told.all);
-    if (told.all)
-        balancer_.list_is(now_, listed);
-    else
-        balancer_.list_changed(now_, listed);
+    listed(listings(told.entries, told.all), told.all);
     balancer_.list_answered(now_, true);
 }
 
-void Reducer::on(ListRemembered& told) { balancer_.list_is(now_, listings(told.entries, true)); }
+void Reducer::on(ListRemembered& told) { listed(listings(told.entries, true), true); }
+
+void Reducer::listed(const std::vector<Listing>& listings, bool all)
+{
+    if (!view_) return all ? balancer_.list_is(now_, listings) : balancer_.list_changed(now_, listings);
+    if (all)
+        for (Listing& l : real_) l.presence = Presence::gone;
+    real_.resize(upstreams_.size());
+    for (const Listing& l : listings) real_[l.tgt] = l;
+    view_->list_is(real_);
+    show();
+}
+
+// ---- as a member of a fleet ----
+
+void Reducer::show()
+{
+    const auto changes = view_->update(now_, [this](Tgt t) { return reduction(t); });
+    if (changes.empty()) return;
+    for (const Listing& l : changes)
+        if (l.presence == Presence::gone && !view_->shows(l.tgt)) effects_.push_back(CloseIdle{l.tgt});
+    balancer_.list_changed(now_, changes);
+    const double balancers = std::max(1u, setup_.settings.balancers);
+    balancer_.share_of_list(view_->part_shown() * (sharers_ > 0 ? sharers_ / balancers : 1));
+}
+
+void Reducer::on(FleetIs& fleet)
+{
+    if (!view_) return;
+    sharers_ = static_cast<double>(fleet.sharers.size());
+    view_->fleet_is(std::move(fleet.sharers));
+}
+
+void Reducer::on(const SignalsTold& told)
+{
+    if (view_) view_->told(now_, told.results);
+}
+
+void Reducer::on(const PartsAre& parts)
+{
+    if (view_) view_->parts_are(parts.parts);
+}
+
+void Reducer::on(Ticked)
+{
+    if (!view_) return;
+    show();
+    auto observed = view_->observe(
+        now_, [this](Tgt t) { return reduction(t); }, [this](Tgt t) { return upstreams_[t].referred > 0; });
+    if (!observed) return;
+    for (const Upstream& u : upstreams_)
+        if (u.presence != Presence::gone) observed->names[id_of(u.uid)] = u.uid;
+    effects_.push_back(std::move(*observed));
+}
+
+// The gate of the fleet's budgets: what it refuses has not been sent.
+bool Reducer::within_budgets(uint32_t nth, Tgt tgt)
+{
+    if (!view_) return true;
+    if (nth > 0 && !view_->take(now_, {fleet::Budget::retries, 0})) return false;
+    return view_->take_cold(now_, tgt);
+}
+
+// A tenant's rate over the whole fleet. When to come back, where this one is over its part.
+std::optional<Span> Reducer::over_rate(const Request& request)
+{
+    if (!view_ || request.tenant >= setup_.tenants.size()) return {};
+    if (view_->take(now_, {fleet::Budget::tenant, fleet::key_of(setup_.tenants[request.tenant])})) return {};
+    return setup_.settings.max_come_back > Span{} ? setup_.settings.max_come_back : seconds(1);
+}
 
 void Reducer::on(ListFailed) { balancer_.list_answered(now_, false); }
 
@@ -154,7 +226,15 @@
         arrived.request.tenant = static_cast<uint32_t>(setup_.tenants.size());  // nobody
     }
     ++taken_;
+    if (view_) view_->arrived();
     Outcomes& outcomes = outcomes_of(arrived.request.operation);
+    if (const auto come_back = over_rate(arrived.request)) {
+        ++outcomes.busy;
+        auto r = plain_answer(503, "throttled\n");
+        r.passed_on.emplace_back("Retry-After", encode_seconds(*come_back));
+        effects_.push_back(Answer{arrived.caller, std::move(r), turns_out(now_)});
+        return;
+    }
     // Guards against two forwards under one id, of which an upstream would take the second for a copy.
     if (!open_ids_.insert(arrived.request.id).second) {
         ++outcomes.failure;
@@ -378,6 +458,9 @@
                                 asked ? decode_report(setup_, response->body) : Report{});
     }
     const Report report = response ? response->report : Report{};
+    // What is called off, or was never sent, says nothing of the upstream.
+    if (view_ && result != Result::cancelled && result != Result::not_sent && result != Result::unusable)
+        view_->answered(now_, a.tgt, result == Result::succeeded);
     // The first success is the answer, without being asked for.
     if (result == Result::succeeded) answer(*a.inv, std::move(*response));
     const bool over = invocations_[*a.inv].over;
@@ -445,7 +528,9 @@
 {
     Figures f{outcomes_, backend_calls_, taken_, left_, open_ids_.size(), 0, 0};
     for (const Upstream& u : upstreams_) f.hosts_listed += u.presence != Presence::gone;
-    f.hosts_down = balancer_.avoided(now_);
+    for (Tgt t = 0; t < upstreams_.size(); ++t)
+        f.hosts_down += upstreams_[t].presence == Presence::draining ||
+                        (upstreams_[t].presence == Presence::ready && reduction(t) >= 0.5);
     return f;
 }
 
@@ -522,8 +607,9 @@
     i.met.push_back(tgt);
     ++upstreams_[tgt].referred;
     Attempt attempt{inv, nth, tgt, upstreams_[tgt].endpoint, now_, now_ + limit};
-    if (!i.spent) return dial(id, std::move(attempt));
-    // Guards against a request that lacks the bytes which were not held: there is nothing left to send.
+    if (!i.spent && within_budgets(nth, tgt)) return dial(id, std::move(attempt));
+    // Guards against a request that lacks the bytes which were not held: there is nothing left to send. And
+    // against more than this balancer's part of a budget of the fleet.
     attempts_.emplace(id, std::move(attempt));
     settled_.emplace_back(id, Result::not_sent);
 }
@@ -563,6 +649,7 @@
 
 void Reducer::probe(Tgt tgt)
 {
+    if (view_ && !view_->take(now_, {fleet::Budget::probes, 0})) return;
     ++upstreams_[tgt].referred;
     dial(next_attempt_++, {{}, 0, tgt, upstreams_[tgt].endpoint, now_, now_ + probe_waits});
 }
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "message.h"
+#include "src/fleet/view.h"
 
 namespace firtide::net
 {
@@ -125,9 +126,21 @@
     std::string discovery;
     std::optional<Setup> setup;  // where the settings are others
 };
+// Of the fleet that this balancer is a member of.
+struct FleetIs {
+    std::vector<fleet::Sharer> sharers;
+};
+struct SignalsTold {
+    std::map<uint64_t, fleet::Signals::Result> results;
+};
+struct PartsAre {
+    std::vector<fleet::Part> parts;
+};
+struct Ticked {  // every tenth of a second or so, as a member of a fleet
+};
 using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Brought, Taken,
                            Connected, Answered, Came, Failed, Written, TurnedAway, Ordered, Woken, Shared,
-                           Stopping, Reread, ProbeDue, ReportHeard>;
+                           Stopping, Reread, ProbeDue, ReportHeard, FleetIs, SignalsTold, PartsAre, Ticked>;
 
 // Effects.
 struct Answer {
@@ -194,8 +207,9 @@
     Life life = Life::starting;
     std::optional<Figures> figures;
 };
+using fleet::Observed;  // for the fleet
 using Effect = std::variant<Answer, Pass, Cut, Hear, Dial, Write, Limit, Read, HangUp, CloseIdle, Wake,
-                            WatchList, MoveWatch, Obeyed, Probed>;
+                            WatchList, MoveWatch, Obeyed, Probed, Observed>;
 
 class Reducer : private Outlet
 {
@@ -204,6 +218,9 @@
     // passed on, together.
     Reducer(Setup& setup, uint64_t seed, std::string discovery, size_t room = size_t{1} << 30);
 
+    // As a member of a fleet: what the module is shown follows the choices of all. Before the first event.
+    void join(fleet::View::Rules rules);
+
     // The effects are to be carried out in their order.
     std::vector<Effect> reduce(Point now, Event event);
 
@@ -277,6 +294,16 @@
     void on(Reread& read);
     void on(ProbeDue due);
     void on(const ReportHeard& heard);
+    void on(FleetIs& fleet);
+    void on(const SignalsTold& told);
+    void on(const PartsAre& parts);
+    void on(Ticked);
+
+    void listed(const std::vector<Listing>& listings, bool all);
+    void show();
+    double reduction(Tgt tgt) { return balancer_.reduction(now_, tgt); }
+    bool within_budgets(uint32_t nth, Tgt tgt);
+    std::optional<Span> over_rate(const Request& request);
 
     void settings_are(Setup setup);
     Tgt place_of(const std::string& uid);
@@ -326,6 +353,9 @@
     std::map<std::string, Outcomes> outcomes_;
     uint64_t backend_calls_ = 0, taken_ = 0, left_ = 0;
     std::string discovery_;
+    std::optional<fleet::View> view_;  // as a member of a fleet with choices that add up
+    std::vector<Listing> real_;        // by place, where there is one
+    double sharers_ = 0;
     Balancer balancer_;
 };
 
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -24,6 +24,7 @@
     "settings.policy_limits.peers: messages are not carried on sockets; serving without";
 constexpr Span pass_on_every = seconds(0.2);  // what probes of the fleet found
 constexpr size_t most_stamps = 256;
+constexpr Span tick_every = seconds(0.1);  // of what the balancer tells its fleet
 constexpr size_t kept_back = 48;  // descriptors for the loop, the log, discovery, the listener and the door
 // Of the others, at most; together more than all, for either may need the room that the other leaves.
 constexpr double part_of_upstreams = 0.4, part_of_callers = 0.85;
@@ -114,6 +115,9 @@
             post(std::move(e));
         });
     if (fleet) {
+        const auto& file = fleet->first;
+        if (file.subset || file.signals || file.turns)
+            reducer_.join({file.subset, file.signals, file.turns, file.members[file.self].key, 0});
         fleet_.emplace(base_.get(), std::move(fleet->first), fleet->second, hooks());
         if (shares_list())
             discovery_.tell_whole([this](uint64_t version, std::string text) {
@@ -162,6 +166,15 @@
         while (stamps_.size() > most_stamps) stamps_.erase(stamps_.begin());
         post(ProbeDue{now.part, fleet_->file().probe->parts, now.slice, fleet::probe_slices, next_stamp_++});
     };
+    h.use_fleet = [this](fleet::UseFleet& uses) { post(FleetIs{std::move(uses.sharers)}); };
+    h.use_signals = [this](fleet::UseSignals& uses) { post(SignalsTold{std::move(uses.results)}); };
+    h.use_parts = [this](fleet::UseParts& uses) {
+        // Of the fleet's clock, which also counts what the machine was suspended for, to the loop's.
+        const Span apart = monotonic_now() - fleet::fleet_now();
+        for (fleet::Part& p : uses.parts)
+            p.full_until = p.full_until + apart, p.none_from = p.none_from + apart;
+        post(PartsAre{std::move(uses.parts)});
+    };
     h.use_reports = [this](const fleet::UseReports& reports) {
         const auto all = fleet::unpack<std::vector<fleet::ProbeReport>>(reports.bytes);
         if (!all) return;
@@ -267,6 +280,7 @@
     if (auto* dial = std::get_if<Dial>(&effect)) return upstreams_.dial(*dial);
     if (auto* write = std::get_if<Write>(&effect)) return carry_out(*write);
     if (auto* probed = std::get_if<Probed>(&effect)) return carry_out(*probed);
+    if (auto* observed = std::get_if<Observed>(&effect)) return fleet_->tell(std::move(*observed));
     if (auto* up = std::get_if<HangUp>(&effect)) return upstreams_.hang_up(up->attempt);
     if (auto* idle = std::get_if<CloseIdle>(&effect)) return upstreams_.close_idle(idle->tgt);
     if (std::get_if<WatchList>(&effect)) return shares_list() ? void() : discovery_.ask();
@@ -362,6 +376,10 @@
 {
     count_processes();
     pass_on_probes();
+    if (fleet_ && monotonic_now() - ticked_ >= tick_every) {
+        ticked_ = monotonic_now();
+        post(Ticked{});
+    }
     // Guards against turning callers out while the next balancer of a rolling restart is not back yet: those
     // that are here are served for as long as their answers can still come in time.
     if (!reducer_.turns_out(monotonic_now())) return;
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -67,7 +67,7 @@
     std::map<uint64_t, Stamp> stamps_;
     uint64_t next_stamp_ = 1;
     std::map<std::string, std::pair<fleet::Epoch, std::vector<fleet::ProbeReport>>> found_;
-    Point passed_on_;
+    Point passed_on_, ticked_;
     std::optional<Handover> handover_;
     size_t processes_ = 1;  // of this balancer
     Point counted_processes_;
