Cold budgets grow as an upstream warms; own good answers weigh against what others say; weights in finer steps

Seen: all that start together took the same arc, for each knew only itself; whoever is not known to be gone counts. Weights told after 50 invocations, by quarters of a doubling.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -1,10 +1,12 @@
 // firtide-lab: fleets in virtual time, from the command line.
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 
 #include "check.h"
 #include "subsets.h"
+#include "troubles.h"
 #include "walk.h"
 
 using namespace firtide;
@@ -102,6 +104,52 @@
     return 0;
 }
 
+// Each trouble alone and with what balancers do together, on the same seeds: means, and how far from alone,
+// with the half-width of the 95 % interval of the paired differences.
+int town(size_t balancers, size_t upstreams, Seeds seeds, const std::string& only)
+{
+    const std::pair<const char*, On> ways[] = {{"alone", {}},
+                                               {"subset", {true, false, false}},
+                                               {"signals", {false, true, false}},
+                                               {"turns", {false, false, true}},
+                                               {"all", {true, true, true}}};
+    std::printf("%zu balancers, %zu upstreams, seeds %llu to %llu\n", balancers, upstreams,
+                static_cast<unsigned long long>(seeds.first), static_cast<unsigned long long>(seeds.last));
+    std::puts(
+        "| trouble | way | in time | against alone | greatest over mean | connections | digests B/s | fell "
+        "over | "
+        "widened, narrowed | least served |\n"
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (const Trouble& t : troubles()) {
+        if (!only.empty() && t.name.find(only) == std::string::npos) continue;
+        std::vector<double> alone;
+        for (const auto& [name, on] : ways) {
+            Outcome sum;
+            std::vector<double> apart;
+            for (uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
+                const Outcome o = play(t, town_of(balancers, upstreams, on), seed);
+                if (alone.size() < seeds.last - seeds.first + 1) alone.push_back(o.value);
+                apart.push_back(o.value - alone[seed - seeds.first]);
+                sum.value += o.value, sum.greatest_over_mean += o.greatest_over_mean;
+                sum.connections += o.connections, sum.digest_bytes += o.digest_bytes;
+                sum.fell_over += o.fell_over, sum.widened += o.widened, sum.narrowed += o.narrowed;
+                sum.least_served += o.least_served;
+            }
+            const double n = static_cast<double>(apart.size());
+            double mean = 0, var = 0;
+            for (const double d : apart) mean += d / n;
+            for (const double d : apart) var += (d - mean) * (d - mean) / std::max(1.0, n - 1);
+            std::printf(
+                "| %s | %s | %.3f | %+.3f +- %.3f | %.3f | %.0f | %.0f | %.1f | %.0f, %.0f | %.2f |\n",
+                t.name.c_str(), name, sum.value / n, mean, 1.96 * std::sqrt(var / n),
+                sum.greatest_over_mean / n, sum.connections / n, sum.digest_bytes / n, sum.fell_over / n,
+                sum.widened / n, sum.narrowed / n, sum.least_served / n);
+            std::fflush(stdout);
+        }
+    }
+    return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv)
@@ -146,7 +194,16 @@
     subsetting->add_option("--upstreams", upstreams)->check(CLI::Range(1, 5000));
     subsetting->add_option("--size", size)->check(CLI::Range(1, 5000));
     subsetting->add_option("--seeds", seeds.last)->check(CLI::Range(1, 1000));
+    auto* towning = app.add_subcommand("town", "troubles, alone and with what balancers do together");
+    size_t town_members = 60, town_upstreams = 24;
+    std::string only;
+    towning->add_option("--balancers", town_members)->check(CLI::Range(6, 2000));
+    towning->add_option("--upstreams", town_upstreams)->check(CLI::Range(6, 1000));
+    towning->add_option("--from", seeds.first, "seed");
+    towning->add_option("--to", seeds.last, "seed");
+    towning->add_option("--only", only, "troubles whose name holds this");
     CLI11_PARSE(app, argc, argv);
+    if (towning->parsed()) return town(town_members, town_upstreams, seeds, only);
     if (subsetting->parsed()) return subsets(members, upstreams, static_cast<uint32_t>(size), seeds.last);
     options.lease.length = seconds(lease);
     rules.take_out_of(options);
--- /dev/null
+++ b/lab/town.cpp
@@ -0,0 +1,450 @@
+#include "town.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace firtide::lab
+{
+namespace
+{
+
+constexpr Span ticks = seconds(0.1), one_way = seconds(0.0005);
+
+World::Options world_options(const Town::Options& o)
+{
+    World::Options w;
+    w.members = o.balancers;
+    w.voters = o.balancers >= 5 ? 5 : 3;
+    w.duties = 0;
+    w.lease = o.lease;
+    w.tick = seconds(0.05);
+    w.subset = o.subset, w.signals = o.signals, w.turns = o.turns;
+    return w;
+}
+
+}  // namespace
+
+struct Town::Node {
+    Setup setup;
+    std::unique_ptr<net::Reducer> reducer;
+    uint64_t run = 0;
+    net::CallerId next_caller = 1;
+    std::map<net::CallerId, Point> asked;
+    struct Attempt {
+        size_t upstream = 0;
+        std::optional<uint64_t> job;
+        bool probe = true;
+    };
+    std::map<net::AttemptId, Attempt> attempts;
+    std::set<size_t> broken_roads, liar_about;
+    std::vector<size_t> without;
+    std::vector<Part> parts;
+    size_t shown = 0;
+    uint32_t wider = 0;
+    uint64_t served = 0, second_tries = 0;
+};
+
+struct Town::Up {
+    Tower tower;
+    uint64_t life = 1;
+    std::optional<Point> started;
+    Point frozen_until;
+    size_t busy = 0;
+    std::deque<Job> waiting;
+    std::set<uint64_t> called_off;
+    uint64_t reached = 0;
+    std::deque<Point> lately;  // what reached it, while cold
+};
+
+Town::Town(Options options, uint64_t seed)
+    : options_(std::move(options)), world_(world_options(options_), seed), load_(options_.load)
+{
+    weights_.assign(options_.balancers, 1);
+    for (size_t u = 0; u < options_.upstreams; ++u) {
+        towers_.push_back(std::make_unique<Up>());
+        towers_.back()->tower = options_.upstream;
+        towers_.back()->tower.zone = static_cast<uint32_t>(u % 3);
+    }
+    for (size_t i = 0; i < options_.balancers; ++i) nodes_.push_back(std::make_unique<Node>());
+    since_ = world_.now();
+    world_.on_effect = [this](size_t node, FleetEffect& e) {
+        if (auto* uses = std::get_if<UseFleet>(&e)) {
+            tell(node, net::FleetIs{std::move(uses->sharers)});
+        } else if (auto* signals = std::get_if<UseSignals>(&e)) {
+            tell(node, net::SignalsTold{std::move(signals->results)});
+        } else if (auto* parts = std::get_if<UseParts>(&e)) {
+            const Span apart = world_.now() - world_.clock_of(node);
+            for (Part& p : parts->parts)
+                p.full_until = p.full_until + apart, p.none_from = p.none_from + apart;
+            nodes_[node]->parts = parts->parts;
+            sum_parts();
+            tell(node, net::PartsAre{std::move(parts->parts)});
+        } else if (auto* sends = std::get_if<Send>(&e); sends && std::get_if<Digest>(&sends->message)) {
+            ++count.digests;
+            count.digest_bytes += encode_frame(sends->message, 0).size();
+        }
+    };
+}
+
+Town::~Town() = default;
+
+net::Entry Town::entry(size_t upstream) const
+{
+    const Up& up = *towers_[upstream];
+    const auto name = "u" + std::to_string(upstream + 1);
+    return {name,      "10.0.0.1:" + std::to_string(upstream + 1), Presence::ready, 0, 0, up.tower.size,
+            up.started};
+}
+
+void Town::start(size_t b)
+{
+    Node& n = *nodes_[b];
+    if (n.reducer) return;
+    const auto keep = n.broken_roads;
+    n = Node{};
+    n.broken_roads = keep;
+    Settings s;
+    Operation op;
+    op.repeat = Repeat::idempotent;
+    op.group = Group::all;
+    op.latency_objective = options_.objective;
+    op.client_timeout = options_.client_timeout;
+    s.operations = {op};
+    s.balancers = static_cast<uint32_t>(options_.balancers);
+    s.self = static_cast<uint32_t>(b);
+    s.max_forwards = 3, s.may_cancel = true;
+    s.max_come_back = seconds(0.5);
+    s.cold = options_.cold, s.cold_share = options_.cold_share, s.fall_multiple = options_.push,
+    s.fall = options_.falls_after;
+    n.setup.settings = s;
+    n.setup.operations = {"op"};
+    n.setup.report_names = {"q"};
+    n.setup.report = {&Report::queue};
+    n.setup.sizes_listed = true;
+    static uint64_t runs = 0;
+    n.run = ++runs;
+    n.reducer = std::make_unique<net::Reducer>(n.setup, world_.chance()(), "here:1");
+    if (options_.subset || options_.signals || options_.turns)
+        n.reducer->join(
+            {options_.subset, options_.signals, options_.turns, key_of("m" + std::to_string(b + 1)), 0, {}, 0.1});
+    world_.start(b);
+    world_.schedule({}, b, [this, b] {
+        tell(b, net::Started{});
+        list_to(b, nodes_[b]->without);
+        tick(b);
+        ask(b);
+    });
+}
+
+void Town::stop(size_t b)
+{
+    world_.crash(b);
+    nodes_[b]->reducer.reset();
+    nodes_[b]->parts.clear();
+    nodes_[b]->shown = 0;
+}
+
+void Town::run(Span span) { world_.run(span); }
+
+void Town::tick(size_t b)
+{
+    tell(b, net::Ticked{});
+    world_.schedule(ticks, b, [this, b] { tick(b); });
+}
+
+// Poisson arrivals, by the balancer's weight among those that run.
+void Town::ask(size_t b)
+{
+    double all = 0, able = 0;
+    for (size_t i = 0; i < nodes_.size(); ++i)
+        if (nodes_[i]->reducer) all += weights_[i];
+    for (const auto& up : towers_) able += static_cast<double>(up->tower.slots) / up->tower.mean;
+    const double rate = load_ * able * weights_[b] / all;
+    const Span next = seconds(-std::log(1 - world_.roll()) / rate);
+    world_.schedule(next, b, [this, b] {
+        Node& n = *nodes_[b];
+        if (!n.reducer) return;
+        const net::CallerId caller = n.next_caller++;
+        n.asked[caller] = world_.now();
+        ++count.asked;
+        net::Request request{"GET", "/op", "", 0, 0, options_.client_timeout, {}, ""};
+        request.id = std::to_string(caller);
+        tell(b, net::Arrived{caller, std::move(request)});
+        ask(b);
+    });
+}
+
+void Town::tell(size_t b, net::Event event)
+{
+    if (!nodes_[b]->reducer) return;
+    carry_out(b, nodes_[b]->reducer->reduce(world_.now(), std::move(event)));
+}
+
+void Town::carry_out(size_t b, std::vector<net::Effect> effects)
+{
+    Node& n = *nodes_[b];
+    for (net::Effect& e : effects) {
+        if (auto* a = std::get_if<net::Answer>(&e)) {
+            const auto at = n.asked.find(a->caller);
+            if (at == n.asked.end()) continue;
+            const bool well = a->response.status == 200;
+            count.served += well, n.served += well;
+            count.in_time += well && world_.now() - at->second <= options_.objective;
+            count.throttled += a->response.status == 503;
+            count.errored += !well && a->response.status != 503;
+            n.asked.erase(at);
+        } else if (auto* d = std::get_if<net::Dial>(&e)) {
+            const size_t up = std::stoul(d->endpoint.substr(d->endpoint.find(':') + 1)) - 1;
+            n.attempts[d->attempt] = {up, {}, true};
+            const bool whole = !n.broken_roads.count(up);
+            world_.schedule(whole ? one_way * 2 : seconds(0.05), b, [this, b, id = d->attempt, whole] {
+                if (!nodes_[b]->attempts.count(id)) return;
+                if (whole) return tell(b, net::Connected{id});
+                nodes_[b]->attempts.erase(id);
+                tell(b, net::Failed{id, {net::Progress::not_connected, net::Cause::no_answer_in_time}});
+            });
+            world_.schedule(d->limit, b, [this, b, id = d->attempt] {
+                const auto open = nodes_[b]->attempts.find(id);
+                if (open == nodes_[b]->attempts.end()) return;
+                if (open->second.job) towers_[open->second.upstream]->called_off.insert(*open->second.job);
+                nodes_[b]->attempts.erase(open);
+                tell(b, net::Failed{id, {net::Progress::written, net::Cause::no_answer_in_time}});
+            });
+        } else if (auto* w = std::get_if<net::Write>(&e)) {
+            const auto at = n.attempts.find(w->attempt);
+            if (at == n.attempts.end()) continue;
+            at->second.probe = w->bytes.find("/op") == std::string::npos;
+            const Job job{b, n.run, w->attempt, next_job_++};
+            at->second.job = job.number;
+            ++count.forwards;
+            if (towers_[at->second.upstream]->started &&
+                world_.now() - *towers_[at->second.upstream]->started < options_.cold) {
+                ++count.cold_forwards;
+                taken({Budget::cold, at->second.upstream});
+            }
+            world_.schedule(one_way, SIZE_MAX, [this, up = at->second.upstream, job] { reach(up, job); });
+        } else if (auto* up = std::get_if<net::HangUp>(&e)) {
+            const auto at = n.attempts.find(up->attempt);
+            if (at == n.attempts.end()) continue;
+            if (at->second.job) towers_[at->second.upstream]->called_off.insert(*at->second.job);
+            n.attempts.erase(at);
+        } else if (auto* wake = std::get_if<net::Wake>(&e)) {
+            world_.schedule(wake->at - world_.now(), b,
+                            [this, b, name = wake->name] { tell(b, net::Woken{name}); });
+        } else if (auto* observed = std::get_if<net::Observed>(&e)) {
+            count.widened += observed->wider > n.wider, count.narrowed += observed->wider < n.wider;
+            n.shown = observed->shown, n.wider = observed->wider;
+            for (const size_t u : n.liar_about) {
+                const uint64_t id = net::id_of("u" + std::to_string(u + 1));
+                std::erase_if(observed->evidence, [&](const Evidence& v) { return v.upstream == id; });
+                observed->evidence.push_back({id, 1, 0, 20, {}, seconds(9), {}});
+            }
+            world_.tell(b, std::move(*observed));
+        }
+    }
+}
+
+size_t Town::slots_now(const Up& up) const
+{
+    if (!up.started) return up.tower.slots;
+    const double age = std::min(1.0, (world_.now() - *up.started) / options_.cold);
+    const double part = options_.cold_share + (1 - options_.cold_share) * age;
+    return std::max<size_t>(1, static_cast<size_t>(std::lround(part * static_cast<double>(up.tower.slots))));
+}
+
+// A cold one falls over where so much more reaches it within a moment than it can do by then.
+void Town::judge_cold(size_t u)
+{
+    Up& up = *towers_[u];
+    if (!up.started || world_.now() - *up.started >= options_.cold) return;
+    up.lately.push_back(world_.now());
+    while (world_.now() - up.lately.front() > options_.falls_after) up.lately.pop_front();
+    const double age = (world_.now() - *up.started) / options_.cold;
+    const double able = (options_.cold_share + (1 - options_.cold_share) * age) *
+                        static_cast<double>(up.tower.slots) / up.tower.mean * options_.falls_after.seconds();
+    if (static_cast<double>(up.lately.size()) <= able * options_.push + 3) return;
+    ++count.fell_over;
+    restart(u);
+}
+
+void Town::reach(size_t u, Job job)
+{
+    Up& up = *towers_[u];
+    ++up.reached;
+    judge_cold(u);
+    if (up.busy < slots_now(up)) return begin(u, job);
+    if (up.waiting.size() < up.tower.queue) return up.waiting.push_back(job);
+    net::Response declined;
+    declined.status = 503, declined.declined = true;
+    declined.report.queue = static_cast<double>(up.waiting.size());
+    answer(job, std::move(declined));
+}
+
+void Town::begin(size_t u, Job job)
+{
+    Up& up = *towers_[u];
+    ++up.busy;
+    const Span takes = seconds(-std::log(1 - world_.roll()) * up.tower.mean);
+    world_.schedule(takes, SIZE_MAX, [this, u, job, life = up.life] { end(u, job, life); });
+}
+
+void Town::end(size_t u, Job job, uint64_t life)
+{
+    Up& up = *towers_[u];
+    if (up.life != life) return;
+    if (world_.now() < up.frozen_until)
+        return world_.schedule(up.frozen_until - world_.now(), SIZE_MAX,
+                               [this, u, job, life] { end(u, job, life); });
+    --up.busy;
+    if (up.called_off.erase(job.number) == 0) {
+        net::Response well;
+        well.status = 200;
+        well.report.queue = static_cast<double>(up.waiting.size());
+        answer(job, std::move(well));
+    }
+    while (!up.waiting.empty() && up.busy < slots_now(up)) {
+        const Job next = up.waiting.front();
+        up.waiting.pop_front();
+        if (up.called_off.erase(next.number) == 0) begin(u, next);
+    }
+}
+
+void Town::answer(const Job& job, net::Response response)
+{
+    world_.schedule(one_way, SIZE_MAX, [this, job, response = std::move(response)]() mutable {
+        Node& n = *nodes_[job.node];
+        if (!n.reducer || n.run != job.run || !n.attempts.erase(job.attempt)) return;
+        // A process that stands still reads it later.
+        world_.schedule({}, job.node, [this, job, response = std::move(response)]() mutable {
+            tell(job.node, net::Answered{job.attempt, std::move(response)});
+        });
+    });
+}
+
+void Town::freeze(size_t u, Span span) { towers_[u]->frozen_until = world_.now() + span; }
+
+void Town::restart(size_t u)
+{
+    Up& up = *towers_[u];
+    ++up.life;
+    up.started = world_.now();
+    up.lately.clear(), up.called_off.clear();
+    const size_t lost = up.busy + up.waiting.size();
+    up.busy = 0, up.waiting.clear();
+    (void)lost;
+    for (size_t b = 0; b < nodes_.size(); ++b) {
+        if (!nodes_[b]->reducer) continue;
+        std::vector<net::AttemptId> broken;
+        for (const auto& [id, a] : nodes_[b]->attempts)
+            if (a.upstream == u && a.job) broken.push_back(id);
+        for (const net::AttemptId id : broken) {
+            nodes_[b]->attempts.erase(id);
+            world_.schedule(one_way, b, [this, b, id] {
+                tell(b, net::Failed{id, {net::Progress::written, net::Cause::broken}});
+            });
+        }
+    }
+    list_to_all();
+}
+
+void Town::road(size_t b, size_t u, bool whole)
+{
+    if (whole)
+        nodes_[b]->broken_roads.erase(u);
+    else
+        nodes_[b]->broken_roads.insert(u);
+}
+
+void Town::list_to(size_t b, std::vector<size_t> without)
+{
+    nodes_[b]->without = std::move(without);
+    if (!nodes_[b]->reducer) return;
+    net::ListTold list{true, {}};
+    for (size_t u = 0; u < towers_.size(); ++u)
+        if (std::find(nodes_[b]->without.begin(), nodes_[b]->without.end(), u) == nodes_[b]->without.end())
+            list.entries.push_back(entry(u));
+    tell(b, std::move(list));
+}
+
+// Each hears of it within a few tens of milliseconds.
+void Town::list_to_all()
+{
+    for (size_t b = 0; b < nodes_.size(); ++b)
+        if (nodes_[b]->reducer)
+            world_.schedule(seconds(0.005 + 0.05 * world_.roll()), b,
+                            [this, b] { list_to(b, nodes_[b]->without); });
+}
+
+void Town::lies(size_t b, std::vector<size_t> about) { nodes_[b]->liar_about = {about.begin(), about.end()}; }
+
+void Town::reset()
+{
+    count = {};
+    since_ = world_.now();
+    for (auto& up : towers_) up->reached = 0;
+    for (auto& n : nodes_) n->served = 0;
+}
+
+std::vector<double> Town::offered() const
+{
+    std::vector<double> out;
+    for (const auto& up : towers_)
+        out.push_back(static_cast<double>(up->reached) / up->tower.size /
+                      std::max(1e-9, (world_.now() - since_).seconds()));
+    return out;
+}
+
+double Town::greatest_over_mean() const
+{
+    const auto all = offered();
+    double sum = 0;
+    for (const double x : all) sum += x;
+    return sum > 0 ? *std::max_element(all.begin(), all.end()) * static_cast<double>(all.size()) / sum : 0;
+}
+
+size_t Town::connections() const
+{
+    size_t n = 0;
+    for (const auto& node : nodes_)
+        if (node->reducer) n += node->shown;
+    return n;
+}
+
+size_t Town::shown(size_t b) const { return nodes_[b]->shown; }
+
+std::vector<double> Town::parts(BudgetName name) const
+{
+    std::vector<double> out;
+    for (const auto& n : nodes_)
+        if (n->reducer)
+            for (const Part& p : n->parts)
+                if (p.name == name) out.push_back(p.at(world_.now()));
+    return out;
+}
+
+void Town::sum_parts()
+{
+    std::map<BudgetName, double> sums;
+    for (const auto& n : nodes_)
+        if (n->reducer)
+            for (const Part& p : n->parts) sums[p.name] += p.at(world_.now());
+    for (const auto& [name, sum] : sums) most_parts_[name] = std::max(most_parts_[name], sum);
+}
+
+void Town::taken(BudgetName name)
+{
+    auto& lately = taken_[name];
+    lately.push_back(world_.now());
+    while (world_.now() - lately.front() > seconds(1)) lately.pop_front();
+    most_taken_[name] = std::max(most_taken_[name], static_cast<double>(lately.size()));
+}
+
+std::vector<uint64_t> Town::served_by() const
+{
+    std::vector<uint64_t> out;
+    for (const auto& n : nodes_)
+        if (n->reducer) out.push_back(n->served);
+    return out;
+}
+
+}  // namespace firtide::lab
--- /dev/null
+++ b/lab/town.h
@@ -0,0 +1,117 @@
+// Balancers as they are (reducer, decision module, fleet) in virtual time, against modelled callers and
+// upstreams: what the choices of many add up to. One seed, one run, byte for byte.
+#pragma once
+
+#include <deque>
+
+#include "src/net/reducer.h"
+#include "world.h"
+
+namespace firtide::lab
+{
+
+// A server of so many slots and a queue, first come first served; times are exponential. After a start its
+// slots grow from a part to all; pushed beyond what it can take then, it falls over and starts again.
+struct Tower {
+    size_t slots = 8, queue = 40;
+    double mean = 0.02;  // seconds of an answer
+    double size = 1;
+    uint32_t zone = 0;
+};
+
+class Town
+{
+  public:
+    struct Options {
+        size_t balancers = 30, upstreams = 20;
+        Tower upstream;
+        double load = 0.6;  // of what all upstreams can do
+        std::optional<SubsetRule> subset;
+        std::optional<SignalRule> signals;
+        std::optional<TurnsRule> turns;
+        Lease lease;
+        Span cold = seconds(20), falls_after = seconds(1);
+        double cold_share = 0.1, push = 2;  // what pushes a cold one over: so much more than it can do
+        Span objective = seconds(0.25), client_timeout = seconds(1);
+    };
+    Town(Options options, uint64_t seed);
+    ~Town();
+
+    World& world() { return world_; }
+    size_t balancers() const { return nodes_.size(); }
+    size_t upstreams() const { return towers_.size(); }
+    void start(size_t balancer);
+    void stop(size_t balancer);
+    void run(Span span);
+
+    void freeze(size_t upstream, Span span);  // takes work and stands still
+    void restart(size_t upstream);            // it comes back cold at once
+    void road(size_t balancer, size_t upstream, bool whole);
+    void list_to(size_t balancer, std::vector<size_t> without = {});
+    void list_to_all();
+    void load(double of_capacity) { load_ = of_capacity; }
+    void weight(size_t balancer, double weight) { weights_[balancer] = weight; }
+    // One that tells all others that these are gone, whatever it sees.
+    void lies(size_t balancer, std::vector<size_t> about);
+
+    struct Count {
+        uint64_t asked = 0, served = 0, in_time = 0, throttled = 0, errored = 0;
+        uint64_t forwards = 0, second_tries = 0, fell_over = 0, cold_forwards = 0;
+        uint64_t digests = 0, digest_bytes = 0, widened = 0, narrowed = 0;
+    };
+    Count count;
+    // Since reset(): for each upstream what reached it, over its size.
+    void reset();
+    Span since() const { return world_.now() - since_; }
+    std::vector<double> offered() const;
+    double greatest_over_mean() const;
+    size_t connections() const;                        // upstreams that balancers use, added up
+    std::vector<double> parts(BudgetName name) const;  // of those that run
+    double most_parts(BudgetName name) const { return at_or(most_parts_, name); }  // the sum, ever
+    // Tokens taken within any one second, at the most.
+    double most_in_a_second(BudgetName name) const { return at_or(most_taken_, name); }
+    std::vector<uint64_t> served_by() const;  // each balancer, since reset()
+    size_t shown(size_t balancer) const;
+
+  private:
+    struct Node;
+    struct Up;
+    struct Job {
+        size_t node = 0;
+        uint64_t run = 0;
+        net::AttemptId attempt = 0;
+        uint64_t number = 0;
+    };
+
+    static double at_or(const std::map<BudgetName, double>& of, BudgetName name)
+    {
+        const auto at = of.find(name);
+        return at == of.end() ? 0 : at->second;
+    }
+    void tell(size_t node, net::Event event);
+    void carry_out(size_t node, std::vector<net::Effect> effects);
+    void tick(size_t node);
+    void ask(size_t node);
+    void reach(size_t upstream, Job job);
+    void begin(size_t upstream, Job job);
+    void end(size_t upstream, Job job, uint64_t life);
+    void answer(const Job& job, net::Response response);
+    size_t slots_now(const Up& up) const;
+    void judge_cold(size_t upstream);
+    net::Entry entry(size_t upstream) const;
+    void sum_parts();
+    void taken(BudgetName name);
+
+    Options options_;
+    World world_;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::vector<std::unique_ptr<Up>> towers_;
+    std::vector<double> weights_;
+    std::map<BudgetName, double> most_parts_, most_taken_;
+    std::map<BudgetName, std::deque<Point>> taken_;
+    double load_;
+    uint64_t next_job_ = 1;
+    Point since_;
+};
+
+}  // namespace firtide::lab
--- /dev/null
+++ b/lab/troubles.cpp
@@ -0,0 +1,182 @@
+#include "troubles.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace firtide::lab
+{
+namespace
+{
+
+void start_all(Town& t)
+{
+    for (size_t i = 0; i < t.balancers(); ++i) t.start(i);
+    t.run(seconds(4));
+    t.reset();
+}
+
+void calm(Town& t)
+{
+    start_all(t);
+    t.run(seconds(6));
+}
+
+void views_differ(Town& t)
+{
+    start_all(t);
+    for (size_t b = 0; b < t.balancers(); ++b) {
+        std::vector<size_t> without;
+        for (size_t u = 0; u < t.upstreams(); ++u)
+            if (t.world().roll() < 0.05) without.push_back(u);
+        t.list_to(b, without);
+    }
+    t.run(seconds(1));
+    t.reset();
+    t.run(seconds(6));
+}
+
+// A tenth of the balancers can't reach a third of the upstreams.
+void one_sided_road(Town& t)
+{
+    start_all(t);
+    for (size_t b = 0; b < t.balancers(); b += 10)
+        for (size_t u = 0; u < t.upstreams(); u += 3) t.road(b, u, false);
+    t.run(seconds(10));
+}
+
+// A fifth of the upstreams stands still, twice.
+void frozen_group(Town& t)
+{
+    start_all(t);
+    for (int n = 0; n < 2; ++n) {
+        for (size_t u = 0; u < t.upstreams(); u += 5) t.freeze(u, seconds(3));
+        t.run(seconds(5));
+    }
+}
+
+// A quarter of the upstreams restarts at once and is cold.
+void mass_restart(Town& t)
+{
+    start_all(t);
+    for (size_t u = 0; u < t.upstreams(); u += 4) t.restart(u);
+    t.run(seconds(12));
+}
+
+// Each balancer asks so little that it meets an upstream once in seconds; a sixth of them freezes.
+void thin_spread(Town& t)
+{
+    t.load(0.15);
+    start_all(t);
+    for (size_t u = 0; u < t.upstreams(); u += 6) t.freeze(u, seconds(4));
+    t.run(seconds(8));
+}
+
+// One balancer tells all others that half of the upstreams are gone.
+void liar(Town& t)
+{
+    start_all(t);
+    std::vector<size_t> about;
+    for (size_t u = 0; u < t.upstreams(); u += 2) about.push_back(u);
+    t.lies(1, about);
+    t.run(seconds(8));
+}
+
+// A tenth of the balancers, all of them within two seconds, and back.
+void growth(Town& t)
+{
+    const size_t few = std::max<size_t>(6, t.balancers() / 10);
+    for (size_t i = 0; i < few; ++i) t.start(i);
+    t.run(seconds(4));
+    t.reset();
+    for (size_t i = few; i < t.balancers(); ++i) {
+        t.start(i);
+        t.run(seconds(2.0 / static_cast<double>(t.balancers())));
+    }
+    t.run(seconds(4));
+    for (size_t i = t.balancers(); i-- > few;) {
+        t.stop(i);
+        t.run(seconds(2.0 / static_cast<double>(t.balancers())));
+    }
+    t.run(seconds(4));
+}
+
+// A third of the balancers is killed at once.
+void third_killed(Town& t)
+{
+    start_all(t);
+    for (size_t i = 2; i < t.balancers(); i += 3) t.stop(i);
+    t.run(seconds(10));
+}
+
+// Two halves of the fleet that don't hear each other, and together again.
+void split(Town& t)
+{
+    start_all(t);
+    const size_t n = t.balancers();
+    for (size_t a = 0; a < n / 2; ++a)
+        for (size_t b = n / 2; b < n; ++b) t.world().link(a, b).cut = t.world().link(b, a).cut = true;
+    t.run(seconds(6));
+    t.world().heal();
+    t.run(seconds(6));
+}
+
+}  // namespace
+
+const std::vector<Trouble>& troubles()
+{
+    static const std::vector<Trouble> all = {{"calm", calm},
+                                             {"lists that differ", views_differ},
+                                             {"a one-sided road", one_sided_road},
+                                             {"frozen groups", frozen_group},
+                                             {"a quarter restarts cold", mass_restart},
+                                             {"a thin spread, and frozen groups", thin_spread},
+                                             {"a liar", liar},
+                                             {"growth and back", growth},
+                                             {"a third killed", third_killed},
+                                             {"two halves and back", split}};
+    return all;
+}
+
+Town::Options town_of(size_t balancers, size_t upstreams, On on)
+{
+    Town::Options o;
+    o.balancers = balancers, o.upstreams = upstreams;
+    o.load = 0.75;
+    const double able = static_cast<double>(o.upstream.slots) / o.upstream.mean;
+    if (on.subset) {
+        o.subset.emplace();
+        o.subset->size = static_cast<uint32_t>(std::max<size_t>(4, upstreams * 3 / 10));
+    }
+    if (on.signals) o.signals.emplace();
+    if (on.turns) {
+        o.turns.emplace();
+        o.turns->whole["retries"] = 0.1 * able * static_cast<double>(upstreams);
+        o.turns->whole["cold"] = o.cold_share * able * 1.5;
+    }
+    return o;
+}
+
+Outcome play(const Trouble& trouble, const Town::Options& options, uint64_t seed)
+{
+    Town t(options, seed);
+    trouble.plays(t);
+    Outcome o;
+    const auto asked = static_cast<double>(std::max<uint64_t>(1, t.count.asked));
+    o.value = static_cast<double>(t.count.in_time) / asked;
+    o.greatest_over_mean = t.greatest_over_mean();
+    o.connections = static_cast<double>(t.connections());
+    o.digest_bytes =
+        static_cast<double>(t.count.digest_bytes) / t.since().seconds() / static_cast<double>(t.balancers());
+    o.fell_over = static_cast<double>(t.count.fell_over);
+    o.widened = static_cast<double>(t.count.widened), o.narrowed = static_cast<double>(t.count.narrowed);
+    const auto served = t.served_by();
+    if (!served.empty()) {
+        const double sum = static_cast<double>(std::accumulate(served.begin(), served.end(), uint64_t{0}));
+        o.least_served = static_cast<double>(*std::min_element(served.begin(), served.end())) *
+                         static_cast<double>(served.size()) / std::max(1.0, sum);
+    }
+    return o;
+}
+
+}  // namespace firtide::lab
--- /dev/null
+++ b/lab/troubles.h
@@ -0,0 +1,33 @@
+// Experiments on a town: a trouble, and what came of it with and without what balancers do together.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "town.h"
+
+namespace firtide::lab
+{
+
+struct Outcome {
+    double value = 0;  // answered in time, of what was asked
+    double greatest_over_mean = 0;
+    double connections = 0;
+    double digest_bytes = 0;  // a second and balancer
+    double fell_over = 0, widened = 0, narrowed = 0;
+    double least_served = 0;  // of a balancer, over the mean
+};
+
+struct Trouble {
+    std::string name;
+    void (*plays)(Town& town);
+};
+const std::vector<Trouble>& troubles();
+
+struct On {  // what is on
+    bool subset = false, signals = false, turns = false;
+};
+Town::Options town_of(size_t balancers, size_t upstreams, On on);
+Outcome play(const Trouble& trouble, const Town::Options& options, uint64_t seed);
+
+}  // namespace firtide::lab
--- a/lab/world.h
+++ b/lab/world.h
@@ -64,6 +64,9 @@
         Lease lease;
         bool list = false;
         std::optional<uint32_t> probe_parts, drain_most;
+        std::optional<SubsetRule> subset;
+        std::optional<SignalRule> signals;
+        std::optional<TurnsRule> turns;
         Span tick = seconds(0.02);
         VoterTimes voters_times;
         bool fences = true;                     // receivers refuse lower epochs
@@ -79,6 +82,16 @@
     std::ranlux24_base& chance() { return chance_; }
     double roll() { return std::uniform_real_distribution<>(0, 1)(chance_); }
 
+    // For what stands beside the fleet's members: their effects, and events on the same clock. Beside all
+    // members: SIZE_MAX.
+    std::function<void(size_t node, FleetEffect&)> on_effect;
+    void schedule(Span after, size_t node, std::function<void()> what)
+    {
+        later(after, node, std::move(what));
+    }
+    void tell(size_t node, FleetEvent event);
+    Point clock_of(size_t node) const;
+
     void run_until(Point until);
     void run(Span span) { run_until(now_ + span); }
     // The next event alone; false: there is none before that time.
@@ -129,18 +142,17 @@
         size_t node;
         uint64_t run;  // of the node; what comes for an older one is gone with it
         std::function<void()> what;
+        bool checked;  // whether holders can be others after it
         bool operator<(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
     };
 
-    void later(Span after, size_t node, std::function<void()> what);
-    void tell(size_t node, FleetEvent event);
+    void later(Span after, size_t node, std::function<void()> what, bool checked = true);
     void carry_out(size_t node, std::vector<FleetEffect> effects);
     void act(size_t node, const Act& act, Span travels = {});
     void send(size_t from, const Send& send);
     void desk(size_t node, const std::function<std::vector<DeskEffect>(Point)>& call);
     void tick(size_t node);
     void ask_discovery(size_t node);
-    Point clock_of(size_t node) const;
     size_t fork(Fork at) { return options_.fork ? options_.fork(at) : 0; }
     bool forked_turn(size_t node);
     void check();
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -13,6 +13,11 @@
 constexpr Span first_list = seconds(1.5);  // after the start, before discovery is asked all the same
 constexpr Member nobody = UINT32_MAX;
 constexpr Span weigh_every = seconds(10), sharers_every = seconds(0.2);
+constexpr double most_off = 1.5;  // steps of a weight
+
+// Of invocations a second: four steps double it.
+double weight_steps(double rate) { return std::clamp(100 + 4 * std::log2(std::max(rate, 1e-6)), 1.0, 255.0); }
+double weight_of(uint8_t steps) { return std::exp2((steps - 100) / 4.0); }
 
 Span period_of(const FleetFile& file)
 {
@@ -501,27 +506,27 @@
     if (signals_) signals_->seen(now_, observed.evidence);
     if (shares_) shares_->asked(now_, observed.asked);
     // Weights move in steps, and seldom: each step moves the subsets of all a little.
-    const double steps = std::clamp(64 + 2 * std::log2(std::max(observed.rate, 1e-6)), 1.0, 255.0);
+    const double steps = weight_steps(observed.rate);
     const auto held = members_.of(self_).weight;
-    const bool differs = std::abs(steps - held) >= (held ? 1.5 : 0);
-    if (file_.subset && observed.rate > 0 && differs && now_ - weighed_ > (held ? weigh_every : seconds(2))) {
+    if (file_.subset && observed.rate > 0 && std::abs(steps - held) >= (held ? most_off : 0) &&
+        (!held || now_ - weighed_ > weigh_every)) {
         members_.weigh(static_cast<uint8_t>(std::lround(steps)));
         weighed_ = now_;
     }
     observed_ = std::move(observed);
 }
 
-// Suspects stay until they are gone: guards against subsets that move for a moment's silence.
+// Suspects stay until they are gone, and after a start whoever was not heard of yet: guards against subsets
+// that move for a moment's silence, and against all that start together having the same one.
 void Fleet::tell_sharers()
 {
     if (!file_.subset || now_ - sharers_at_ < sharers_every) return;
     sharers_at_ = now_;
     std::vector<Sharer> now;
     double sum = 0, known = 0;
-    const auto weight_of = [](uint8_t w) { return std::exp2((w - 64) / 2.0); };
     for (Member m = 0; m < file_.members.size(); ++m) {
         const auto& one = members_.of(m);
-        if (m != self_ && (one.health == Health::gone || one.incarnation == 0)) continue;
+        if (m != self_ && one.health == Health::gone) continue;
         now.push_back({file_.members[m].key, file_.members[m].zone == file_.members[self_].zone,
                        one.weight ? weight_of(one.weight) : 0});
         if (one.weight) sum += weight_of(one.weight), ++known;
@@ -588,8 +593,7 @@
         out += "subset upstreams " + std::to_string(observed_.shown) + " of " +
                std::to_string(observed_.listed) + " wider " + std::to_string(observed_.wider) + " sharers " +
                std::to_string(sharers_.size()) + " weight " +
-               number(members_.of(self_).weight ? std::exp2((members_.of(self_).weight - 64) / 2.0) : 0) +
-               "\n";
+               number(members_.of(self_).weight ? weight_of(members_.of(self_).weight) : 0) + "\n";
     if (signals_) {
         const auto results = signals_->results(now_);
         for (const auto& [upstream, name] : observed_.names) {
--- a/src/fleet/shares.cpp
+++ b/src/fleet/shares.cpp
@@ -10,7 +10,7 @@
 constexpr Span forgotten = seconds(10);  // a budget that nothing is asked of
 constexpr double demand_gain = 0.5, least_demand = 0.05;
 constexpr size_t most_budgets = 256, most_asked = 16;
-constexpr Span saved = seconds(0.25);
+constexpr Span saved = seconds(1);
 
 }  // namespace
 
--- a/src/fleet/shares.h
+++ b/src/fleet/shares.h
@@ -1,8 +1,9 @@
 // Budgets that hold over the whole fleet. One member, by the duty "parts", gives each a part for a while; all
 // parts together are never more than the whole, whoever comes, goes, stalls or is cut off. No I/O, no clock.
 //
-// Of each budget what is dealt out is dealt out by demand, and `kept` is everybody's by right: an even part for each
-// member of the fleet file, also of one that is cut off. What is left over covers files that name too few.
+// Of each budget what is dealt out is dealt out by demand, and `kept` is everybody's by right: an even part
+// for each member of the fleet file, also of one that is cut off. What is left over covers files that name
+// too few.
 #pragma once
 
 #include <map>
@@ -102,7 +103,7 @@
     std::map<BudgetName, Pool> pools_;
 };
 
-// Tokens by a part; no more than a quarter of a second's, or one, are saved up.
+// Tokens by a part; no more than a second's, or one, are saved up.
 class Bucket
 {
   public:
--- a/src/fleet/signals.cpp
+++ b/src/fleet/signals.cpp
@@ -13,7 +13,7 @@
 constexpr size_t most_signals = 64;    // in one digest
 constexpr size_t most_upstreams = 10000;
 constexpr double bytes_of_one = 48, bytes_of_frame = 40;
-constexpr uint32_t well_enough = 3;  // own good answers, and no bad one: own evidence against
+constexpr double own_weighs = 3;  // good answers: so many halve what others say
 
 double part_of(const Signal& s) { return s.reduction / 255.0; }
 
@@ -24,6 +24,7 @@
 void Signals::seen(Point now, const std::vector<Evidence>& all)
 {
     evidence_.clear();
+    evidence_at_ = now;
     for (const Evidence& e : all) {
         evidence_[e.upstream] = e;
         const bool reduced = e.reduction >= worth_telling && e.bad > 0 && e.age < rule_.validity;
@@ -109,17 +110,27 @@
     return out;
 }
 
+// What others say counts less the more own answers since then were good.
+double Signals::against(Point now, const Evidence& own, Point found) const
+{
+    if (own.bad > 0 || own.well == 0 || now - own.well_age - (now - evidence_at_) < found) return 1;
+    return own_weighs / (own_weighs + own.well);
+}
+
 // The second greatest of what others say is agreed on; the greatest counts alone up to a part. Own good
-// answers hold both down to that part: an own road that is well says more than others' that may not be.
+// answers since they found it hold both down to a part: an own road that is well says more than others' that
+// may not be.
 Signals::Result Signals::result(Point now, uint64_t upstream, const std::map<Key, Held>& by) const
 {
     double first = 0, second = 0;
+    Point found{INT64_MIN / 2};
     uint32_t youngest = 0, next = 0;  // starts: the youngest that two name
     for (const auto& [key, h] : by) {
         if (key == own_ || h.until <= now) continue;
         const double r = part_of(h.signal);
         second = std::max(second, std::min(first, r));
         first = std::max(first, r);
+        if (r > 0) found = std::max(found, h.found);
         if (const uint32_t s = h.signal.started_s) {
             if (!youngest || s < youngest)
                 next = youngest, youngest = s;
@@ -129,18 +140,16 @@
     }
     Result out;
     out.reduction = std::max(second, std::min(first, rule_.alone));
-    if (const auto at = evidence_.find(upstream); at != evidence_.end()) {
-        const Evidence& e = at->second;
-        if (e.reduction >= worth_telling)
+    const auto at = evidence_.find(upstream);
+    if (at != evidence_.end()) {
+        if (at->second.reduction >= worth_telling)
             out.reduction = first;
-        else if (e.well >= well_enough && e.bad == 0)
-            out.reduction = std::min(out.reduction, rule_.alone);
-        if (e.started) next = 0;  // it knows
+        else if (const double less = against(now, at->second, found); less < 1)
+            out.reduction = std::min(out.reduction, rule_.alone) * less;
     }
-    if (next)
-        out.started = seconds(next - 1);
-    else if (youngest)
-        out.reduction = std::max(out.reduction, rule_.alone);
+    const bool knows = at != evidence_.end() && at->second.started;
+    if (next && !knows) out.started = seconds(next - 1);
+    if (youngest && !next && !knows) out.reduction = std::max(out.reduction, rule_.alone);
     return out;
 }
 
--- a/src/fleet/signals.h
+++ b/src/fleet/signals.h
@@ -23,6 +23,7 @@
     double reduction = 0;         // of its own entry
     uint32_t well = 0, bad = 0;   // answers lately
     Span age;                     // of the last bad one
+    Span well_age;                // of the last good one
     std::optional<Span> started;  // where it is cold: so long ago
 };
 
@@ -60,6 +61,7 @@
     };
 
     Result result(Point now, uint64_t upstream, const std::map<Key, Held>& by) const;
+    double against(Point now, const Evidence& own, Point found) const;
     void due(uint64_t upstream, Key by) { due_.emplace(upstream, by); }
 
     const SignalRule rule_;
@@ -67,7 +69,8 @@
     const Life life_;
     uint64_t number_ = 0;
     std::map<uint64_t, std::map<Key, Held>> held_;
-    std::map<uint64_t, Evidence> evidence_;
+    std::map<uint64_t, Evidence> evidence_;  // as of evidence_at_
+    Point evidence_at_;
     std::map<uint64_t, std::pair<Point, double>> own_told_;  // when, and which reduction
     struct Newest {
         Life life = 0;
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -12,15 +12,13 @@
 constexpr double least_factor = 0.02;   // of its size: what is left to find out that all is well again
 constexpr double worth_showing = 0.05;  // of a size
 constexpr Span another_start = seconds(5);
-constexpr double rate_gain = 0.05;  // of an observation
+constexpr Span rate_over = seconds(10);
+constexpr double least_counted = 50;  // invocations, before a rate is told
 constexpr double none = 1e-9;
 
 }  // namespace
 
-View::View(Rules rules, Span cold)
-    : rules_(std::move(rules)), cold_(cold), width_(rules_.subset ? rules_.subset->narrow : Span{})
-{
-}
+View::View(Rules rules) : rules_(std::move(rules)), width_(rules_.subset ? rules_.subset->narrow : Span{}) {}
 
 void View::list_is(const std::vector<Listing>& all)
 {
@@ -66,10 +64,27 @@
 {
     if (tgt >= all_.size()) return;
     ++(well ? all_[tgt].well : all_[tgt].bad)[0];
-    if (!well) all_[tgt].bad_at = now;
+    (well ? all_[tgt].well_at : all_[tgt].bad_at) = now;
+}
+
+bool View::is_cold(Point now, const Listing& l) const { return l.started && now - *l.started < rules_.cold; }
+
+// Of a cold one: what it can do by now, over what it could at its start.
+double View::warmth(Point now, const Listing& l) const
+{
+    const double age = std::clamp((now - *l.started) / rules_.cold, 0.0, 1.0);
+    return (rules_.cold_share + (1 - rules_.cold_share) * age) / rules_.cold_share;
 }
 
-bool View::is_cold(Point now, const Listing& l) const { return l.started && now - *l.started < cold_; }
+// The budget of a cold one grows as it warms, alike at every balancer.
+const Part* View::part_of(Point now, BudgetName name, const Listing& l)
+{
+    const auto at = budgets_.find(name);
+    if (at == budgets_.end()) return nullptr;
+    scaled_ = at->second;
+    scaled_.rate *= warmth(now, l), scaled_.floor *= warmth(now, l);
+    return &scaled_;
+}
 
 double View::factor(Point now, One& one) const
 {
@@ -92,8 +107,8 @@
     if (rules_.turns && l.presence == Presence::ready && is_cold(now, l)) {
         const BudgetName name{Budget::cold, l.id};
         if (rules_.turns->whole_of(name) > 0) {
-            const auto at = budgets_.find(name);
-            if (at == budgets_.end() || !buckets_[name].has(now, at->second)) l.presence = Presence::gone;
+            const Part* own = part_of(now, name, l);
+            if (!own || !buckets_[name].has(now, *own)) l.presence = Presence::gone;
         }
     }
     return l;
@@ -190,16 +205,24 @@
 {
     if (tgt >= shown_.size() || !is_cold(now, shown_[tgt])) return true;
     due_ = true;  // until its next turn it is not shown
-    return take(now, {Budget::cold, shown_[tgt].id});
+    const BudgetName name{Budget::cold, shown_[tgt].id};
+    if (!rules_.turns || rules_.turns->whole_of(name) <= 0) return true;
+    const Part* own = part_of(now, name, shown_[tgt]);
+    return own && buckets_[name].take(now, *own);
 }
 
 std::optional<Observed> View::observe(Point now, const Reduction& reduction, const Out& out)
 {
     if (now - observed_ < observe_every) return {};
     const double since = std::min(1.0, (now - std::exchange(observed_, now)).seconds());
-    rate_ += rate_gain * (std::exchange(arrived_, 0) / std::max(0.01, since) - rate_);
+    // The mean of all at first, and of the last ten seconds later. Guards against weights that are chance.
+    if (counts_from_.us == 0) counts_from_ = now - Span{static_cast<int64_t>(since * 1e6)};
+    const double gain =
+        std::max(since / rate_over.seconds(), since / std::max(since, (now - counts_from_).seconds()));
+    came_ += arrived_;
+    rate_ += gain * (std::exchange(arrived_, 0) / std::max(0.01, since) - rate_);
     Observed o;
-    o.rate = rate_;
+    if (came_ >= least_counted) o.rate = rate_;
     o.asked = std::exchange(asked_, {});
     o.wider = width_.steps();
     for (Tgt t = 0; t < all_.size(); ++t) {
@@ -208,9 +231,13 @@
         ++o.listed;
         if (rules_.subset && !(t < parts_.size() && parts_[t] > 0)) continue;
         ++o.shown;
-        Evidence e{
-            one.real.id, reduction(t), one.well[0] + one.well[1], one.bad[0] + one.bad[1], now - one.bad_at,
-            {}};
+        Evidence e{one.real.id,
+                   reduction(t),
+                   one.well[0] + one.well[1],
+                   one.bad[0] + one.bad[1],
+                   now - one.bad_at,
+                   now - one.well_at,
+                   {}};
         // Whoever holds work and gives none back is found out by that, not by an answer.
         if (e.reduction >= 0.5 && e.well + e.bad == 0 && out(t)) e.bad = 1, e.age = {};
         const BudgetName cold{Budget::cold, one.real.id};
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -38,8 +38,10 @@
         std::optional<TurnsRule> turns;
         Key self = 0;
         uint32_t zone = 0;  // as the list numbers them
+        Span cold;          // how long an upstream is, and what it can do at first, as a part
+        double cold_share = 0.1;
     };
-    View(Rules rules, Span cold);
+    explicit View(Rules rules);
 
     // The list as discovery has it, by place; gone ones too.
     void list_is(const std::vector<Listing>& all);
@@ -72,17 +74,18 @@
         Point factor_at;
         std::optional<Point> told_start;
         uint32_t well[2] = {0, 0}, bad[2] = {0, 0};  // this second's and the last one's
-        Point bad_at;
+        Point bad_at, well_at;
     };
 
     bool is_cold(Point now, const Listing& l) const;
+    double warmth(Point now, const Listing& l) const;
+    const Part* part_of(Point now, BudgetName name, const Listing& l);
     double factor(Point now, One& one) const;
     Listing wanted(Point now, Tgt tgt);
     void widen(Point now, const Reduction& reduction);
     double free_of(const Parts& parts, const Reduction& reduction) const;
 
     const Rules rules_;
-    const Span cold_;
     std::vector<One> all_;
     std::vector<Choosable> choosable_;
     std::vector<Sharer> sharers_;
@@ -91,11 +94,12 @@
     Width width_;
     bool dirty_ = true, due_ = true;
     std::map<BudgetName, Part> budgets_;
+    Part scaled_;
     std::map<BudgetName, Bucket> buckets_;
     std::map<BudgetName, uint32_t> asked_;
     uint32_t arrived_ = 0;
-    double rate_ = 0;
-    Point observed_, second_;
+    double rate_ = 0, came_ = 0;  // invocations; in all
+    Point observed_, second_, counts_from_;
 };
 
 }  // namespace firtide::fleet
--- a/src/fleet/words.h
+++ b/src/fleet/words.h
@@ -39,7 +39,7 @@
     uint8_t health = 0;
     Incarnation incarnation = 0;
     Life life = 0;
-    uint8_t weight = 0;  // of its traffic: twice the logarithm of invocations a second, from 64; 0: unknown
+    uint8_t weight = 0;  // of its traffic: four steps double it, 100 is one invocation a second; 0: unknown
     MSGPACK_DEFINE(member, health, incarnation, life, weight)
 };
 // Also answers one: then `answers` is that one's number.
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -14,14 +14,6 @@
 constexpr Span front_sends_on = seconds(0.4);  // to a balancer that drains, until it has noticed
 constexpr Span answer_by = seconds(3.4);  // after it, what has come meanwhile: then the process may be killed
 
-// The same at every instance, whatever the order in which upstreams are met.
-uint64_t id_of(std::string_view uid)
-{
-    uint64_t hash = 0xcbf29ce484222325u;
-    for (const unsigned char c : uid) hash = (hash ^ c) * 0x100000001b3u;
-    return hash;
-}
-
 Response plain_answer(int status, const char* text)
 {
     Response r;
@@ -50,6 +42,13 @@
 
 }  // namespace
 
+uint64_t id_of(std::string_view uid)
+{
+    uint64_t hash = 0xcbf29ce484222325u;
+    for (const unsigned char c : uid) hash = (hash ^ c) * 0x100000001b3u;
+    return hash;
+}
+
 Reducer::Reducer(Setup& setup, uint64_t seed, std::string discovery, size_t room)
     : setup_(setup),
       all_room_(room),
@@ -62,8 +61,10 @@
 
 void Reducer::join(fleet::View::Rules rules)
 {
-    rules.zone = setup_.settings.zone;
-    view_.emplace(std::move(rules), setup_.settings.cold + setup_.settings.ready_margin);
+    const Settings& set = setup_.settings;
+    rules.zone = set.zone, rules.cold = set.cold + set.ready_margin,
+    rules.cold_share = std::max(0.01, set.cold_share);
+    view_.emplace(std::move(rules));
 }
 
 std::vector<Effect> Reducer::reduce(Point now, Event event)
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -211,6 +211,9 @@
 using Effect = std::variant<Answer, Pass, Cut, Hear, Dial, Write, Limit, Read, HangUp, CloseIdle, Wake,
                             WatchList, MoveWatch, Obeyed, Probed, Observed>;
 
+// The same at every instance, whatever the order in which upstreams are met.
+uint64_t id_of(std::string_view uid);
+
 class Reducer : private Outlet
 {
   public:
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -117,7 +117,7 @@
     if (fleet) {
         const auto& file = fleet->first;
         if (file.subset || file.signals || file.turns)
-            reducer_.join({file.subset, file.signals, file.turns, file.members[file.self].key, 0});
+            reducer_.join({file.subset, file.signals, file.turns, file.members[file.self].key, 0, {}, 0.1});
         fleet_.emplace(base_.get(), std::move(fleet->first), fleet->second, hooks());
         if (shares_list())
             discovery_.tell_whole([this](uint64_t version, std::string text) {
