A town of balancers in virtual time; tests and scenarios of choices that add up; parts mended

lab/town drives reducer, module and fleet parts as they are against modelled callers and upstreams; firtide-lab town plays ten troubles alone and with each part. Parts followed demand in 4 s: now in 2.

--- a/lab/town.cpp
+++ b/lab/town.cpp
@@ -125,8 +125,13 @@
     n.run = ++runs;
     n.reducer = std::make_unique<net::Reducer>(n.setup, world_.chance()(), "here:1");
     if (options_.subset || options_.signals || options_.turns)
-        n.reducer->join(
-            {options_.subset, options_.signals, options_.turns, key_of("m" + std::to_string(b + 1)), 0, {}, 0.1});
+        n.reducer->join({options_.subset,
+                         options_.signals,
+                         options_.turns,
+                         key_of("m" + std::to_string(b + 1)),
+                         0,
+                         {},
+                         0.1});
     world_.start(b);
     world_.schedule({}, b, [this, b] {
         tell(b, net::Started{});
--- a/lab/troubles.cpp
+++ b/lab/troubles.cpp
@@ -152,7 +152,7 @@
     if (on.turns) {
         o.turns.emplace();
         o.turns->whole["retries"] = 0.1 * able * static_cast<double>(upstreams);
-        o.turns->whole["cold"] = o.cold_share * able * 1.5;
+        o.turns->whole["cold"] = o.cold_share * able * o.push;
     }
     return o;
 }
--- a/rig/rig.cpp
+++ b/rig/rig.cpp
@@ -380,6 +380,16 @@
     return text.size() > 12 && text.starts_with("HTTP/1.1 ") ? std::atoi(text.c_str() + 9) : 0;
 }
 
+void Rig::request_later(size_t member, const std::string& tenant)
+{
+    call(base_.get(), processes_[member]->serve_port,
+         "GET /safe/x HTTP/1.1\r\nReq-Id: l" + id_of(member) + "-" + std::to_string(++later_) +
+             (tenant.empty() ? "" : "\r\nReq-Owner: " + tenant) + "\r\nConnection: close\r\n\r\n",
+         seconds(1.5), [this](const std::string& text) {
+             ++answers[text.size() > 12 && text.starts_with("HTTP/1.1 ") ? std::atoi(text.c_str() + 9) : 0];
+         });
+}
+
 void Rig::garbage(size_t member, const std::string& bytes)
 {
     call(base_.get(), processes_[member]->fleet_port, bytes, seconds(0.3), [](const std::string&) {});
--- a/rig/rig.h
+++ b/rig/rig.h
@@ -36,6 +36,7 @@
 
     const Plan& plan() const { return plan_; }
     size_t size() const { return processes_.size(); }
+    event_base* base() { return base_.get(); }
     void run(Span span);  // the rig's own loop
     bool until(const std::function<bool()>& so, Span most);
 
@@ -63,6 +64,9 @@
     void ask_later(size_t member, const std::string& line, std::function<void(std::string)> then);
     // A request to a balancer: the status, 0 where there is no answer.
     int request(size_t member, Span wait = seconds(1));
+    // One whose answer is counted, not waited for.
+    void request_later(size_t member, const std::string& tenant);
+    std::map<int, uint64_t> answers;                        // to those, by status
     void garbage(size_t member, const std::string& bytes);  // at its fleet address
 
     std::optional<size_t> leader();
@@ -94,6 +98,7 @@
     std::vector<size_t> without_, voters_;
     const std::string program_, shim_;
     uint16_t next_port_;
+    uint64_t later_ = 0;
     std::string folder_;
     net::Base base_;
     std::unique_ptr<Receiver> receiver_;
--- a/rig/scenario.cpp
+++ b/rig/scenario.cpp
@@ -1,5 +1,6 @@
 #include "scenario.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <random>
@@ -65,10 +66,89 @@
         if (verb == "voters") return rig_.files_are({}, some());
         if (verb == "roll") return roll();
         if (verb == "expect") return expect();
+        if (verb == "flood") return flood();
+        if (verb == "calm") return flood_.reset();
+        if (verb == "upstream") return upstream();
         throw Failed{"no such step"};
     }
 
   private:
+    // Requests to all that run, in turn, until it is calm.
+    struct Flood {
+        Player* player = nullptr;
+        double rate = 0;
+        std::string tenant;
+        Point from;
+        uint64_t sent = 0;
+        size_t at = 0;
+        net::Timer timer;
+    };
+
+    void flood()
+    {
+        flood_ = std::make_unique<Flood>();
+        flood_->player = this, flood_->rate = number(), flood_->from = net::monotonic_now();
+        if (more()) flood_->tenant = next();
+        flood_->timer.reset(event_new(
+            rig_.base(), -1, EV_PERSIST,
+            [](evutil_socket_t, short, void* self) {
+                auto& f = *static_cast<Flood*>(self);
+                const auto due = static_cast<uint64_t>(f.rate * (net::monotonic_now() - f.from).seconds());
+                Rig& rig = f.player->rig_;
+                for (size_t tries = 0; f.sent < due && tries < due - f.sent + rig.size(); ++tries) {
+                    const size_t i = f.at++ % rig.size();
+                    if (!rig.up(i)) continue;
+                    rig.request_later(i, f.tenant);
+                    ++f.sent;
+                }
+            },
+            flood_.get()));
+        const auto every = net::to_timeval(seconds(0.005));
+        event_add(flood_->timer.get(), &every);
+    }
+
+    void upstream()
+    {
+        const auto name = next(), mood = next();
+        using Mood = Upstream::Mood;
+        const std::map<std::string, Mood> moods = {
+            {"well", Mood::well}, {"frozen", Mood::frozen}, {"full", Mood::full}, {"wrong", Mood::wrong}};
+        for (size_t i = 0; i < scenario_.plan.upstreams; ++i) {
+            if (name != "all" && rig_.upstream(i).name() != name) continue;
+            if (mood == "cold")
+                rig_.discovery().started(rig_.upstream(i).name());
+            else if (mood == "wrong-to")
+                rig_.upstream(i).wrong_to(more() ? "l" + Rig::id_of(who()) + "-" : "");
+            else if (moods.count(mood))
+                rig_.upstream(i).mood_is(moods.at(mood));
+            else
+                throw Failed{"no such mood"};
+        }
+    }
+
+    // What reached upstreams meanwhile: so many a second at least, and never more within any one second.
+    void expect_reached(const std::string& name, Span most, double least, double greatest)
+    {
+        const Point from = net::monotonic_now();
+        rig_.run(most);
+        std::vector<Point> all;
+        for (size_t i = 0; i < scenario_.plan.upstreams; ++i) {
+            if (name != "all" && rig_.upstream(i).name() != name) continue;
+            for (const Point p : rig_.upstream(i).reached())
+                if (p >= from) all.push_back(p);
+        }
+        std::sort(all.begin(), all.end());
+        size_t worst = 0, first = 0;
+        for (size_t last = 0; last < all.size(); ++last) {
+            while (all[last] - all[first] > seconds(1)) ++first;
+            worst = std::max(worst, last - first + 1);
+        }
+        const double rate = static_cast<double>(all.size()) / most.seconds();
+        if (rate < least || static_cast<double>(worst) > greatest)
+            throw Failed{std::to_string(rate) + " a second, " + std::to_string(worst) +
+                         " in one second at the most"};
+    }
+
     std::string next()
     {
         if (at_ >= words_.size()) throw Failed{"a word is missing"};
@@ -438,6 +518,23 @@
             if (rate < least || rate > greatest) throw Failed{std::to_string(rate) + " probes a second"};
             return;
         }
+        if (what == "reached") {
+            const auto name = next();
+            const double least = number(), greatest = number();
+            return expect_reached(name, most, least, greatest);
+        }
+        if (what == "answers") {  // of what was sent: a part of them at least, with this status
+            const auto status = static_cast<int>(number());
+            const double least = number(), greatest = number();
+            rig_.answers.clear();
+            rig_.run(most);
+            double sum = 0;
+            for (const auto& [of, n] : rig_.answers) sum += static_cast<double>(n);
+            const double part = static_cast<double>(rig_.answers[status]) / std::max(1.0, sum);
+            if (part < least || part > greatest)
+                throw Failed{std::to_string(part) + " of " + std::to_string(sum) + " answers"};
+            return;
+        }
         if (what == "calls") {
             const auto before = rig_.discovery().calls();
             rig_.run(most);
@@ -471,6 +568,7 @@
 
     const Scenario& scenario_;
     Rig& rig_;
+    std::unique_ptr<Flood> flood_;
     std::vector<std::string> duties_, words_;
     size_t at_ = 0;
     std::map<std::string, size_t> names_;
--- a/rig/standins.cpp
+++ b/rig/standins.cpp
@@ -15,6 +15,7 @@
 using net::to_timeval;
 
 constexpr Span probe_takes = seconds(0.03), watch_lasts = seconds(2);
+constexpr size_t most_reached = 20000;
 
 Server::Server(event_base* base, std::function<void(evhttp_request*)> serve)
     : http_(evhttp_new(base)), serve_(std::move(serve))
@@ -87,7 +88,29 @@
     const std::string path = evhttp_request_get_uri(request);
     if (!path.starts_with("/-/")) {
         ++served_;
-        return answer(request, 200, name_);
+        reached_.push_back(net::monotonic_now());
+        if (reached_.size() > most_reached) reached_.pop_front();
+        const char* id = evhttp_find_header(evhttp_request_get_input_headers(request), "Req-Id");
+        if (!wrong_to_.empty() && id && std::string_view(id).starts_with(wrong_to_))
+            return answer(request, 500, "");
+        switch (mood_) {
+            case Mood::well: return answer(request, 200, name_);
+            case Mood::wrong: return answer(request, 500, "");
+            case Mood::full: {
+                evhttp_add_header(evhttp_request_get_output_headers(request), "Srv-Declined", "1");
+                return answer(request, 503, "");
+            }
+            case Mood::frozen: break;
+        }
+        held_.push_back(request);
+        evhttp_connection_set_closecb(
+            evhttp_request_get_connection(request),
+            [](evhttp_connection* gone, void* arg) {
+                std::erase_if(static_cast<Upstream*>(arg)->held_,
+                              [gone](evhttp_request* r) { return evhttp_request_get_connection(r) == gone; });
+            },
+            this);
+        return;
     }
     ++probes_;
     probed_(name_, ++at_once_);
@@ -97,6 +120,13 @@
     });
 }
 
+void Upstream::mood_is(Mood mood)
+{
+    mood_ = mood;
+    if (mood == Mood::well)
+        for (auto* request : std::exchange(held_, {})) answer(request, 200, name_);
+}
+
 DiscoveryStandIn::DiscoveryStandIn(event_base* base)
     : base_(base), server_(base, [this](evhttp_request* r) { serve(r); })
 {
@@ -107,8 +137,9 @@
     std::string out = R"({"rev":)" + std::to_string(version_) + R"(,"all":true,"targets":[)";
     for (const auto& [uid, t] : targets_)
         out += (out.back() == '[' ? "" : ",") + std::string(R"({"uid":")") + uid +
-               R"(","endpoint":"127.0.0.1:)" + std::to_string(t.first) + R"(","state":")" + t.second +
-               R"("})";
+               R"(","endpoint":"127.0.0.1:)" + std::to_string(t.first) + R"(","state":")" + t.second + "\"" +
+               (started_.count(uid) ? R"(,"boot_ms":)" + std::to_string(started_.at(uid)) : std::string()) +
+               "}";
     return out + "]}";
 }
 
@@ -131,6 +162,14 @@
     tell_watchers();
 }
 
+void DiscoveryStandIn::started(const std::string& uid)
+{
+    using namespace std::chrono;
+    started_[uid] = duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+    ++version_;
+    tell_watchers();
+}
+
 void DiscoveryStandIn::serve(evhttp_request* request)
 {
     ++calls_;
--- a/rig/standins.h
+++ b/rig/standins.h
@@ -4,6 +4,7 @@
 
 #include <event2/http.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -60,11 +61,19 @@
     uint64_t probes() const { return probes_; }
     uint64_t served() const { return served_; }
 
+    enum class Mood { well, frozen, full, wrong };  // frozen: takes what comes, and answers once it is well
+    void mood_is(Mood mood);
+    const std::deque<Point>& reached() const { return reached_; }   // by what, of late
+    void wrong_to(std::string ids) { wrong_to_ = std::move(ids); }  // whose ids begin so; empty: to nobody
+
   private:
     void serve(evhttp_request* request);
 
     event_base* base_;
-    std::string name_;
+    Mood mood_ = Mood::well;
+    std::vector<evhttp_request*> held_;
+    std::deque<Point> reached_;
+    std::string name_, wrong_to_;
     std::function<void(const std::string&, size_t)> probed_;
     size_t at_once_ = 0;
     uint64_t probes_ = 0, served_ = 0;
@@ -78,6 +87,7 @@
     uint16_t port() const { return server_.port(); }
     void list_is(std::map<std::string, std::pair<uint16_t, std::string>> targets);  // uid: port and state
     void state_is(const std::string& uid, const std::string& state);
+    void started(const std::string& uid);  // just now
     void silent(bool on) { silent_ = on; }
     uint64_t calls() const { return calls_; }
 
@@ -88,6 +98,7 @@
 
     event_base* base_;
     std::map<std::string, std::pair<uint16_t, std::string>> targets_;
+    std::map<std::string, int64_t> started_;  // milliseconds of Unix time
     uint64_t version_ = 1, calls_ = 0;
     bool silent_ = false;
     std::vector<evhttp_request*> watching_;
--- a/src/fleet/shares.cpp
+++ b/src/fleet/shares.cpp
@@ -8,7 +8,7 @@
 {
 
 constexpr Span forgotten = seconds(10);  // a budget that nothing is asked of
-constexpr double demand_gain = 0.5, least_demand = 0.05;
+constexpr double demand_gain = 2, least_demand = 0.05;
 constexpr size_t most_budgets = 256, most_asked = 16;
 constexpr Span saved = seconds(1);
 
@@ -69,7 +69,7 @@
         auto& [name, o] = *at;
         const auto n = asked.find(name);
         const double rate = n == asked.end() ? 0 : n->second / since;
-        o.demand += (rate > o.demand ? 1 : demand_gain * std::min(1.0, since)) * (rate - o.demand);
+        o.demand += (rate > o.demand ? 1 : std::min(1.0, demand_gain * since)) * (rate - o.demand);
         const bool gone = name.of == Budget::cold && now - o.wanted > forgotten && now >= o.part.none_from;
         at = gone ? own_.erase(at) : std::next(at);
     }
--- a/src/fleet/signals.cpp
+++ b/src/fleet/signals.cpp
@@ -11,6 +11,7 @@
 constexpr Span again = seconds(0.5);   // the same finding, with new evidence
 constexpr size_t witnesses = 3;        // of one upstream that are passed on
 constexpr size_t most_signals = 64;    // in one digest
+constexpr size_t few_signals = 6;      // wait for more room, where there are more
 constexpr size_t most_upstreams = 10000;
 constexpr double bytes_of_one = 48, bytes_of_frame = 40;
 constexpr double own_weighs = 3;  // good answers: so many halve what others say
@@ -90,6 +91,7 @@
     const double copies = static_cast<double>(successors);
     const double room = std::min(room_ / copies, most_signals * bytes_of_one + bytes_of_frame);
     const auto most = static_cast<size_t>(std::max(0.0, (room - bytes_of_frame) / bytes_of_one));
+    if (most < std::min(few_signals, due_.size())) return out;
     std::vector<const Held*> order;
     for (const auto& [upstream, by] : due_) order.push_back(&held_[upstream][by]);
     // The gravest first, own ones before others'; the rest waits until it is too old to be told.
--- a/src/fleet/subset.cpp
+++ b/src/fleet/subset.cpp
@@ -12,7 +12,7 @@
 
 constexpr double least_part = 0.1;     // less of an upstream is not worth its connections
 constexpr double least_weight = 0.05;  // of the mean: whoever is idle still has a place
-constexpr double enough_free = 0.5, plenty_free = 0.75;
+constexpr double enough_free = 0.6, plenty_free = 0.8;
 constexpr uint32_t most_steps = 16;
 constexpr Span between_steps = seconds(0.2);
 
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -54,10 +54,12 @@
     }
 }
 
-void View::parts_are(const std::vector<Part>& parts)
+// Tokens are saved up from the first part on, whether or not any is wanted.
+void View::parts_are(Point now, const std::vector<Part>& parts)
 {
     budgets_.clear();
-    for (const Part& p : parts) budgets_[p.name] = p;
+    for (const Part& p : parts) budgets_[p.name] = p, buckets_[p.name].has(now, p);
+    std::erase_if(buckets_, [this](const auto& b) { return !budgets_.count(b.first); });
 }
 
 void View::answered(Point now, Tgt tgt, bool well)
@@ -114,8 +116,8 @@
     return l;
 }
 
-// Of an arc, by sizes.
-double View::free_of(const Parts& parts, const Reduction& reduction) const
+// Of an arc, by sizes, and what cold ones can do by now.
+double View::free_of(Point now, const Parts& parts, const Reduction& reduction) const
 {
     double all = 0, free = 0;
     bool any = false;
@@ -126,7 +128,8 @@
         if (all_[t].real.presence != Presence::ready) continue;
         const double r = reduction(t);
         any = any || r <= 0;
-        free += size * (1 - std::max(r, all_[t].told));
+        const double able = is_cold(now, all_[t].real) ? warmth(now, all_[t].real) * rules_.cold_share : 1;
+        free += size * (1 - std::max(r, all_[t].told)) * able;
     }
     return any && all > 0 ? free / all : 0;
 }
@@ -142,13 +145,13 @@
         const bool whole = std::all_of(choosable_.begin(), choosable_.end(), [&](const Choosable& c) {
             return c.size <= 0 || parts_[static_cast<size_t>(&c - choosable_.data())] > 1 - none;
         });
-        const double free = free_of(parts_, reduction);
-        const double narrower = width_.steps() > 0 ? free_of(narrower_, reduction) : 0;
-        const bool up = free < 0.5;
+        const double free = free_of(now, parts_, reduction);
+        const double narrower = width_.steps() > 0 ? free_of(now, narrower_, reduction) : 0;
+        const double before = width_.wider();
         if (!width_.look(now, free, narrower, whole)) return;
         parts_ = choose(*rules_.subset, sharers_, rules_.self, choosable_, width_.wider());
         narrower_ = choose(*rules_.subset, sharers_, rules_.self, choosable_, width_.wider() / 2);
-        if (!up) return;
+        if (width_.wider() < before) return;
     }
 }
 
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -47,7 +47,7 @@
     void list_is(const std::vector<Listing>& all);
     void fleet_is(std::vector<Sharer> sharers);
     void told(Point now, const std::map<uint64_t, Signals::Result>& results);
-    void parts_are(const std::vector<Part>& parts);
+    void parts_are(Point now, const std::vector<Part>& parts);
     void answered(Point now, Tgt tgt, bool well);
     void arrived() { ++arrived_; }
 
@@ -83,7 +83,7 @@
     double factor(Point now, One& one) const;
     Listing wanted(Point now, Tgt tgt);
     void widen(Point now, const Reduction& reduction);
-    double free_of(const Parts& parts, const Reduction& reduction) const;
+    double free_of(Point now, const Parts& parts, const Reduction& reduction) const;
 
     const Rules rules_;
     std::vector<One> all_;
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -181,7 +181,7 @@
 
 void Reducer::on(const PartsAre& parts)
 {
-    if (view_) view_->parts_are(parts.parts);
+    if (view_) view_->parts_are(now_, parts.parts);
 }
 
 void Reducer::on(Ticked)
--- /dev/null
+++ b/tests/adding_up.cpp
@@ -0,0 +1,308 @@
+// Choices of many balancers that add up: subsets, what others tell, parts of budgets. No sockets, no clock.
+#include <algorithm>
+#include <cstdio>
+#include <random>
+
+#include "src/fleet/shares.h"
+#include "src/fleet/signals.h"
+#include "src/fleet/subset.h"
+
+using namespace firtide;
+using namespace firtide::fleet;
+
+namespace
+{
+
+const char* yes(bool b) { return b ? "yes" : "NO"; }
+
+struct Ring {
+    std::vector<Sharer> members;
+    std::vector<Choosable> upstreams;
+
+    Ring(size_t m, size_t u)
+    {
+        for (size_t i = 0; i < m; ++i) members.push_back({i + 1, true, 1.0 + static_cast<double>(i % 3)});
+        for (size_t i = 0; i < u; ++i) upstreams.push_back({i + 77, 1.0 + static_cast<double>(i % 2), true});
+    }
+    Parts of(Key self, uint32_t size) const
+    {
+        SubsetRule rule;
+        rule.size = size;
+        return choose(rule, members, self, upstreams, 1);
+    }
+    double greatest_over_mean(uint32_t size) const
+    {
+        std::vector<double> load(upstreams.size(), 0);
+        double all = 0;
+        for (const Sharer& s : members) {
+            const Parts p = of(s.key, size);
+            double sum = 0;
+            for (size_t u = 0; u < p.size(); ++u) sum += p[u] * upstreams[u].size;
+            for (size_t u = 0; u < p.size(); ++u)
+                load[u] += s.weight * p[u] / sum, all += s.weight * p[u] / sum;
+        }
+        return *std::max_element(load.begin(), load.end()) * static_cast<double>(load.size()) / all;
+    }
+};
+
+size_t used(const Parts& p)
+{
+    return static_cast<size_t>(std::count_if(p.begin(), p.end(), [](double x) { return x > 0; }));
+}
+
+void subsets()
+{
+    Ring r(90, 30);
+    std::printf("-- subsets\n90 members of three weights, 30 upstreams of two sizes, 9 each: even %s\n",
+                yes(r.greatest_over_mean(9) < 1.05));
+    const Parts before = r.of(5, 9);
+    std::printf("uses 8 to 11: %s\n", yes(used(before) >= 8 && used(before) <= 11));
+    std::reverse(r.members.begin(), r.members.end());
+    std::printf("the order of the file is nothing: %s\n", yes(r.of(5, 9) == before));
+    size_t moved = 0, all = 0;
+    Ring less = r;
+    less.members.erase(less.members.begin() + 40);
+    for (const Sharer& s : less.members) {
+        const Parts a = r.of(s.key, 9), b = less.of(s.key, 9);
+        for (size_t u = 0; u < a.size(); ++u) moved += b[u] > 0 && !(a[u] > 0), all += a[u] > 0;
+    }
+    std::printf("one member less moves under two of 90 shares: %s\n", yes(moved < all / 90 * 2));
+    std::printf("alone in the world: %zu of 30\n", used(Ring(0, 30).of(5, 9)));
+    std::printf("a subset greater than the list: %zu\n", used(r.of(5, 100)));
+
+    SubsetRule zones;
+    zones.size = 4, zones.zones = true, zones.beyond = 2;
+    for (size_t u = 0; u < r.upstreams.size(); ++u) r.upstreams[u].own_zone = u % 3 == 0;
+    const Parts z = choose(zones, r.members, 5, r.upstreams, 1);
+    size_t own = 0;
+    for (size_t u = 0; u < z.size(); ++u) own += z[u] > 0 && r.upstreams[u].own_zone;
+    std::printf("by zones, 4 of the own and 2 beyond: %s\n",
+                yes(own >= 4 && used(z) - own >= 2 && used(z) <= 9));
+
+    Width w(seconds(10));
+    Point now{1'000'000};
+    std::printf("-- width\nhalf is free: %s\n", w.look(now, 0.6, 0, false) ? "WIDER" : "as it was");
+    for (int i = 0; i < 3; ++i) w.look(now, 0, 0, false);
+    std::printf("nothing is free: at once %.0f times\n", w.wider());
+    w.look(now, 0, 0, true);
+    std::printf("all there is: %.0f\n", w.wider());
+    now = now + seconds(11);
+    w.look(now, 0.9, 0.6, false);
+    std::printf("free, but not in the narrower: %.0f\n", w.wider());
+    std::printf("free for a moment: %s\n",
+                w.look(now + seconds(1), 0.9, 0.9, false) ? "NARROWER" : "as it was");
+    now = now + seconds(11);
+    const bool back = w.look(now, 0.9, 0.9, false);
+    std::printf("free for long: %s, %.0f\n", back ? "narrower" : "AS IT WAS", w.wider());
+    std::printf("again at once: %s\n", w.look(now, 0.9, 0.9, false) ? "NARROWER" : "one step at a time");
+}
+
+struct Teller {
+    Signals signals;
+    Key key;
+    explicit Teller(Key k) : signals(SignalRule{}, k, k * 10), key(k) {}
+    Digest finds(Point now, uint64_t upstream, double reduction)
+    {
+        signals.seen(now, {{upstream, reduction, 0, 3, {}, seconds(9), {}}});
+        return signals.take(now, 1);
+    }
+};
+
+void told()
+{
+    std::printf("-- signals\n");
+    Point now{100'000'000};
+    Teller a(1), b(2), c(3);
+    Signals own(SignalRule{}, 9, 90);
+    const auto counts = [&](uint64_t upstream) {
+        const auto all = own.results(now);
+        const auto at = all.find(upstream);
+        return at == all.end() ? 0.0 : at->second.reduction;
+    };
+    const Digest first = a.finds(now, 7, 1);
+    own.heard(now, first);
+    std::printf("one says it is gone: counts %.2f\n", counts(7));
+    own.heard(now, b.finds(now, 7, 0.8));
+    std::printf("two: %.2f\n", counts(7));
+    own.heard(now, c.finds(now, 7, 0.1));
+    std::printf("a third hardly: %.2f\n", counts(7));
+    own.seen(now, {{7, 0, 30, 0, seconds(9), {}, {}}});
+    std::printf("own answers are good: %.2f\n", counts(7));
+    own.seen(now, {{7, 0.2, 0, 2, {}, seconds(9), {}}});
+    std::printf("own ones are bad: %.2f\n", counts(7));
+    own.seen(now, {});
+    now = now + seconds(1.4);
+    own.heard(now, first);
+    std::printf("repeated late: %.2f still, %llu dropped\n", counts(7),
+                static_cast<unsigned long long>(own.stale()));
+    now = now + seconds(0.2);
+    std::printf("past its validity: %.2f\n", counts(7));
+    own.heard(now, first);
+    std::printf("repeated later: %.2f\n", counts(7));
+    const Digest again = a.finds(now, 7, 1);
+    own.heard(now + seconds(1), again);
+    now = now + seconds(1.6);
+    std::printf("a finding that was a second on its way holds from when it was found: %.2f\n", counts(7));
+
+    // What holds is passed on with its age, and never said anew.
+    Signals next(SignalRule{}, 10, 100);
+    Teller d(4);
+    const Point found = now;
+    own.take(now, 1);
+    own.heard(now, d.finds(now, 8, 1));
+    now = now + seconds(1);
+    next.heard(now, own.take(now, 3));
+    std::printf("passed on a second later: %.2f",
+                next.results(now).count(8) ? next.results(now).at(8).reduction : 0.0);
+    now = found + seconds(1.6);
+    std::printf(", past the validity of who found it %.2f\n", next.results(now).count(8) ? 1.0 : 0.0);
+    std::printf("nothing new: %zu to tell\n", own.take(now, 3).all.size());
+
+    Teller many(uint64_t{5} << 56);
+    std::vector<Evidence> all;
+    for (uint64_t u = 0; u < 500; ++u)
+        all.push_back({~u * 0x9e3779b97f4a7c15u, 0.5, 0, 3, {}, seconds(9), {}});
+    size_t bytes = 0;
+    for (int i = 0; i < 200; ++i) {
+        now = now + seconds(0.05);
+        many.signals.seen(now, all);
+        const Digest digest = many.signals.take(now, 3);
+        if (!digest.all.empty()) bytes += 3 * encode_frame(digest, 0).size();
+    }
+    std::printf("500 upstreams in trouble for 10 s: within 2,000 bytes a second %s, says something %s\n",
+                yes(bytes <= 22000), yes(bytes > 10000));
+}
+
+// Members that ask, answers that are lost, late and out of order, holders that change: the sum of what all
+// may use is looked at all the time.
+double most_ever(bool holder_knows, double wrong_files, uint32_t seed)
+{
+    std::ranlux24_base chance(seed);
+    const auto roll = [&] { return std::uniform_real_distribution<>(0, 1)(chance); };
+    TurnsRule rule;
+    rule.whole["retries"] = 100;
+    const BudgetName name{Budget::retries, 0};
+    constexpr size_t n = 30;
+    struct One {
+        Life life = 0;
+        std::optional<Shares> shares;
+        Point next;
+        bool up = true;
+    };
+    std::vector<One> all(n);
+    Life lives = 0;
+    const auto start = [&](One& o) {
+        o.life = ++lives;
+        o.shares.emplace(rule, static_cast<size_t>(n * (1 - wrong_files)), o.life);
+        o.up = true;
+    };
+    for (One& o : all) start(o);
+    Allocator allocator(rule, 0.02);
+    Epoch epoch = 1;
+    struct Late {
+        Point at;
+        size_t to;
+        Life life;
+        GivenParts parts;
+    };
+    std::vector<Late> late;
+    double most = 0;
+    Point now{1'000'000'000};
+    allocator.begin(now, epoch);
+    for (int step = 0; step < 4000; ++step) {
+        now = now + seconds(0.02);
+        if (roll() < 0.005) {
+            ++epoch;
+            if (holder_knows)
+                allocator.begin(now, epoch);
+            else
+                allocator.begin(now - seconds(60), epoch);
+        }
+        for (size_t i = 0; i < n; ++i) {
+            One& o = all[i];
+            if (roll() < 0.002) o.up = false;
+            if (!o.up && roll() < 0.02) start(o);
+            if (!o.up || now < o.next) continue;
+            o.next = now + seconds(0.2 + 0.1 * roll());
+            o.shares->asked(now, {{name, static_cast<uint32_t>(roll() * 40)}});
+            const auto want = o.shares->want(now, epoch);
+            if (roll() < 0.15) continue;
+            auto parts = allocator.answer(now, i + 1, want);
+            if (roll() < 0.15) continue;
+            late.push_back({now + seconds(roll() < 0.2 ? 1.5 * roll() : 0.01), i, o.life, std::move(parts)});
+        }
+        for (Late& l : late)
+            if (l.at <= now && all[l.to].up && all[l.to].life == l.life)
+                all[l.to].shares->given_to(now, l.parts);
+        std::erase_if(late, [&](const Late& l) { return l.at <= now; });
+        double sum = 0;
+        for (const One& o : all)
+            if (o.up)
+                for (const Part& p : o.shares->parts(now)) sum += p.at(now);
+        most = std::max(most, sum);
+    }
+    return most;
+}
+
+void shares()
+{
+    std::printf("-- parts\n");
+    double most = 0, wrong = 0, forgets = 0;
+    for (uint32_t seed = 1; seed <= 20; ++seed) {
+        most = std::max(most, most_ever(true, 0, seed));
+        wrong = std::max(wrong, most_ever(true, 0.3, seed));
+        forgets = std::max(forgets, most_ever(false, 0, seed));
+    }
+    std::printf(
+        "30 members, losses, delays, restarts, holders that change: never over the whole %s, over half of it "
+        "%s\n",
+        yes(most <= 100), yes(most > 50));
+    std::printf("the files name a third too few: %s\n", yes(wrong <= 100));
+    std::printf("a holder that takes nothing for given away: %s\n",
+                forgets > 100 ? "over the whole" : "NOT SEEN");
+
+    TurnsRule rule;
+    rule.whole["retries"] = 100;
+    const BudgetName name{Budget::retries, 0};
+    Allocator allocator(rule, 0.02);
+    Point now{1'000'000'000};
+    allocator.begin(now - seconds(60), 3);
+    std::vector<Shares> all;
+    for (Life i = 0; i < 10; ++i) all.emplace_back(rule, 10, i + 1);
+    const auto round = [&](size_t busy) {
+        now = now + seconds(0.25);
+        for (size_t i = 0; i < all.size(); ++i) {
+            all[i].asked(now, {{name, i < busy ? 100u : 0u}});
+            all[i].given_to(now, allocator.answer(now, i + 1, all[i].want(now, 3)));
+        }
+    };
+    const auto part = [&](size_t i) { return all[i].parts(now)[0].at(now); };
+    for (int i = 0; i < 12; ++i) round(10);
+    std::printf("ten that ask alike: %.1f and %.1f\n", part(0), part(9));
+    for (int i = 0; i < 12; ++i) round(2);
+    std::printf("two that ask: %.1f; the others keep %.1f\n", part(0), part(9));
+    const double held = part(1);
+    now = now + seconds(1.5);
+    std::printf("cut off for 1.5 s it has less: %s; for 3 s its floor: ", yes(part(1) < held));
+    now = now + seconds(1.5);
+    std::printf("%.1f\n", part(1));
+    Shares other(rule, 10, 99);
+    other.asked(now, {{name, 10}});
+    const auto stale = other.want(now, 2);
+    std::printf("asked as a holder that it is not any more: %zu parts\n",
+                allocator.answer(now, 50, stale).all.size());
+    Bucket bucket;
+    Part p{name, 10, 0, now + seconds(100), now + seconds(200)};
+    size_t got = 0;
+    for (int i = 0; i < 1000; ++i) got += bucket.take(now + seconds(0.01 * i), p);
+    std::printf("ten a second for 10 s: %s\n", yes(got >= 98 && got <= 101));
+}
+
+}  // namespace
+
+int main()
+{
+    subsets();
+    told();
+    shares();
+}
--- a/tests/fleet_config.cpp
+++ b/tests/fleet_config.cpp
@@ -59,6 +59,16 @@
     show("a length that is a number", three + "[lease]\nlength = 3\n");
     show("a duty twice", three + "[[duty]]\nname = \"x\"\n[[duty]]\nname = \"x\"\n");
     show("a duty with one of the balancer's own names", three + "[[duty]]\nname = \"probe.1\"\n");
+    show("choices that add up", three +
+                                    "[subset]\nsize = 12\nzones = true\n[signals]\n[turns]\nretries = 50\n"
+                                    "[[turns.tenant]]\nname = \"gold\"\nrate = 20\n");
+    show("a subset of one", three + "[subset]\nsize = 1\n");
+    show("beyond, without zones", three + "[subset]\nbeyond = 3\n");
+    show("one balancer's word counting in full", three + "[signals]\nalone = 1.0\n");
+    show("turns of nothing", three + "[turns]\nlength = \"1s\"\n");
+    show("floors over the whole", three + "[turns]\nfloor = 4\nretries = 50\n");
+    show("a tenant twice",
+         three + "[[turns.tenant]]\nname = \"x\"\nrate = 1\n[[turns.tenant]]\nname = \"x\"\nrate = 2\n");
     show("members that are no tables", own + "member = 3\n");
     show("a voter that is a text", own + member("a", 1, "voter = \"yes\"\n"));
 }
