--- a/rig/rig.cpp
+++ b/rig/rig.cpp
@@ -190,6 +190,23 @@
     fs::resize_file(path, size - std::min<uintmax_t>(size, bytes));
 }
 
+void Rig::spoil_snapshot(size_t member, const std::string& how, size_t number)
+{
+    const auto path = folder(member) + "/snapshot";
+    if (how == "of") {
+        fs::copy_file(folder(number) + "/snapshot", path, fs::copy_options::overwrite_existing);
+    } else if (how == "torn") {
+        const auto size = fs::file_size(path);
+        fs::resize_file(path, size - std::min<uintmax_t>(size, number));
+    } else {
+        std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+        file.seekg(static_cast<std::streamoff>(number));
+        const char was = static_cast<char>(file.get());
+        file.seekp(static_cast<std::streamoff>(number));
+        file.put(static_cast<char>(was ^ 4));
+    }
+}
+
 Control& Rig::control(size_t member) { return *processes_[member]->control; }
 
 void Rig::start(size_t member)
--- a/rig/rig.h
+++ b/rig/rig.h
@@ -57,6 +57,8 @@
     void save(size_t member);  // a copy of its folder, to put back later
     void put_back(size_t member);
     void swap_folder(size_t member, size_t with);
+    // Of its snapshot: a bit turned, the end cut off, another member's put there.
+    void spoil_snapshot(size_t member, const std::string& how, size_t number);
     void tear(size_t member, size_t bytes);  // off the end of its voter's file
 
     // A line at the door; empty where nobody answers.
--- a/rig/scenario.cpp
+++ b/rig/scenario.cpp
@@ -44,6 +44,11 @@
         if (verb == "save") return rig_.save(who());
         if (verb == "disk") return disk();
         if (verb == "files") return files();
+        if (verb == "snapshot") {
+            const size_t a = who();
+            const auto how = next();
+            return rig_.spoil_snapshot(a, how, how == "of" ? who() : static_cast<size_t>(number()));
+        }
         if (verb == "clock") {
             Control& c = rig_.control(who());
             return (void)(c.rate = number());
@@ -409,8 +414,8 @@
         const Span most = to_span(line.substr(space + 1));
         line.resize(space);
         std::string got;
-        seen([&] { return (got = rig_.ask(i, line)).starts_with(start); }, most,
-             "the door never said " + start + ", but " + got.substr(0, got.find('\n')));
+        if (!rig_.until([&] { return (got = rig_.ask(i, line)).starts_with(start); }, most))
+            throw Failed{"the door never said " + start + ", but " + got};
     }
     // "served-by A... not U": none of a few requests goes there
     void served_by()
@@ -463,6 +468,7 @@
         const auto what = next();
         if (what == "silent") return rig_.discovery().silent(true);
         if (what == "speaks") return rig_.discovery().silent(false);
+        if (what == "empty" || what == "whole") return rig_.discovery().empty(what == "empty");
         rig_.discovery().state_is(next(), what);
     }
 
--- a/rig/standins.cpp
+++ b/rig/standins.cpp
@@ -135,6 +135,7 @@
 std::string DiscoveryStandIn::text() const
 {
     std::string out = R"({"rev":)" + std::to_string(version_) + R"(,"all":true,"targets":[)";
+    if (empty_) return out + "]}";
     for (const auto& [uid, t] : targets_)
         out += (out.back() == '[' ? "" : ",") + std::string(R"({"uid":")") + uid +
                R"(","endpoint":"127.0.0.1:)" + std::to_string(t.first) + R"(","state":")" + t.second + "\"" +
@@ -162,6 +163,13 @@
     tell_watchers();
 }
 
+void DiscoveryStandIn::empty(bool on)
+{
+    empty_ = on;
+    ++version_;
+    tell_watchers();
+}
+
 void DiscoveryStandIn::started(const std::string& uid)
 {
     using namespace std::chrono;
--- a/rig/standins.h
+++ b/rig/standins.h
@@ -89,6 +89,7 @@
     void state_is(const std::string& uid, const std::string& state);
     void started(const std::string& uid);  // just now
     void silent(bool on) { silent_ = on; }
+    void empty(bool on);  // lists nothing, as after the loss of its own past
     uint64_t calls() const { return calls_; }
 
   private:
@@ -100,7 +101,7 @@
     std::map<std::string, std::pair<uint16_t, std::string>> targets_;
     std::map<std::string, int64_t> started_;  // milliseconds of Unix time
     uint64_t version_ = 1, calls_ = 0;
-    bool silent_ = false;
+    bool silent_ = false, empty_ = false;
     std::vector<evhttp_request*> watching_;
     Server server_;
 };
--- a/src/fleet/commands.cpp
+++ b/src/fleet/commands.cpp
@@ -32,6 +32,29 @@
     return 0;
 }
 
+int check_snapshot(const std::string& path, bool dump)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::stringstream text;
+    if (!file || !(text << file.rdbuf())) throw CannotStart(path + ": cannot be read");
+    const auto decoded = decode_memory(text.str());
+    if (const auto* why = std::get_if<std::string>(&decoded)) throw CannotStart(path + ": " + *why);
+    const auto& m = std::get<Memory>(decoded);
+    std::printf("the snapshot is whole: member %s of fleet %s, incarnation %llu\n", m.member.c_str(),
+                m.fleet.c_str(), static_cast<unsigned long long>(m.incarnation));
+    if (!dump) return 0;
+    std::printf("list version %llu, %zu bytes\naccepted %.1f a second, among %u, upstreams of size %.1f\n",
+                static_cast<unsigned long long>(m.list_version), m.list.size(), m.rate, m.sharers, m.size);
+    for (const auto& e : m.epochs)
+        std::printf("epoch %llu of %s\n", static_cast<unsigned long long>(e.epoch), e.duty.c_str());
+    for (const auto& r : m.reductions)
+        std::printf("reduction %.2f of %016llx, %lld ms left\n", static_cast<double>(r.reduction),
+                    static_cast<unsigned long long>(r.upstream), static_cast<long long>(r.left_us / 1000));
+    for (const auto& id : m.open) std::printf("may have run: %s\n", id.c_str());
+    if (!m.list.empty()) std::printf("%s\n", m.list.c_str());
+    return 0;
+}
+
 int ask_door(const std::string& door, const std::string& line)
 {
     sockaddr_storage at{};
--- a/src/fleet/commands.h
+++ b/src/fleet/commands.h
@@ -13,6 +13,8 @@
 
 // Both return the exit status.
 int check_file(const std::string& path);
+// A snapshot's file: whether it is whole, and what it holds.
+int check_snapshot(const std::string& path, bool dump);
 int ask_door(const std::string& door, const std::string& line);
 
 }  // namespace firtide::fleet
--- a/src/fleet/config.cpp
+++ b/src/fleet/config.cpp
@@ -156,14 +156,22 @@
         file.signals = signals;
     }
     if (const auto* t = top.table("turns")) read_turns(*t, file);
+    if (const auto* t = top.table("recovery")) {
+        const TomlTable table(*t, "recovery", {"every", "wait", "warm"});
+        RecoveryRule recovery;
+        recovery.every = table.span("every", recovery.every, seconds(0.1), seconds(600));
+        recovery.wait = table.span("wait", recovery.wait, seconds(0.5), seconds(600));
+        recovery.warm = table.span("warm", recovery.warm, seconds(1), seconds(3600));
+        file.recovery = recovery;
+    }
 }
 
 FleetFile read(const toml::table& from)
 {
     FleetFile file;
-    const TomlTable top(
-        from, "",
-        {"fleet", "member", "lease", "duty", "list", "probe", "drain", "subset", "signals", "turns"});
+    const TomlTable top(from, "",
+                        {"fleet", "member", "lease", "duty", "list", "probe", "drain", "subset", "signals",
+                         "turns", "recovery"});
     const auto* own = top.table("fleet");
     if (!own) wrong("fleet", 1, "is missing");
     const TomlTable fleet(*own, "fleet", {"name", "id", "listen", "data"});
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -74,6 +74,7 @@
     std::optional<SubsetRule> subset;
     std::optional<SignalRule> signals;
     std::optional<TurnsRule> turns;
+    std::optional<RecoveryRule> recovery;
 
     size_t voters() const;
     std::optional<Member> member_of(Key key) const;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -106,6 +106,8 @@
 {
     members_.start(now_);
     holder_.start(now_);
+    begun_ = kept_at_ = now_;
+    began_as_ = members_.incarnation();
     list_fresh_ = now_;
     list_spread_ =
         file_.list ? file_.list->stale * (0.5 * std::uniform_real_distribution<>(0, 1)(chance_)) : Span{};
@@ -241,6 +243,7 @@
     granter_.tick(now_);
     list_tick();
     choices_tick();
+    recovery_tick();
     beat();
     if (members_.twin() && !std::exchange(twin_told_, true))
         effects_.push_back(
@@ -363,6 +366,7 @@
         // drains.
         if (list->version < list_version_) return;
         newest_[news.duty] = news;
+        if (file_.recovery) last_list_ = list->whole;
         if (list->version > list_version_) effects_.push_back(UseList{list->version, std::move(list->whole)});
         list_version_ = list->version;
     }
@@ -375,6 +379,10 @@
 {
     const bool same = source == list_source_;
     if (same && version < list_version_) return false;
+    // Guards against a discovery that has lost its own past: what is remembered is better for a while.
+    if (version < hint_version_ && file_.recovery && now_ - begun_ < file_.recovery->wait * 4) return false;
+    hint_version_ = 0;
+    if (file_.recovery) last_list_ = whole;
     if (!same || version > list_version_) effects_.push_back(UseList{version, whole});
     list_source_ = source;
     list_version_ = version;
@@ -435,6 +443,7 @@
 void Fleet::on(const DoorAsked& asked)
 {
     if (asked.what == "show-fleet") return reply(asked.caller, show());
+    if (asked.what == "show-recovery") return reply(asked.caller, show_recovery());
     if (asked.what == "turn") {
         if (!file_.drain) return reply(asked.caller, "FAILURE the fleet file has no [drain]\n");
         if (turn_ || wants_turn_)
@@ -621,6 +630,83 @@
     return out;
 }
 
+// ---- its return, and what it remembers ----
+
+void Fleet::on(Recalled& recalled)
+{
+    if (const auto* why = std::get_if<std::string>(&recalled.memory)) {
+        recalled_.push_back("refused snapshot: " + *why);
+        effects_.push_back(Noted{"trouble", file_.id, "the snapshot is refused: " + *why, 0, "", {}});
+        return;
+    }
+    auto* memory = std::get_if<Memory>(&recalled.memory);
+    if (!memory) return recalled_.push_back("no snapshot");
+    if (const auto why = not_of(*memory, file_.name, file_.id); !why.empty()) {
+        recalled.memory = why;
+        return on(recalled);
+    }
+    holder_.recall(memory->epochs);
+    for (const SeenEpoch& e : memory->epochs) fence_.accept(e.duty, e.epoch, 0);
+    recalled_.push_back("trusted epochs of " + std::to_string(memory->epochs.size()) + " duties");
+    recalled_.push_back("hint list version " + std::to_string(memory->list_version) + ", " +
+                        std::to_string(memory->list.size()) + " bytes");
+    recalled_.push_back("trusted " + std::to_string(memory->open.size()) + " ids of what may have run");
+    // Reductions count from when they were written, by a clock that has gone on since.
+    std::erase_if(memory->reductions, [&](RememberedReduction& r) {
+        if (!recalled.ago) return true;
+        r.left_us -= recalled.ago->us;
+        return r.left_us <= 0;
+    });
+    recalled_.push_back(recalled.ago ? "trusted " + std::to_string(memory->reductions.size()) + " reductions"
+                                     : "refused reductions: the machine was started anew");
+    hint_version_ = memory->list_version;
+    last_list_ = memory->list;
+    effects_.push_back(UseMemory{std::move(*memory)});
+}
+
+void Fleet::recovery_tick()
+{
+    if (!file_.recovery) return;
+    if (!older_told_ && members_.incarnation() > began_as_ && now_ - begun_ < file_.recovery->wait) {
+        // Others have seen this member later than its disk has it.
+        older_told_ = true;
+        recalled_.push_back("older than others have seen this member: as incarnation " +
+                            std::to_string(members_.incarnation()));
+        effects_.push_back(
+            Noted{"trouble", file_.id, "its disk is older than others have seen this member", 0, "", {}});
+    }
+    FleetState state;
+    state.members = file_.members.size(), state.alive = members_.alive();
+    state.majority = holder_.confirmed(now_);
+    for (const Duty& d : file_.duties) {
+        if (d.kind == DutyKind::drain) continue;
+        ++state.duties;
+        state.held += holder_.table().of(d.name).holder != 0 || holder_.mine(now_, d.name);
+    }
+    effects_.push_back(UseState{state});
+    if (now_ - kept_at_ < file_.recovery->every || stopping_) return;
+    kept_at_ = now_;
+    Memory m;
+    m.fleet = file_.name, m.member = file_.id, m.incarnation = members_.incarnation();
+    m.boot_us = now_.us;
+    m.list_version = std::max(list_version_, hint_version_), m.list = last_list_;
+    m.rate = observed_.accepted, m.size = observed_.size, m.sharers = static_cast<uint32_t>(members_.alive());
+    m.reductions = observed_.reductions, m.open = observed_.open;
+    for (const Duty& d : file_.duties)
+        if (const Epoch e = std::max(holder_.table().of(d.name).epoch, fence_.epoch(d.name)))
+            m.epochs.push_back({d.name, e});
+    effects_.push_back(Keep{std::move(m)});
+}
+
+std::string Fleet::show_recovery() const
+{
+    if (!file_.recovery) return "FAILURE the fleet file has no [recovery]\n";
+    std::string out;
+    for (const auto& line : observed_.recovery) out += line + "\n";
+    for (const auto& line : recalled_) out += "memory " + line + "\n";
+    return out + "EOT\n";
+}
+
 std::string Fleet::show() const
 {
     const Term term = std::max(holder_.term(), standing_ ? standing_->standing.term : 0);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -13,6 +13,7 @@
 #include "desk.h"
 #include "leases.h"
 #include "members.h"
+#include "recovery.h"
 #include "view.h"
 
 namespace firtide::fleet
@@ -32,7 +33,8 @@
 };
 struct DoorAsked {
     uint64_t caller = 0;
-    std::string what, first, second;  // show-fleet, hand-over, let-in, put-out, turn, turn-over
+    std::string what, first,
+        second;  // show-fleet, show-recovery, hand-over, let-in, put-out, turn, turn-over
 };
 struct DoorLeft {
     uint64_t caller = 0;
@@ -53,8 +55,13 @@
 };
 struct Stops {
 };
+// What this member remembers, or why that is refused; nothing: there was none. Before it has begun.
+struct Recalled {
+    std::variant<std::monostate, Memory, std::string> memory;
+    std::optional<Span> ago;  // by a clock that is trusted: the machine has not been started anew
+};
 using FleetEvent = std::variant<Begun, Heard, Ticked, DeskSaid, DoorAsked, DoorLeft, ListSeen, ProbesSeen,
-                                Refused, Stops, Observed>;
+                                Refused, Stops, Observed, Recalled>;
 
 // Effects. Send is one of them.
 struct Seating {  // of a member among the voters
@@ -109,6 +116,15 @@
 struct UseParts {
     std::vector<Part> parts;
 };
+struct UseMemory {  // and its list as a hint
+    Memory memory;
+};
+struct UseState {
+    FleetState state;
+};
+struct Keep {       // on the disk, in the place of the last one
+    Memory memory;  // but for the machine's part of it
+};
 struct Reply {
     uint64_t caller = 0;
     std::string text;
@@ -120,7 +136,7 @@
     Point until;  // of a duty that was lost: when its lease ended, at the latest
 };
 using FleetEffect = std::variant<Send, ToDesk, Act, ResumeNow, AskDiscovery, UseList, UseReports, Reply,
-                                 Noted, UseFleet, UseSignals, UseParts>;
+                                 Noted, UseFleet, UseSignals, UseParts, UseMemory, UseState, Keep>;
 
 inline constexpr uint32_t probe_slices = 10;
 inline constexpr Span probe_lasts = seconds(0.3);  // until its answer, or its being given up
@@ -174,6 +190,9 @@
     void on(const Refused& refused);
     void on(const Stops&);
     void on(Observed& observed);
+    void on(Recalled& recalled);
+    void recovery_tick();
+    std::string show_recovery() const;
 
     void hear(Member from, const Order& order);
     void hear(Member from, const Obeyed& obeyed);
@@ -228,6 +247,14 @@
     Point weighed_, sharers_at_, wanted_parts_;
     bool signalled_ = false;
 
+    // Of its return, where the fleet file has it.
+    std::vector<std::string> recalled_;  // what was trusted, and refused
+    Incarnation began_as_ = 0;
+    Point begun_, kept_at_;
+    uint64_t hint_version_ = 0;
+    std::string last_list_;
+    bool older_told_ = false;
+
     std::map<uint64_t, Caller> callers_;  // of orders on their way to the leader
     std::map<uint64_t, std::pair<Member, uint64_t>> desk_orders_;
     uint64_t next_order_ = 1, next_desk_ = uint64_t{1} << 63;
--- a/src/fleet/host.cpp
+++ b/src/fleet/host.cpp
@@ -4,6 +4,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include <fstream>
 #include <nlohmann/json.hpp>
 
 #include "src/net/log.h"
@@ -24,6 +25,15 @@
     MSGPACK_DEFINE(fleet, member, incarnation)
 };
 
+// Of the machine since its start.
+std::string boot_id()
+{
+    std::ifstream file("/proc/sys/kernel/random/boot_id");
+    std::string id;
+    std::getline(file, id);
+    return id;
+}
+
 uint64_t draw()
 {
     std::random_device device;
@@ -128,6 +138,51 @@
     }
 }
 
+Keeper::Keeper(Files& files, std::string boot) : files_(files), boot_(std::move(boot))
+{
+    thread_ = std::thread([this] { run(); });
+}
+
+Keeper::~Keeper()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stop_ = true;
+    }
+    more_.notify_one();
+    thread_.join();
+}
+
+void Keeper::keep(Memory memory)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        next_ = std::move(memory);
+    }
+    more_.notify_one();
+}
+
+std::string Keeper::trouble()
+{
+    const std::lock_guard lock(mutex_);
+    return trouble_;
+}
+
+void Keeper::run()
+{
+    std::unique_lock lock(mutex_);
+    for (;;) {
+        more_.wait(lock, [this] { return stop_ || next_; });
+        if (stop_) return;
+        Memory memory = std::move(*std::exchange(next_, std::nullopt));
+        lock.unlock();
+        memory.boot = boot_;
+        const auto error = files_.replace(snapshot_file, encode_memory(memory));
+        lock.lock();
+        trouble_ = error ? error.message() : "";
+    }
+}
+
 Folder Host::open(const FleetFile& file, const std::string& path)
 {
     const std::string where = path + ": fleet.data: " + file.data + ": ";
@@ -194,15 +249,46 @@
     if (file_.members[file_.self].voter)
         desk_ = std::make_unique<DeskThread>(base_, file_, folder_, draw(),
                                              [this](DeskEffect e) { tell(DeskSaid{std::move(e)}); });
+    if (file_.recovery) {
+        tell(recall());
+        keeper_ = std::make_unique<Keeper>(folder_, boot_id());
+    }
     tell(Begun{});
     const auto every = to_timeval(tick_every);
     event_add(ticking_.get(), &every);
 }
 
+Recalled Host::recall()
+{
+    std::optional<std::string> bytes;
+    if (const auto error = folder_.read(snapshot_file, bytes))
+        return {"it cannot be read: " + error.message(), {}};
+    if (!bytes) return {};
+    auto decoded = decode_memory(*bytes);
+    if (auto* why = std::get_if<std::string>(&decoded)) return {std::move(*why), {}};
+    auto& memory = std::get<Memory>(decoded);
+    // The boot clock goes on as long as the machine does; wall clocks are not asked.
+    std::optional<Span> ago;
+    if (const Span since{fleet_now().us - memory.boot_us}; memory.boot == boot_id() && since >= Span{})
+        ago = since;
+    return {std::move(memory), ago};
+}
+
 void Host::tick()
 {
     tell(Ticked{});
     keep_incarnation();
+    if (!keeper_) return;
+    if (auto trouble = keeper_->trouble(); trouble != kept_trouble_) {
+        kept_trouble_ = std::move(trouble);
+        note({"trouble",
+              file_.id,
+              kept_trouble_.empty() ? "the snapshot is kept again"
+                                    : "the snapshot is not kept: " + kept_trouble_,
+              0,
+              "",
+              {}});
+    }
 }
 
 // Events that come while effects are carried out wait for their turn.
@@ -266,6 +352,12 @@
         if (hooks_.use_signals) hooks_.use_signals(*signals);
     } else if (auto* parts = std::get_if<UseParts>(&effect)) {
         if (hooks_.use_parts) hooks_.use_parts(*parts);
+    } else if (auto* memory = std::get_if<UseMemory>(&effect)) {
+        if (hooks_.use_memory) hooks_.use_memory(*memory);
+    } else if (auto* state = std::get_if<UseState>(&effect)) {
+        if (hooks_.use_state) hooks_.use_state(*state);
+    } else if (auto* keep = std::get_if<Keep>(&effect)) {
+        if (keeper_) keeper_->keep(std::move(keep->memory));
     } else if (std::get_if<ResumeNow>(&effect)) {
         if (hooks_.resume) hooks_.resume();
     }
--- a/src/fleet/host.h
+++ b/src/fleet/host.h
@@ -48,6 +48,29 @@
     std::thread thread_;
 };
 
+// Writes snapshots, the newest at a time, on a thread of its own: encoding and the disk cost the loop
+// nothing.
+class Keeper
+{
+  public:
+    Keeper(Files& files, std::string boot);
+    ~Keeper();
+    void keep(Memory memory);
+    std::string trouble();  // of the last write; empty: none
+
+  private:
+    void run();
+
+    Files& files_;
+    const std::string boot_;
+    std::mutex mutex_;
+    std::condition_variable more_;
+    std::optional<Memory> next_;
+    std::string trouble_;
+    bool stop_ = false;
+    std::thread thread_;
+};
+
 class Host
 {
   public:
@@ -61,6 +84,8 @@
         std::function<void()> drain, resume;
         std::function<void(UseFleet&)> use_fleet;
         std::function<void(UseSignals&)> use_signals;
+        std::function<void(UseMemory&)> use_memory;
+        std::function<void(const UseState&)> use_state;
         std::function<void(UseParts&)> use_parts;  // its points are of fleet_now()
     };
 
@@ -81,6 +106,7 @@
     static Folder open(const FleetFile& file, const std::string& path);
     Incarnation next_incarnation();
     void keep_incarnation();
+    Recalled recall();
     void carry_out(FleetEffect& effect);
     void act(const Act& act);
     void note(const Noted& noted);
@@ -96,6 +122,8 @@
     Peers peers_;
     Tellers tellers_;
     std::unique_ptr<DeskThread> desk_;
+    std::unique_ptr<Keeper> keeper_;
+    std::string kept_trouble_;
     net::Timer ticking_;
     std::deque<FleetEvent> events_;
     bool reducing_ = false;
--- a/src/fleet/leases.cpp
+++ b/src/fleet/leases.cpp
@@ -50,6 +50,11 @@
 
 void Holder::start(Point now) { next_ = until_ = now; }
 
+void Holder::recall(const std::vector<SeenEpoch>& epochs)
+{
+    for (const SeenEpoch& e : epochs) done_[e.duty] = std::max(done_[e.duty], e.epoch);
+}
+
 void Holder::leader_is(Key leader, Term term)
 {
     if (!leader || term < leader_term_) return;
--- a/src/fleet/leases.h
+++ b/src/fleet/leases.h
@@ -46,6 +46,8 @@
     Holder(const FleetFile& file, Life life, uint64_t seed);
 
     void start(Point now);
+    // Epochs from before this start: granted anew, a duty has a higher one.
+    void recall(const std::vector<SeenEpoch>& epochs);
     void tick(Point now);
     void on(Point now, Member from, const Renewed& renewed);
     void on(Point now, Member from, const Refer& refer);
--- /dev/null
+++ b/src/fleet/recovery.h
@@ -0,0 +1,67 @@
+// The return of a member to service: stages in a stated order, and how much is admitted meanwhile. No I/O, no
+// clock.
+//
+// A stage waits only for what the ones before it have brought, or for its longest time; so none waits for
+// something that waits for it. Service goes on beside them as far as a list of upstreams is there: what is
+// admitted grows with what they can do.
+#pragma once
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "rules.h"
+
+namespace firtide::fleet
+{
+
+enum class ReturnStage : uint8_t { disk, peers, voters, duties, list, warming, full };
+const char* text_of(ReturnStage stage);
+
+struct FleetState {
+    size_t members = 1, alive = 1;
+    bool majority = false;
+    size_t duties = 0, held = 0;
+};
+
+class Recovery
+{
+  public:
+    explicit Recovery(RecoveryRule rule) : rule_(rule) {}
+
+    void start(Point now);
+    // What was accepted a second before, by so many balancers, and the size of all upstreams then.
+    void remembered(Point now, double rate, uint32_t sharers, double size);
+    void fleet_is(const FleetState& state) { state_ = state; }
+    // warm: size that listed upstreams can do by now; listed: all of it; told: a list that is no hint.
+    void tick(Point now, double warm, double listed, bool told);
+
+    // Of one that arrives. rank: 0 for the most valuable operations, up to 1.
+    bool admits(Point now, double rank);
+    double admitted() const { return admitted_; }  // a part of what was accepted before; 1: all
+    // Whether an empty list, or one from before, is believed over what there is.
+    bool believes_loss(Point now) const { return now - started_ > rule_.wait * 4; }
+    ReturnStage stage() const { return stage_; }
+    bool ready() const { return stage_ > ReturnStage::list || told_; }
+    std::vector<std::string> lines(Point now) const;
+
+  private:
+    struct Passed {
+        Point from, to;
+        bool gave_up = false;
+    };
+    bool done(double warm, double listed) const;
+    Span longest() const { return stage_ == ReturnStage::warming ? rule_.warm : rule_.wait; }
+
+    const RecoveryRule rule_;
+    FleetState state_;
+    ReturnStage stage_ = ReturnStage::disk;
+    std::array<Passed, 7> passed_;
+    Point started_, filled_;
+    bool told_ = false;
+    double rate_ = 0, size_ = 0, sharers_ = 0;
+    double admitted_ = 1, tokens_ = 0;
+    uint64_t turned_away_ = 0;
+};
+
+}  // namespace firtide::fleet
--- a/src/fleet/rules.h
+++ b/src/fleet/rules.h
@@ -24,6 +24,12 @@
     uint32_t bytes = 2000;  // a second that a member sends
 };
 
+struct RecoveryRule {
+    Span every = seconds(2);  // the snapshot is written again
+    Span wait = seconds(3);   // the longest of a stage
+    Span warm = seconds(60);  // and of upstreams' warming
+};
+
 enum class Budget : uint8_t { retries, probes, cold, tenant };
 struct BudgetName {
     Budget of = Budget::retries;
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -62,6 +62,13 @@
     std::erase_if(buckets_, [this](const auto& b) { return !budgets_.count(b.first); });
 }
 
+void View::recall(Point now, const std::vector<RememberedReduction>& reductions)
+{
+    for (const RememberedReduction& r : reductions)
+        recalled_[r.upstream] = {r.reduction, now + Span{r.left_us}};
+    due_ = true;
+}
+
 void View::answered(Point now, Tgt tgt, bool well)
 {
     if (tgt >= all_.size()) return;
@@ -90,7 +97,10 @@
 
 double View::factor(Point now, One& one) const
 {
-    const double most = std::max(least_factor, 1 - one.told);
+    double told = one.told;
+    if (const auto at = recalled_.find(one.real.id); at != recalled_.end() && now < at->second.second)
+        told = std::max(told, at->second.first);
+    const double most = std::max(least_factor, 1 - told);
     const double grown = one.factor * std::exp2((now - one.factor_at) / doubles_in);
     one.factor = std::min(most, std::max(least_factor, std::min(1.0, grown)));
     one.factor_at = now;
@@ -104,7 +114,7 @@
     if (one.told_start && (!l.started || *l.started < *one.told_start)) l.started = one.told_start;
     const double part = rules_.subset && tgt < parts_.size() ? parts_[tgt] : rules_.subset ? 0 : 1;
     if (part <= 0) l.presence = Presence::gone;
-    if (rules_.signals) l.size *= factor(now, one);
+    if (rules_.signals || !recalled_.empty()) l.size *= factor(now, one);
     l.size *= part > 0 ? part : 1;
     if (rules_.turns && l.presence == Presence::ready && is_cold(now, l)) {
         const BudgetName name{Budget::cold, l.id};
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <vector>
 
+#include "memory.h"
 #include "shares.h"
 #include "signals.h"
 #include "src/balance.h"
@@ -27,6 +28,10 @@
     size_t shown = 0, listed = 0;
     uint32_t wider = 0;
     std::map<uint64_t, std::string> names;  // of upstreams
+    // For what it remembers over its own end, and of its return.
+    double accepted = 0, size = 0;
+    std::vector<RememberedReduction> reductions;
+    std::vector<std::string> open, recovery;
 };
 
 class View
@@ -48,6 +53,8 @@
     void fleet_is(std::vector<Sharer> sharers);
     void told(Point now, const std::map<uint64_t, Signals::Result>& results);
     void parts_are(Point now, const std::vector<Part>& parts);
+    // Reductions from before the start, while they last.
+    void recall(Point now, const std::vector<RememberedReduction>& reductions);
     void answered(Point now, Tgt tgt, bool well);
     void arrived() { ++arrived_; }
 
@@ -93,6 +100,7 @@
     Parts parts_, narrower_;
     Width width_;
     bool dirty_ = true, due_ = true;
+    std::map<uint64_t, std::pair<double, Point>> recalled_;
     std::map<BudgetName, Part> budgets_;
     Part scaled_;
     std::map<BudgetName, Bucket> buckets_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -27,6 +27,15 @@
     fleet_check->add_option("file", fleet_path, "the fleet file (TOML)")->required();
     auto* fleet_status = fleet->add_subcommand("status", "ask a balancer's door about its fleet");
     fleet_status->add_option("door", door, "address:port of the operators' door (mgmt)")->required();
+    auto* fleet_recovery =
+        fleet->add_subcommand("recovery", "ask a balancer's door about its return to service");
+    fleet_recovery->add_option("door", door, "address:port of the operators' door (mgmt)")->required();
+    auto* snapshot = app.add_subcommand("snapshot", "of what a member remembers over its own end");
+    snapshot->require_subcommand(1);
+    auto* snapshot_check = snapshot->add_subcommand("check", "say whether a snapshot is whole");
+    auto* snapshot_dump = snapshot->add_subcommand("dump", "print what it holds");
+    for (auto* command : {snapshot_check, snapshot_dump})
+        command->add_option("file", path, "the file 'snapshot' in a member's folder")->required();
     auto* check =
         with_config(app.add_subcommand("check-config", "read a configuration and say what is wrong with it"));
     auto* version = app.add_subcommand("version", "print the version");
@@ -35,6 +44,8 @@
         if (version->parsed()) return std::puts("firtide " FIRTIDE_VERSION) < 0;
         if (fleet_check->parsed()) return firtide::fleet::check_file(fleet_path);
         if (fleet_status->parsed()) return firtide::fleet::ask_door(door, "show-fleet");
+        if (fleet_recovery->parsed()) return firtide::fleet::ask_door(door, "show-recovery");
+        if (snapshot->parsed()) return firtide::fleet::check_snapshot(path, snapshot_dump->parsed());
         auto config = firtide::net::read_config(path);
         if (check->parsed()) {
             firtide::net::check_known(config);
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -83,7 +83,11 @@
     return std::move(effects_);
 }
 
-void Reducer::on(Started) { balancer_.started(now_); }
+void Reducer::on(Started)
+{
+    if (recovery_) recovery_->start(now_);
+    balancer_.started(now_);
+}
 
 // A new upstream takes the place of one that has gone. Guards against growing with all that ever were; what
 // was forwarded to the old one still counts against it until it is over.
@@ -137,11 +141,21 @@
 
 void Reducer::on(ListTold& told)
 {
-    listed(listings(told.entries, told.all), told.all);
+    // Guards against a discovery that has lost its own past: no good list is thrown away for an empty one.
+    const bool empty =
+        recovery_ && told.all && told.entries.empty() && listed_ && !recovery_->believes_loss(now_);
+    list_told_ = list_told_ || !empty;
+    if (!empty) listed(listings(told.entries, told.all), told.all);
     balancer_.list_answered(now_, true);
 }
 
-void Reducer::on(ListRemembered& told) { listed(listings(told.entries, true), true); }
+// Of a list from before the start, warmth is not believed: what came back with this one is cold.
+void Reducer::on(ListRemembered& told)
+{
+    if (recovery_)
+        for (Entry& e : told.entries) e.started = now_;
+    listed(listings(told.entries, true), true);
+}
 
 void Reducer::listed(const std::vector<Listing>& listings, bool all)
 {
@@ -184,8 +198,93 @@
     if (view_) view_->parts_are(now_, parts.parts);
 }
 
+// At the door of the fleet's own limits, before the module hears of it.
+bool Reducer::turned_away(Arrived& arrived)
+{
+    Outcomes& outcomes = outcomes_of(arrived.request.operation);
+    // What may have run before this start is never forwarded again.
+    if (!may_have_run_.empty() && may_have_run_.count(arrived.request.id) &&
+        setup_.settings.operations[arrived.request.operation].repeat == Repeat::non_idempotent) {
+        ++outcomes.failure;
+        effects_.push_back(Answer{arrived.caller, plain_answer(502, "errored\n"), turns_out(now_)});
+        return true;
+    }
+    auto come_back = over_rate(arrived.request);
+    // Spread by the caller's number, so that those turned away together don't come back together.
+    if (!come_back && recovery_ && !recovery_->admits(now_, rank_of(arrived.request.operation)))
+        come_back = seconds(1 + static_cast<double>(arrived.caller % 16) * 0.125);
+    if (!come_back) return false;
+    ++outcomes.busy;
+    auto r = plain_answer(503, "throttled\n");
+    r.passed_on.emplace_back("Retry-After", encode_seconds(*come_back));
+    effects_.push_back(Answer{arrived.caller, std::move(r), turns_out(now_)});
+    return true;
+}
+
+// 0 for the operations that are worth most.
+double Reducer::rank_of(uint32_t operation) const
+{
+    double most = 0;
+    for (const Operation& op : setup_.settings.operations) most = std::max(most, op.late_billed_value);
+    return most > 0 ? 1 - setup_.settings.operations[operation].late_billed_value / most : 0;
+}
+
+void Reducer::on(const Remembered& remembered)
+{
+    const fleet::Memory& m = remembered.memory;
+    may_have_run_ = {m.open.begin(), m.open.end()};
+    if (recovery_) recovery_->remembered(now_, m.rate, m.sharers, m.size);
+    if (view_) view_->recall(now_, m.reductions);
+}
+
+void Reducer::on(const FleetStateIs& fleet)
+{
+    if (recovery_) recovery_->fleet_is(fleet.state);
+}
+
+// What listed upstreams can do by now, for their sizes.
+void Reducer::look_at_return()
+{
+    if (!recovery_) return;
+    const Settings& set = setup_.settings;
+    double warm = 0, listed = 0;
+    for (Tgt t = 0; t < upstreams_.size() && t < real_.size(); ++t) {
+        const Listing& l = real_[t];
+        if (upstreams_[t].presence != Presence::ready) continue;
+        listed += l.size;
+        const double age =
+            l.started && set.cold > Span{} ? std::clamp((now_ - *l.started) / set.cold, 0.0, 1.0) : 1;
+        warm += l.size * (set.cold_share + (1 - set.cold_share) * age);
+    }
+    recovery_->tick(now_, warm, listed, list_told_);
+    if (now_ - well_at_ < seconds(1)) return;
+    const double rate =
+        static_cast<double>(std::exchange(went_well_, 0)) / std::max(1.0, (now_ - well_at_).seconds());
+    if (well_at_.us) well_rate_ += (rate > well_rate_ ? 0.5 : 0.05) * (rate - well_rate_);
+    well_at_ = now_;
+}
+
+// What is told to the fleet for its snapshot.
+void Reducer::remember(Observed& observed)
+{
+    observed.recovery = recovery_->lines(now_);
+    // Guards against taking the little that is served while returning for the usual.
+    observed.accepted = recovery_->admitted() < 1 ? 0 : well_rate_;
+    for (Tgt t = 0; t < upstreams_.size() && t < real_.size(); ++t) {
+        if (upstreams_[t].presence != Presence::ready) continue;
+        observed.size += real_[t].size;
+        if (const double r = reduction(t); r >= 0.1)
+            observed.reductions.push_back({real_[t].id, static_cast<float>(r), seconds(1.5).us});
+    }
+    for (const Invocation& i : invocations_)
+        if (!i.over && !i.attempts.empty() && i.request.operation < setup_.settings.operations.size() &&
+            setup_.settings.operations[i.request.operation].repeat == Repeat::non_idempotent)
+            observed.open.push_back(i.request.id);
+}
+
 void Reducer::on(Ticked)
 {
+    look_at_return();
     if (!view_) return;
     show();
     auto observed = view_->observe(
@@ -193,6 +292,7 @@
     if (!observed) return;
     for (const Upstream& u : upstreams_)
         if (u.presence != Presence::gone) observed->names[id_of(u.uid)] = u.uid;
+    if (recovery_) remember(*observed);
     effects_.push_back(std::move(*observed));
 }
 
@@ -229,13 +329,7 @@
     ++taken_;
     if (view_) view_->arrived();
     Outcomes& outcomes = outcomes_of(arrived.request.operation);
-    if (const auto come_back = over_rate(arrived.request)) {
-        ++outcomes.busy;
-        auto r = plain_answer(503, "throttled\n");
-        r.passed_on.emplace_back("Retry-After", encode_seconds(*come_back));
-        effects_.push_back(Answer{arrived.caller, std::move(r), turns_out(now_)});
-        return;
-    }
+    if (turned_away(arrived)) return;
     // Guards against two forwards under one id, of which an upstream would take the second for a copy.
     if (!open_ids_.insert(arrived.request.id).second) {
         ++outcomes.failure;
@@ -582,6 +676,7 @@
 {
     Invocation& i = invocations_[inv];
     if (i.over) return;
+    went_well_ += response.status == 200;
     if (i.bound) {
         i.over = true;
         return effects_.push_back(Answer{i.caller, std::move(response), turns_out(now_)});
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "message.h"
+#include "src/fleet/recovery.h"
 #include "src/fleet/view.h"
 
 namespace firtide::net
@@ -136,11 +137,18 @@
 struct PartsAre {
     std::vector<fleet::Part> parts;
 };
+struct Remembered {  // from before this start
+    fleet::Memory memory;
+};
+struct FleetStateIs {
+    fleet::FleetState state;
+};
 struct Ticked {  // every tenth of a second or so, as a member of a fleet
 };
 using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Brought, Taken,
                            Connected, Answered, Came, Failed, Written, TurnedAway, Ordered, Woken, Shared,
-                           Stopping, Reread, ProbeDue, ReportHeard, FleetIs, SignalsTold, PartsAre, Ticked>;
+                           Stopping, Reread, ProbeDue, ReportHeard, FleetIs, SignalsTold, PartsAre,
+                           Remembered, FleetStateIs, Ticked>;
 
 // Effects.
 struct Answer {
@@ -223,12 +231,14 @@
 
     // As a member of a fleet: what the module is shown follows the choices of all. Before the first event.
     void join(fleet::View::Rules rules);
+    // And its return is in stages, with what it remembers.
+    void recover(fleet::RecoveryRule rule) { recovery_.emplace(rule); }
 
     // The effects are to be carried out in their order.
     std::vector<Effect> reduce(Point now, Event event);
 
     Life life() const;
-    bool ready() const { return life() == Life::ready; }
+    bool ready() const { return life() == Life::ready && (!recovery_ || list_told_ || recovery_->ready()); }
     // Draining or stopping for so long that each answer is the last on its connection and idle ones may go.
     bool turns_out(Point now) const;
     Figures figures();
@@ -301,12 +311,18 @@
     void on(const SignalsTold& told);
     void on(const PartsAre& parts);
     void on(Ticked);
+    void on(const Remembered& remembered);
+    void on(const FleetStateIs& fleet);
 
     void listed(const std::vector<Listing>& listings, bool all);
     void show();
     double reduction(Tgt tgt) { return balancer_.reduction(now_, tgt); }
     bool within_budgets(uint32_t nth, Tgt tgt);
     std::optional<Span> over_rate(const Request& request);
+    bool turned_away(Arrived& arrived);
+    void look_at_return();
+    void remember(Observed& observed);
+    double rank_of(uint32_t operation) const;
 
     void settings_are(Setup setup);
     Tgt place_of(const std::string& uid);
@@ -359,6 +375,12 @@
     std::optional<fleet::View> view_;  // as a member of a fleet with choices that add up
     std::vector<Listing> real_;        // by place, where there is one
     double sharers_ = 0;
+    std::optional<fleet::Recovery> recovery_;
+    std::unordered_set<std::string> may_have_run_;  // before this start, by id
+    bool list_told_ = false;
+    uint64_t went_well_ = 0;
+    double well_rate_ = 0;  // a second
+    Point well_at_;
     Balancer balancer_;
 };
 
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -116,7 +116,8 @@
         });
     if (fleet) {
         const auto& file = fleet->first;
-        if (file.subset || file.signals || file.turns)
+        if (file.recovery) reducer_.recover(*file.recovery);
+        if (file.subset || file.signals || file.turns || file.recovery)
             reducer_.join({file.subset, file.signals, file.turns, file.members[file.self].key, 0, {}, 0.1});
         fleet_.emplace(base_.get(), std::move(fleet->first), fleet->second, hooks());
         if (shares_list())
@@ -166,6 +167,14 @@
         while (stamps_.size() > most_stamps) stamps_.erase(stamps_.begin());
         post(ProbeDue{now.part, fleet_->file().probe->parts, now.slice, fleet::probe_slices, next_stamp_++});
     };
+    h.use_state = [this](const fleet::UseState& uses) { post(FleetStateIs{uses.state}); };
+    h.use_memory = [this](fleet::UseMemory& uses) {
+        const auto list = std::exchange(uses.memory.list, {});
+        post(Remembered{std::move(uses.memory)});
+        if (list.empty()) return;
+        if (auto decoded = decode_list(config_.setup, list, epoch_))
+            post(ListRemembered{std::move(decoded->told.entries)});
+    };
     h.use_fleet = [this](fleet::UseFleet& uses) { post(FleetIs{std::move(uses.sharers)}); };
     h.use_signals = [this](fleet::UseSignals& uses) { post(SignalsTold{std::move(uses.results)}); };
     h.use_parts = [this](fleet::UseParts& uses) {
@@ -222,7 +231,7 @@
     const bool one = words.size() == 2;
     if (one && word(0) == "drain" && word(1) == "turn")
         fleet_->tell(fleet::DoorAsked{caller, "turn", "", ""});
-    else if ((words.size() == 1 && word(0) == "show-fleet") ||
+    else if ((words.size() == 1 && (word(0) == "show-fleet" || word(0) == "show-recovery")) ||
              (word(0) == "hand-over" && (one || words.size() == 3)) ||
              (one && (word(0) == "let-in" || word(0) == "put-out")))
         fleet_->tell(fleet::DoorAsked{caller, word(0), word(1), word(2)});
@@ -299,13 +308,13 @@
                  config_.setup.settings.tier, config_.setup.settings.self, config_.setup.settings.balancers);
     if (config_.peers) spdlog::warn(no_peers);
     post(Started{});
-    if (fleet_) fleet_->start();
     if (!config_.known.empty()) {
         if (auto list = decode_list(config_.setup, config_.known, epoch_))
             post(ListRemembered{std::move(list->told.entries)});
         else
             spdlog::warn("known: is no list of upstreams; starting without");
     }
+    if (fleet_) fleet_->start();
     if (!config_.setup.settings.list_must_be_asked && !shares_list()) discovery_.ask();
     event_base_dispatch(base_.get());
     spdlog::info("stopped");
--- /dev/null
+++ b/tests/recovery.cpp
@@ -0,0 +1,203 @@
+// After a power loss: what is remembered, what is believed of it, and the order of return. No sockets.
+#include "src/fleet/recovery.h"
+
+#include "src/fleet/fleet.h"
+#include "src/net/reducer.h"
+#include "trace.h"
+
+using namespace firtide;
+using namespace firtide::fleet;
+
+namespace
+{
+
+Memory some()
+{
+    Memory m;
+    m.fleet = "edge", m.member = "a", m.incarnation = 7, m.boot = "this", m.boot_us = 5;
+    m.list_version = 3, m.list = "a list", m.rate = 100, m.size = 4, m.sharers = 3;
+    m.reductions = {{11, 0.5F, 1'000'000}};
+    m.epochs = {{"list", 9}, {"report", 4}};
+    m.open = {"id-1"};
+    return m;
+}
+
+void files()
+{
+    const auto whole = encode_memory(some());
+    const auto back = std::get<Memory>(decode_memory(whole));
+    std::printf("-- the snapshot\nback: list %llu, epoch %llu, open %s\n",
+                static_cast<unsigned long long>(back.list_version),
+                static_cast<unsigned long long>(back.epochs[0].epoch), back.open[0].c_str());
+    size_t cut = 0, flipped = 0;
+    for (size_t n = 0; n < whole.size(); ++n) {
+        cut += std::get_if<std::string>(&*std::make_unique<std::variant<Memory, std::string>>(
+                   decode_memory(std::string_view(whole).substr(0, n)))) != nullptr;
+        for (int bit = 0; bit < 8; ++bit) {
+            std::string other = whole;
+            other[n] = static_cast<char>(other[n] ^ (1 << bit));
+            const auto got = decode_memory(other);
+            flipped += std::get_if<std::string>(&got) != nullptr;
+        }
+    }
+    std::printf("cut at every byte: %s refused; every bit flipped: %s refused\n",
+                cut == whole.size() ? "all" : "NOT ALL", flipped == whole.size() * 8 ? "all" : "NOT ALL");
+    std::printf("more behind it: %s\n", std::get<std::string>(decode_memory(whole + "x")).c_str());
+    std::printf("another fleet's: %s; another member's: %s; its own: '%s'\n",
+                not_of(back, "core", "a").c_str(), not_of(back, "edge", "b").c_str(),
+                not_of(back, "edge", "a").c_str());
+}
+
+FleetFile file()
+{
+    FleetFile f;
+    f.name = "edge", f.id = "a";
+    for (const char* id : {"a", "b", "c"}) f.members.push_back({id, key_of(id), "", "", true, 0});
+    f.recovery = RecoveryRule{};
+    f.list = ListDuty{};
+    f.duties.push_back({"list", DutyKind::list, "", {}, 0});
+    return f;
+}
+
+void believed(const char* what, Recalled recalled)
+{
+    const FleetFile f = file();
+    Fleet fleet(f, 1, 1, 1);
+    const Point now{1'000'000};
+    std::printf("%s:", what);
+    for (const FleetEffect& e : fleet.reduce(now, std::move(recalled)))
+        if (const auto* use = std::get_if<UseMemory>(&e))
+            std::printf(" used, %zu reductions;", use->memory.reductions.size());
+    fleet.reduce(now, Begun{});
+    for (const FleetEffect& e : fleet.reduce(now, DoorAsked{1, "show-recovery", "", ""}))
+        if (const auto* r = std::get_if<Reply>(&e))
+            std::printf(" %s\n", r->text.substr(0, r->text.find('\n')).c_str());
+}
+
+void lists()
+{
+    const FleetFile f = file();
+    Fleet fleet(f, 1, 1, 1);
+    Point now{1'000'000};
+    fleet.reduce(now, Recalled{some(), {}});
+    fleet.reduce(now, Begun{});
+    const auto takes = [&](uint64_t version) {
+        bool taken = false;
+        for (const FleetEffect& e : fleet.reduce(now, ListSeen{"here", version, "list"}))
+            taken = taken || std::get_if<UseList>(&e);
+        return taken ? "taken" : "not taken";
+    };
+    std::printf("-- lists\nolder than what is remembered: %s\n", takes(2));
+    std::printf("as new: %s\n", takes(3));
+    Fleet later(f, 1, 1, 1);
+    later.reduce(now, Recalled{some(), {}});
+    later.reduce(now, Begun{});
+    now = now + f.recovery->wait * 4 + seconds(1);
+    bool taken = false;
+    for (const FleetEffect& e : later.reduce(now, ListSeen{"here", 2, "list"}))
+        taken = taken || std::get_if<UseList>(&e);
+    std::printf("an older one that is all there is, after a while: %s\n", taken ? "taken" : "NOT TAKEN");
+}
+
+void stages()
+{
+    std::printf("-- stages, alone in the world\n");
+    Recovery r{RecoveryRule{}};
+    Point now{1'000'000};
+    r.start(now);
+    FleetState alone{9, 1, false, 2, 0};
+    r.fleet_is(alone);
+    ReturnStage last = ReturnStage::disk;
+    for (int i = 0; i < 1000; ++i, now = now + seconds(0.1)) {
+        r.tick(now, 10, 10, false);
+        if (r.stage() == last) continue;
+        last = r.stage();
+        std::printf("%s at %.1f s, %s\n", text_of(last), i * 0.1, r.ready() ? "ready" : "not ready");
+    }
+    std::printf("-- all there, upstreams cold\n");
+    Recovery s{RecoveryRule{}};
+    now = Point{1'000'000};
+    s.start(now);
+    s.remembered(now, 100, 9, 10);
+    s.fleet_is({9, 9, true, 2, 2});
+    for (const double warm : {1.0, 5.0, 9.6}) {
+        size_t admitted = 0, least = 0;
+        for (int i = 0; i < 1000; ++i, now = now + seconds(0.01)) {  // 500 a second arrive, of two kinds
+            if (i % 10 == 0) s.tick(now, warm, 10, true);
+            for (int n = 0; n < 5; ++n) (n % 2 ? least : admitted) += s.admits(now, n % 2);
+        }
+        std::printf("warm %.0f %%: %s, admits %.0f a second, of the least valuable %s\n", warm * 10,
+                    text_of(s.stage()), static_cast<double>(admitted + least) / 10,
+                    least * 4 < admitted ? "few" : "as many");
+    }
+    Recovery t{RecoveryRule{}};
+    now = Point{1'000'000};
+    t.start(now);
+    t.remembered(now, 100, 9, 10);
+    t.fleet_is({9, 3, true, 2, 2});
+    size_t admitted = 0;
+    for (int i = 0; i < 1000; ++i, now = now + seconds(0.01)) {
+        if (i % 10 == 0) t.tick(now, 4, 10, true);
+        for (int n = 0; n < 10; ++n) admitted += t.admits(now, 0);
+    }
+    std::printf("six of nine did not come back: each admits %.0f a second at 40 %%\n",
+                static_cast<double>(admitted) / 10);
+}
+
+void what_may_have_run()
+{
+    std::printf("-- what was in flight\n");
+    Setup setup;
+    setup.settings = firtide::Stage::settings(firtide::Stage::op(Repeat::non_idempotent));
+    setup.settings.operations.push_back(firtide::Stage::op(Repeat::idempotent));
+    setup.operations = {"order", "read"};
+    net::Reducer reducer(setup, 1, "here:1");
+    reducer.join({});
+    reducer.recover({});
+    Point now{1'000'000};
+    net::CallerId caller = 0;
+    const auto tell = [&](net::Event event) {
+        now = now + seconds(0.01);
+        return reducer.reduce(now, std::move(event));
+    };
+    const auto ask = [&](uint32_t operation, const char* id) {
+        std::string got = "waits";
+        for (const auto& e :
+             tell(net::Arrived{++caller, {"POST", "/x", id, operation, 0, seconds(2), {}, ""}})) {
+            if (const auto* a = std::get_if<net::Answer>(&e))
+                got = "answered " + std::to_string(a->response.status);
+            if (std::get_if<net::Dial>(&e)) got = "forwarded";
+        }
+        return got;
+    };
+    tell(net::Started{});
+    tell(net::Remembered{some()});
+    std::printf("a hint of a list: %s\n",
+                (tell(net::ListRemembered{{{"u", "1.1.1.1:1", Presence::ready, 0, 0, 1, {}}}}),
+                 reducer.ready() ? "READY" : "not ready yet"));
+    std::printf("an id that may have run: %s; of what may be repeated: %s; another id: %s\n",
+                ask(0, "id-1").c_str(), ask(1, "id-1").c_str(), ask(0, "id-2").c_str());
+    tell(net::ListTold{true, {}});
+    std::printf("an empty list: %s\n", ask(1, "id-3").c_str());
+    tell(net::ListTold{true, {{"u", "1.1.1.1:1", Presence::ready, 0, 0, 1, {}}}});
+    std::printf("a list that was told: %s\n", reducer.ready() ? "ready" : "NOT READY");
+}
+
+}  // namespace
+
+int main()
+{
+    files();
+    std::printf("-- what is believed\n");
+    believed("nothing there", {});
+    believed("damaged", {"it is damaged", {}});
+    auto other = some();
+    other.member = "b";
+    believed("another member's", {other, seconds(0.1)});
+    believed("the machine has gone on", {some(), seconds(0.1)});
+    believed("for longer than its reductions", {some(), seconds(5)});
+    believed("the machine was started anew", {some(), {}});
+    lists();
+    stages();
+    what_may_have_run();
+}
