Return after a power loss: a second loss counts as a first; empty lists; cold ones shown by turns

Seen in virtual time (60 balancers, 24 upstreams, all lose power): with parts of budgets half of the usual was back after 20 s, 8 alone. Checked: parts, tokens and weights were there; the module was shown none of the cold upstreams without a token, so its limit fell to nothing (src/fleet/view.cpp, wanted). Ruled out: more headroom over what was accepted (1.6 for 1.25: 90 % never reached under six times the usual). An empty list from discovery is not believed before it has stayed so for long.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -66,6 +66,37 @@
     return 1;
 }
 
+// From power back to so much of the usual work in time, alone and with a return in stages.
+int returns(size_t balancers, size_t upstreams, Seeds seeds)
+{
+    const std::pair<const char*, On> ways[] = {
+        {"alone", {}}, {"recovery", {false, false, false, true}}, {"all", {true, true, true, true}}};
+    std::printf("%zu balancers, %zu upstreams, seeds %llu to %llu\n", balancers, upstreams,
+                static_cast<unsigned long long>(seeds.first), static_cast<unsigned long long>(seeds.last));
+    std::puts(
+        "| trouble | way | 50 %, s | 90 %, s | 99 %, s | never | in time | upstreams pushed over |\n"
+        "| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (const Trouble& t : troubles()) {
+        if (!t.power) continue;
+        for (const auto& [name, on] : ways) {
+            Outcome sum;
+            size_t never = 0;
+            for (uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
+                const Outcome o = play(t, town_of(balancers, upstreams, on), seed);
+                never += o.back90 < 0;
+                sum.back50 += o.back50, sum.back90 += o.back90, sum.back99 += o.back99;
+                sum.value += o.value, sum.fell_over += o.fell_over;
+            }
+            const auto n = static_cast<double>(seeds.last - seeds.first + 1);
+            std::printf("| %s | %s | %.1f | %.1f | %.1f | %zu | %.3f | %.1f |\n", t.name.c_str(), name,
+                        sum.back50 / n, sum.back90 / n, sum.back99 / n, never, sum.value / n,
+                        sum.fell_over / n);
+            std::fflush(stdout);
+        }
+    }
+    return 0;
+}
+
 // What a fleet at rest says, and how long a duty is held by nobody.
 int rest(World::Options options, uint64_t seed)
 {
@@ -121,7 +152,7 @@
         "widened, narrowed | least served |\n"
         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for (const Trouble& t : troubles()) {
-        if (!only.empty() && t.name.find(only) == std::string::npos) continue;
+        if (!only.empty() ? t.name.find(only) == std::string::npos : t.power) continue;
         std::vector<double> alone;
         for (const auto& [name, on] : ways) {
             Outcome sum;
@@ -202,7 +233,13 @@
     towning->add_option("--from", seeds.first, "seed");
     towning->add_option("--to", seeds.last, "seed");
     towning->add_option("--only", only, "troubles whose name holds this");
+    auto* returning = app.add_subcommand("returns", "power losses, alone and with a return in stages");
+    returning->add_option("--balancers", town_members)->check(CLI::Range(6, 2000));
+    returning->add_option("--upstreams", town_upstreams)->check(CLI::Range(6, 1000));
+    returning->add_option("--from", seeds.first, "seed");
+    returning->add_option("--to", seeds.last, "seed");
     CLI11_PARSE(app, argc, argv);
+    if (returning->parsed()) return returns(town_members, town_upstreams, seeds);
     if (towning->parsed()) return town(town_members, town_upstreams, seeds, only);
     if (subsetting->parsed()) return subsets(members, upstreams, static_cast<uint32_t>(size), seeds.last);
     options.lease.length = seconds(lease);
--- a/lab/town.cpp
+++ b/lab/town.cpp
@@ -18,7 +18,7 @@
     w.duties = 0;
     w.lease = o.lease;
     w.tick = seconds(0.05);
-    w.subset = o.subset, w.signals = o.signals, w.turns = o.turns;
+    w.subset = o.subset, w.signals = o.signals, w.turns = o.turns, w.recovery = o.recovery;
     return w;
 }
 
@@ -72,6 +72,10 @@
             tell(node, net::FleetIs{std::move(uses->sharers)});
         } else if (auto* signals = std::get_if<UseSignals>(&e)) {
             tell(node, net::SignalsTold{std::move(signals->results)});
+        } else if (auto* memory = std::get_if<UseMemory>(&e)) {
+            tell(node, net::Remembered{std::move(memory->memory)});
+        } else if (auto* state = std::get_if<UseState>(&e)) {
+            tell(node, net::FleetStateIs{state->state});
         } else if (auto* parts = std::get_if<UseParts>(&e)) {
             const Span apart = world_.now() - world_.clock_of(node);
             for (Part& p : parts->parts)
@@ -124,7 +128,8 @@
     static uint64_t runs = 0;
     n.run = ++runs;
     n.reducer = std::make_unique<net::Reducer>(n.setup, world_.chance()(), "here:1");
-    if (options_.subset || options_.signals || options_.turns)
+    if (options_.recovery) n.reducer->recover(*options_.recovery);
+    if (options_.subset || options_.signals || options_.turns || options_.recovery)
         n.reducer->join({options_.subset,
                          options_.signals,
                          options_.turns,
@@ -194,7 +199,11 @@
             if (at == n.asked.end()) continue;
             const bool well = a->response.status == 200;
             count.served += well, n.served += well;
-            count.in_time += well && world_.now() - at->second <= options_.objective;
+            const bool in_time = well && world_.now() - at->second <= options_.objective;
+            count.in_time += in_time;
+            const auto window = static_cast<size_t>((world_.now() - since_) / seconds(0.5));
+            if (window >= in_time_by_.size()) in_time_by_.resize(window + 1);
+            in_time_by_[window] += in_time;
             count.throttled += a->response.status == 503;
             count.errored += !well && a->response.status != 503;
             n.asked.erase(at);
@@ -385,6 +394,7 @@
 void Town::reset()
 {
     count = {};
+    in_time_by_.clear();
     since_ = world_.now();
     for (auto& up : towers_) up->reached = 0;
     for (auto& n : nodes_) n->served = 0;
@@ -417,6 +427,19 @@
 
 size_t Town::shown(size_t b) const { return nodes_[b]->shown; }
 
+double Town::back_to(double part, double usual_load) const
+{
+    double able = 0;
+    for (const auto& up : towers_) able += static_cast<double>(up->tower.slots) / up->tower.mean;
+    const double wanted = part * usual_load * able * 0.5;
+    for (size_t w = 0; w + 4 < in_time_by_.size(); ++w) {
+        double least = 1e18;
+        for (size_t i = w; i < w + 4; ++i) least = std::min(least, static_cast<double>(in_time_by_[i]));
+        if (least >= wanted * 0.98) return static_cast<double>(w + 1) * 0.5;
+    }
+    return -1;
+}
+
 std::vector<double> Town::parts(BudgetName name) const
 {
     std::vector<double> out;
--- a/lab/town.h
+++ b/lab/town.h
@@ -29,6 +29,7 @@
         std::optional<SubsetRule> subset;
         std::optional<SignalRule> signals;
         std::optional<TurnsRule> turns;
+        std::optional<RecoveryRule> recovery;
         Lease lease;
         Span cold = seconds(20), falls_after = seconds(1);
         double cold_share = 0.1, push = 2;  // what pushes a cold one over: so much more than it can do
@@ -72,6 +73,9 @@
     double most_in_a_second(BudgetName name) const { return at_or(most_taken_, name); }
     std::vector<uint64_t> served_by() const;  // each balancer, since reset()
     size_t shown(size_t balancer) const;
+    // Seconds from reset() until so much of what is usually asked is answered in time, and stays so; -1:
+    // never.
+    double back_to(double part, double usual_load) const;
 
   private:
     struct Node;
@@ -112,6 +116,7 @@
     double load_;
     uint64_t next_job_ = 1;
     Point since_;
+    std::vector<uint64_t> in_time_by_;  // half a second each
 };
 
 }  // namespace firtide::lab
--- a/lab/troubles.cpp
+++ b/lab/troubles.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+constexpr double usual = 0.75;  // of what all upstreams can do
+
 void start_all(Town& t)
 {
     for (size_t i = 0; i < t.balancers(); ++i) t.start(i);
@@ -121,6 +123,30 @@
     t.run(seconds(6));
 }
 
+// All balancers and upstreams stop; upstreams come back cold, balancers within `within`, in an order that
+// differs by `part` of them never, and callers ask `times` as much for ten seconds.
+void power(Town& t, double within, double part, double times)
+{
+    start_all(t);
+    t.run(seconds(10));
+    for (size_t b = 0; b < t.balancers(); ++b) t.stop(b);
+    t.run(seconds(1));
+    for (size_t u = 0; u < t.upstreams(); ++u) t.restart(u);
+    t.reset();
+    t.load(usual * times);
+    const auto back = static_cast<size_t>(static_cast<double>(t.balancers()) * (1 - part));
+    for (size_t i = 0; i < back; ++i) {
+        t.start(i);
+        t.run(seconds(within / static_cast<double>(back)));
+    }
+    t.run(seconds(10));
+    t.load(usual);
+    t.run(seconds(20));
+}
+void power_at_once(Town& t) { power(t, 0.2, 0, 1); }
+void power_storm(Town& t) { power(t, 1, 0, 6); }
+void power_third_never(Town& t) { power(t, 4, 0.34, 3); }
+
 }  // namespace
 
 const std::vector<Trouble>& troubles()
@@ -134,7 +160,10 @@
                                              {"a liar", liar},
                                              {"growth and back", growth},
                                              {"a third killed", third_killed},
-                                             {"two halves and back", split}};
+                                             {"two halves and back", split},
+                                             {"power loss, all back at once", power_at_once, true},
+                                             {"power loss, callers ask six times as much", power_storm, true},
+                                             {"power loss, a third never back", power_third_never, true}};
     return all;
 }
 
@@ -142,13 +171,17 @@
 {
     Town::Options o;
     o.balancers = balancers, o.upstreams = upstreams;
-    o.load = 0.75;
+    o.load = usual;
     const double able = static_cast<double>(o.upstream.slots) / o.upstream.mean;
     if (on.subset) {
         o.subset.emplace();
         o.subset->size = static_cast<uint32_t>(std::max<size_t>(4, upstreams * 3 / 10));
     }
     if (on.signals) o.signals.emplace();
+    if (on.recovery) {
+        o.recovery.emplace();
+        o.recovery->wait = seconds(1);
+    }
     if (on.turns) {
         o.turns.emplace();
         o.turns->whole["retries"] = 0.1 * able * static_cast<double>(upstreams);
@@ -170,6 +203,8 @@
         static_cast<double>(t.count.digest_bytes) / t.since().seconds() / static_cast<double>(t.balancers());
     o.fell_over = static_cast<double>(t.count.fell_over);
     o.widened = static_cast<double>(t.count.widened), o.narrowed = static_cast<double>(t.count.narrowed);
+    if (trouble.power)
+        o.back50 = t.back_to(0.5, usual), o.back90 = t.back_to(0.9, usual), o.back99 = t.back_to(0.99, usual);
     const auto served = t.served_by();
     if (!served.empty()) {
         const double sum = static_cast<double>(std::accumulate(served.begin(), served.end(), uint64_t{0}));
--- a/lab/troubles.h
+++ b/lab/troubles.h
@@ -15,17 +15,19 @@
     double connections = 0;
     double digest_bytes = 0;  // a second and balancer
     double fell_over = 0, widened = 0, narrowed = 0;
-    double least_served = 0;  // of a balancer, over the mean
+    double least_served = 0;                    // of a balancer, over the mean
+    double back50 = 0, back90 = 0, back99 = 0;  // seconds; after a power loss
 };
 
 struct Trouble {
     std::string name;
     void (*plays)(Town& town);
+    bool power = false;  // all come back: told in the times of return
 };
 const std::vector<Trouble>& troubles();
 
 struct On {  // what is on
-    bool subset = false, signals = false, turns = false;
+    bool subset = false, signals = false, turns = false, recovery = false;
 };
 Town::Options town_of(size_t balancers, size_t upstreams, On on);
 Outcome play(const Trouble& trouble, const Town::Options& options, uint64_t seed);
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -66,6 +66,7 @@
     std::optional<Span> freeze_at_effect;
     std::vector<Point> arrives;  // of the last message from each: links keep their order
     bool asking = false;
+    std::optional<Memory> memory;
     uint64_t list = 0, ticks = 0;
 };
 
@@ -99,6 +100,7 @@
         for (uint32_t i = 0; i < *options_.drain_most; ++i)
             file.duties.push_back({"drain." + std::to_string(i), DutyKind::drain, "", {}, 0});
     }
+    file.recovery = options_.recovery;
     file.subset = options_.subset, file.signals = options_.signals, file.turns = options_.turns;
     if (file.turns) file.duties.push_back({"parts", DutyKind::parts, "", {}, 0});
     links_.resize(options_.members * options_.members);
@@ -202,7 +204,11 @@
         later({}, node,
               [this, node] { desk(node, [this, node](Point p) { return nodes_[node]->desk->start(p); }); });
     }
-    later({}, node, [this, node] { tell(node, Begun{}); });
+    later({}, node, [this, node] {
+        // A power loss: its clock begins anew.
+        if (options_.recovery && nodes_[node]->memory) tell(node, Recalled{*nodes_[node]->memory, {}});
+        tell(node, Begun{});
+    });
     later(options_.tick * roll(), node, [this, node] { tick(node); });
 }
 
@@ -434,6 +440,8 @@
         } else if (auto* q = std::get_if<AskDiscovery>(&e)) {
             const bool was = std::exchange(n.asking, q->on);
             if (q->on && !was) later(seconds(0.005), node, [this, node] { ask_discovery(node); });
+        } else if (auto* keep = std::get_if<Keep>(&e)) {
+            n.memory = std::move(keep->memory);
         } else if (auto* u = std::get_if<UseList>(&e)) {
             if (u->version < n.list) breaks("an older list was taken");
             n.list = u->version;
--- a/lab/world.h
+++ b/lab/world.h
@@ -67,6 +67,7 @@
         std::optional<SubsetRule> subset;
         std::optional<SignalRule> signals;
         std::optional<TurnsRule> turns;
+        std::optional<RecoveryRule> recovery;
         Span tick = seconds(0.02);
         VoterTimes voters_times;
         bool fences = true;                     // receivers refuse lower epochs
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -690,7 +690,8 @@
     m.fleet = file_.name, m.member = file_.id, m.incarnation = members_.incarnation();
     m.boot_us = now_.us;
     m.list_version = std::max(list_version_, hint_version_), m.list = last_list_;
-    m.rate = observed_.accepted, m.size = observed_.size, m.sharers = static_cast<uint32_t>(members_.alive());
+    m.rate = observed_.accepted, m.size = observed_.size,
+    m.sharers = observed_.sharers ? observed_.sharers : static_cast<uint32_t>(members_.alive());
     m.reductions = observed_.reductions, m.open = observed_.open;
     for (const Duty& d : file_.duties)
         if (const Epoch e = std::max(holder_.table().of(d.name).epoch, fence_.epoch(d.name)))
--- a/src/fleet/recovery.cpp
+++ b/src/fleet/recovery.cpp
@@ -1,6 +1,7 @@
 #include "recovery.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace firtide::fleet
 {
@@ -11,6 +12,7 @@
 constexpr double headroom = 1.25;  // over what was accepted before: it was not the most that could be done
 constexpr double least_admitted = 0.05;  // so that somebody finds out what can be done
 constexpr Span saved = seconds(0.25);
+constexpr Span settles = seconds(30);
 constexpr double most_for_others = 3;  // of the own rate, where others have not come back
 
 }  // namespace
@@ -48,7 +50,8 @@
         case ReturnStage::voters: return state_.majority;
         case ReturnStage::duties: return state_.held >= state_.duties;
         case ReturnStage::list: return told_;
-        case ReturnStage::warming: return told_ && listed > 0 && warm >= warm_enough * std::max(listed, size_);
+        case ReturnStage::warming:
+            return told_ && listed > 0 && warm >= warm_enough * std::max(listed, size_);
         case ReturnStage::full: return false;
     }
     return false;
@@ -72,6 +75,12 @@
                     : std::max(least_admitted, warm / whole);
 }
 
+bool Recovery::believes_empty(Point now)
+{
+    if (!empty_since_) empty_since_ = now;
+    return now - *empty_since_ > rule_.wait * 4;
+}
+
 bool Recovery::admits(Point now, double rank)
 {
     if (admitted_ >= 1) return true;
@@ -79,7 +88,8 @@
     const double others = sharers_ > 0 && state_.alive > 0
                               ? std::clamp(sharers_ / static_cast<double>(state_.alive), 1.0, most_for_others)
                               : 1;
-    const double rate = rate_ * others * admitted_ * headroom;
+    // The module's own rule for cold upstreams takes its part of what is admitted here: so the root.
+    const double rate = rate_ * others * std::sqrt(admitted_) * headroom;
     const double most = std::max(2.0, rate * saved.seconds());
     tokens_ = std::min(most, tokens_ + rate * std::max(0.0, (now - filled_).seconds()));
     filled_ = now;
@@ -92,6 +102,12 @@
     return true;
 }
 
+Recovery::Usual Recovery::usual(Point now, const Usual& seen) const
+{
+    const bool full = stage_ == ReturnStage::full && now - passed_.back().from >= settles;
+    return full || rate_ <= seen.rate ? seen : Usual{rate_, size_, static_cast<uint32_t>(sharers_)};
+}
+
 std::vector<std::string> Recovery::lines(Point now) const
 {
     std::vector<std::string> out;
--- a/src/fleet/recovery.h
+++ b/src/fleet/recovery.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <array>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,8 +40,16 @@
     // Of one that arrives. rank: 0 for the most valuable operations, up to 1.
     bool admits(Point now, double rank);
     double admitted() const { return admitted_; }  // a part of what was accepted before; 1: all
-    // Whether an empty list, or one from before, is believed over what there is.
-    bool believes_loss(Point now) const { return now - started_ > rule_.wait * 4; }
+    // An empty list is believed over one that is not only once it has stayed so for long.
+    bool believes_empty(Point now);
+    void list_is_good() { empty_since_.reset(); }
+    // What the next start should measure by: until service has been full for a while, what this one did.
+    // Guards against a second loss that would take the little of a return for the usual.
+    struct Usual {
+        double rate = 0, size = 0;
+        uint32_t sharers = 0;
+    };
+    Usual usual(Point now, const Usual& seen) const;
     ReturnStage stage() const { return stage_; }
     bool ready() const { return stage_ > ReturnStage::list || told_; }
     std::vector<std::string> lines(Point now) const;
@@ -58,6 +67,7 @@
     ReturnStage stage_ = ReturnStage::disk;
     std::array<Passed, 7> passed_;
     Point started_, filled_;
+    std::optional<Point> empty_since_;
     bool told_ = false;
     double rate_ = 0, size_ = 0, sharers_ = 0;
     double admitted_ = 1, tokens_ = 0;
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -12,6 +12,10 @@
 constexpr double least_factor = 0.02;   // of its size: what is left to find out that all is well again
 constexpr double worth_showing = 0.05;  // of a size
 constexpr Span another_start = seconds(5);
+// Of a cold one that has no turn now, where most are cold: it is drawn if nothing else is there, and then the
+// gate decides. Not shown at all, it would be missing from what the module takes the upstreams to be able to
+// do.
+constexpr double least_drawn = 1e-3;
 constexpr Span rate_over = seconds(10);
 constexpr double least_counted = 50;  // invocations, before a rate is told
 constexpr double none = 1e-9;
@@ -120,7 +124,12 @@
         const BudgetName name{Budget::cold, l.id};
         if (rules_.turns->whole_of(name) > 0) {
             const Part* own = part_of(now, name, l);
-            if (!own || !buckets_[name].has(now, *own)) l.presence = Presence::gone;
+            if (!own || !buckets_[name].has(now, *own)) {
+                if (mostly_warm_)
+                    l.presence = Presence::gone;
+                else
+                    l.size *= least_drawn;
+            }
         }
     }
     return l;
@@ -169,6 +178,13 @@
 {
     due_ = false;
     if (rules_.subset) widen(now, reduction);
+    double listed = 0, cold = 0;
+    for (const One& one : all_) {
+        if (one.real.presence != Presence::ready) continue;
+        listed += one.real.size;
+        if (is_cold(now, one.real)) cold += one.real.size;
+    }
+    mostly_warm_ = cold * 2 < listed;
     std::vector<Listing> out;
     for (Tgt t = 0; t < all_.size(); ++t) {
         const Listing l = wanted(now, t);
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -30,6 +30,7 @@
     std::map<uint64_t, std::string> names;  // of upstreams
     // For what it remembers over its own end, and of its return.
     double accepted = 0, size = 0;
+    uint32_t sharers = 0;  // zero: those that are alive
     std::vector<RememberedReduction> reductions;
     std::vector<std::string> open, recovery;
 };
@@ -99,7 +100,7 @@
     std::vector<Listing> shown_;
     Parts parts_, narrower_;
     Width width_;
-    bool dirty_ = true, due_ = true;
+    bool dirty_ = true, due_ = true, mostly_warm_ = true;
     std::map<uint64_t, std::pair<double, Point>> recalled_;
     std::map<BudgetName, Part> budgets_;
     Part scaled_;
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -143,7 +143,8 @@
 {
     // Guards against a discovery that has lost its own past: no good list is thrown away for an empty one.
     const bool empty =
-        recovery_ && told.all && told.entries.empty() && listed_ && !recovery_->believes_loss(now_);
+        recovery_ && told.all && told.entries.empty() && listed_ && !recovery_->believes_empty(now_);
+    if (recovery_ && !told.entries.empty()) recovery_->list_is_good();
     list_told_ = list_told_ || !empty;
     if (!empty) listed(listings(told.entries, told.all), told.all);
     balancer_.list_answered(now_, true);
@@ -268,14 +269,14 @@
 void Reducer::remember(Observed& observed)
 {
     observed.recovery = recovery_->lines(now_);
-    // Guards against taking the little that is served while returning for the usual.
-    observed.accepted = recovery_->admitted() < 1 ? 0 : well_rate_;
     for (Tgt t = 0; t < upstreams_.size() && t < real_.size(); ++t) {
         if (upstreams_[t].presence != Presence::ready) continue;
         observed.size += real_[t].size;
         if (const double r = reduction(t); r >= 0.1)
             observed.reductions.push_back({real_[t].id, static_cast<float>(r), seconds(1.5).us});
     }
+    const auto usual = recovery_->usual(now_, {well_rate_, observed.size, 0});
+    observed.accepted = usual.rate, observed.size = usual.size, observed.sharers = usual.sharers;
     for (const Invocation& i : invocations_)
         if (!i.over && !i.attempts.empty() && i.request.operation < setup_.settings.operations.size() &&
             setup_.settings.operations[i.request.operation].repeat == Repeat::non_idempotent)
