--- a/rig/scenario.cpp
+++ b/rig/scenario.cpp
@@ -131,8 +131,9 @@
         }
     }
 
-    // What reached upstreams meanwhile: so many a second at least, and never more within any one second.
-    void expect_reached(const std::string& name, Span most, double least, double greatest)
+    // What reached upstreams meanwhile: so many a second at least, never more within any one second, nor on
+    // the mean.
+    void expect_reached(const std::string& name, Span most, double least, double greatest, double mean)
     {
         const Point from = net::monotonic_now();
         rig_.run(most);
@@ -149,7 +150,7 @@
             worst = std::max(worst, last - first + 1);
         }
         const double rate = static_cast<double>(all.size()) / most.seconds();
-        if (rate < least || static_cast<double>(worst) > greatest)
+        if (rate < least || rate > mean || static_cast<double>(worst) > greatest)
             throw Failed{std::to_string(rate) + " a second, " + std::to_string(worst) +
                          " in one second at the most"};
     }
@@ -527,7 +528,7 @@
         if (what == "reached") {
             const auto name = next();
             const double least = number(), greatest = number();
-            return expect_reached(name, most, least, greatest);
+            return expect_reached(name, most, least, greatest, more() ? number() : greatest);
         }
         if (what == "answers") {  // of what was sent: a part of them at least, with this status
             const auto status = static_cast<int>(number());
