What one balancer says of an upstream lessens it little, what is agreed on nearly takes it away

Seen on processes: an upstream that erred to one balancer alone got 14 a second from twelve, 50 being its even part, though one word should count to a half at most. Checked: what was told counted 0.5 and less. The module draws by size times the eighth power of idleness, in which the size stands too, so about the fifth power of the size (src/fleet/view.cpp, factor).

--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -104,7 +104,9 @@
     double told = one.told;
     if (const auto at = recalled_.find(one.real.id); at != recalled_.end() && now < at->second.second)
         told = std::max(told, at->second.first);
-    const double most = std::max(least_factor, 1 - told);
+    // The module draws by about the fifth power of the size where work is out. So what one balancer says
+    // lessens an upstream little, and what is agreed on nearly takes it away.
+    const double most = std::max(least_factor, std::pow(1 - told, 0.2 + 0.8 * told * told));
     const double grown = one.factor * std::exp2((now - one.factor_at) / doubles_in);
     one.factor = std::min(most, std::max(least_factor, std::min(1.0, grown)));
     one.factor_at = now;
