--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -216,7 +216,7 @@
     std::vector<double> felts;
     double first_felt = 0, first_n = 0;
     double room = 0;              // upstreams' worth, see weigh_room
-    double listed_part = 1;       // of what all balancers share
+    double listed = 1;            // of what all balancers share
     double limit = 1e9;           // mean own outstanding work
     double good_outstanding = 0;  // the most it was while the aim was met, forgotten slowly
     double outstanding = 0, overdue = 0;
@@ -566,7 +566,7 @@
     // ---- own outstanding work against the latency objective ----
 
     // About two for each upstream from all instances together: less would leave them idle.
-    double two_each() const { return 2 * room / (heard > 0 ? 1 : std::max(1.0, set.balancers * listed_part)); }
+    double two_each() const { return 2 * room / (heard > 0 ? 1 : std::max(1.0, set.balancers * listed)); }
 
     // Own work out; where the others tell theirs, all of it.
     double held() const { return outstanding - overdue + peers_out; }
@@ -1205,7 +1205,7 @@
     return tgt < state_->ups.size() ? at(now).reduction(state_->ups[tgt]) : 0;
 }
 
-void Balancer::share_of_list(double part) { state_->listed_part = part; }
+void Balancer::share_of_list(double part) { state_->listed = part; }
 
 void Balancer::woken(Point now, uint64_t name) { at(now).wake(name); }
 
