--- a/lab/town.cpp
+++ b/lab/town.cpp
@@ -38,7 +38,6 @@
     std::map<net::AttemptId, Attempt> attempts;
     std::set<size_t> broken_roads, liar_about;
     std::vector<size_t> without;
-    std::vector<Part> parts;
     size_t shown = 0;
     uint32_t wider = 0;
     uint64_t served = 0, second_tries = 0;
@@ -59,7 +58,6 @@
 Town::Town(Options options, uint64_t seed)
     : options_(std::move(options)), world_(world_options(options_), seed), load_(options_.load)
 {
-    weights_.assign(options_.balancers, 1);
     for (size_t u = 0; u < options_.upstreams; ++u) {
         towers_.push_back(std::make_unique<Up>());
         towers_.back()->tower = options_.upstream;
@@ -80,8 +78,6 @@
             const Span apart = world_.now() - world_.clock_of(node);
             for (Part& p : parts->parts)
                 p.full_until = p.full_until + apart, p.none_from = p.none_from + apart;
-            nodes_[node]->parts = parts->parts;
-            sum_parts();
             tell(node, net::PartsAre{std::move(parts->parts)});
         } else if (auto* sends = std::get_if<Send>(&e); sends && std::get_if<Digest>(&sends->message)) {
             ++count.digests;
@@ -150,7 +146,6 @@
 {
     world_.crash(b);
     nodes_[b]->reducer.reset();
-    nodes_[b]->parts.clear();
     nodes_[b]->shown = 0;
 }
 
@@ -162,14 +157,13 @@
     world_.schedule(ticks, b, [this, b] { tick(b); });
 }
 
-// Poisson arrivals, by the balancer's weight among those that run.
+// Poisson arrivals, in even parts among those that run.
 void Town::ask(size_t b)
 {
     double all = 0, able = 0;
-    for (size_t i = 0; i < nodes_.size(); ++i)
-        if (nodes_[i]->reducer) all += weights_[i];
+    for (const auto& n : nodes_) all += n->reducer ? 1 : 0;
     for (const auto& up : towers_) able += static_cast<double>(up->tower.slots) / up->tower.mean;
-    const double rate = load_ * able * weights_[b] / all;
+    const double rate = load_ * able / all;
     const Span next = seconds(-std::log(1 - world_.roll()) / rate);
     world_.schedule(next, b, [this, b] {
         Node& n = *nodes_[b];
@@ -234,7 +228,6 @@
             if (towers_[at->second.upstream]->started &&
                 world_.now() - *towers_[at->second.upstream]->started < options_.cold) {
                 ++count.cold_forwards;
-                taken({Budget::cold, at->second.upstream});
             }
             world_.schedule(one_way, SIZE_MAX, [this, up = at->second.upstream, job] { reach(up, job); });
         } else if (auto* up = std::get_if<net::HangUp>(&e)) {
@@ -343,9 +336,7 @@
     ++up.life;
     up.started = world_.now();
     up.lately.clear(), up.called_off.clear();
-    const size_t lost = up.busy + up.waiting.size();
     up.busy = 0, up.waiting.clear();
-    (void)lost;
     for (size_t b = 0; b < nodes_.size(); ++b) {
         if (!nodes_[b]->reducer) continue;
         std::vector<net::AttemptId> broken;
@@ -425,8 +416,6 @@
     return n;
 }
 
-size_t Town::shown(size_t b) const { return nodes_[b]->shown; }
-
 double Town::back_to(double part, double usual_load) const
 {
     double able = 0;
@@ -440,33 +429,6 @@
     return -1;
 }
 
-std::vector<double> Town::parts(BudgetName name) const
-{
-    std::vector<double> out;
-    for (const auto& n : nodes_)
-        if (n->reducer)
-            for (const Part& p : n->parts)
-                if (p.name == name) out.push_back(p.at(world_.now()));
-    return out;
-}
-
-void Town::sum_parts()
-{
-    std::map<BudgetName, double> sums;
-    for (const auto& n : nodes_)
-        if (n->reducer)
-            for (const Part& p : n->parts) sums[p.name] += p.at(world_.now());
-    for (const auto& [name, sum] : sums) most_parts_[name] = std::max(most_parts_[name], sum);
-}
-
-void Town::taken(BudgetName name)
-{
-    auto& lately = taken_[name];
-    lately.push_back(world_.now());
-    while (world_.now() - lately.front() > seconds(1)) lately.pop_front();
-    most_taken_[name] = std::max(most_taken_[name], static_cast<double>(lately.size()));
-}
-
 std::vector<uint64_t> Town::served_by() const
 {
     std::vector<uint64_t> out;
--- a/lab/town.h
+++ b/lab/town.h
@@ -51,7 +51,6 @@
     void list_to(size_t balancer, std::vector<size_t> without = {});
     void list_to_all();
     void load(double of_capacity) { load_ = of_capacity; }
-    void weight(size_t balancer, double weight) { weights_[balancer] = weight; }
     // One that tells all others that these are gone, whatever it sees.
     void lies(size_t balancer, std::vector<size_t> about);
 
@@ -66,13 +65,8 @@
     Span since() const { return world_.now() - since_; }
     std::vector<double> offered() const;
     double greatest_over_mean() const;
-    size_t connections() const;                        // upstreams that balancers use, added up
-    std::vector<double> parts(BudgetName name) const;  // of those that run
-    double most_parts(BudgetName name) const { return at_or(most_parts_, name); }  // the sum, ever
-    // Tokens taken within any one second, at the most.
-    double most_in_a_second(BudgetName name) const { return at_or(most_taken_, name); }
+    size_t connections() const;               // upstreams that balancers use, added up
     std::vector<uint64_t> served_by() const;  // each balancer, since reset()
-    size_t shown(size_t balancer) const;
     // Seconds from reset() until so much of what is usually asked is answered in time, and stays so; -1:
     // never.
     double back_to(double part, double usual_load) const;
@@ -87,11 +81,6 @@
         uint64_t number = 0;
     };
 
-    static double at_or(const std::map<BudgetName, double>& of, BudgetName name)
-    {
-        const auto at = of.find(name);
-        return at == of.end() ? 0 : at->second;
-    }
     void tell(size_t node, net::Event event);
     void carry_out(size_t node, std::vector<net::Effect> effects);
     void tick(size_t node);
@@ -103,16 +92,11 @@
     size_t slots_now(const Up& up) const;
     void judge_cold(size_t upstream);
     net::Entry entry(size_t upstream) const;
-    void sum_parts();
-    void taken(BudgetName name);
 
     Options options_;
     World world_;
     std::vector<std::unique_ptr<Node>> nodes_;
     std::vector<std::unique_ptr<Up>> towers_;
-    std::vector<double> weights_;
-    std::map<BudgetName, double> most_parts_, most_taken_;
-    std::map<BudgetName, std::deque<Point>> taken_;
     double load_;
     uint64_t next_job_ = 1;
     Point since_;
