Discovery is asked all the time while it is silent; a call ends in a stated time

Discovery returned at 11.43 s with 33 upstreams draining; the logs of all balancers say 'discovery answers again' up to 12.59 s. At its return what the agent has counts as told at once. Ruled out: other load (nothing beside it), the reducer's way of a list (the list is in force with the log line). At fault: Discovery::failed, longest_pause of 1 s between calls of 0.5 s. Change: where lists are pushed, a call that is not answered within 0.2 s gets another beside it, and pauses are 0.2 s at the most; each call ends within a stated time by a timer of its own (evhttp's is on each byte, so that an answer that trickles never ended); SIGHUP asks the new agent at once, also where the module was to say when; an agent that takes 0.8 s is heard now. Where lists are asked for, the module waits for 3 s at the most (was 7.5 s).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -49,7 +49,7 @@
 constexpr Span rate_over = seconds(4);
 constexpr Span may_send_for = seconds(3600);           // a request that is still coming: who reads it ends it
 constexpr double cold_spend = 0.7;                     // of the multiple that would push a cold upstream over
-constexpr Span first_backoff = seconds(0.5);           // of asking for the list
+constexpr Span first_backoff = seconds(0.5), longest_backoff = seconds(2);  // of asking for the list, about
 constexpr double retry_share = 0.1, most_retries = 5;  // second tries: of own traffic, and saved up
 constexpr uint32_t most_redirects = 3;                 // after answers that prove nothing ran
 
@@ -980,7 +980,7 @@
             return;
         }
         later(now + backoff * (0.5 + roll()), [this] { out.watch_list(); });
-        backoff = std::min(set.ask_within * 0.5, backoff * 2);
+        backoff = std::min({set.ask_within * 0.5, longest_backoff, backoff * 2});
     }
 
     void start()
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "log.h"
@@ -13,10 +14,19 @@
 
 using nlohmann::json;
 
-constexpr Span watch_for = seconds(2);  // one call; short, so that a silent agent is soon noticed
-constexpr Span silence = seconds(0.5);  // more than that, and the call is given up
-constexpr Span first_pause = seconds(0.05);
-constexpr Span longest_pause = seconds(1);
+// What discovery has to tell counts as told 6 s after it had it and could be reached, 4 s after SIGHUP; where
+// lists are pushed, at the moment at which the agent has it. The longest that an agent which can be reached,
+// and answers at once then, goes unasked:
+// - where lists are pushed: 0.2 s (overdue_whole or longest_pause), after a watch that fell silent 2.2 s;
+// - where they are asked for: 1.5 s of a call (2.5 s of a watch) and 3 s until the module asks again; after a
+//   watch it asks within 0.75 s. 4.5 s in all, which leaves 1.5 s for the answer; after SIGHUP nothing.
+constexpr Span watch_for = seconds(2);       // one call; short, so that a silent agent is soon noticed
+constexpr Span watch_within = seconds(2.5);  // until the last byte of its answer; then the call is given up
+constexpr Span whole_within = seconds(1.5);  // the same of a call for the whole list
+// Not answered by then: the whole list is asked for beside it, where lists are pushed.
+constexpr Span overdue_watch = seconds(2.2), overdue_whole = seconds(0.2);
+constexpr Span first_pause = seconds(0.05);  // after a call that failed; twice as long with each
+constexpr Span longest_pause = seconds(0.2), longest_asked = seconds(1);
 constexpr size_t most_list = 8 << 20;
 
 template <class T>
@@ -108,82 +118,138 @@
         base, [](evutil_socket_t, short, void* self) { static_cast<Discovery*>(self)->call(); }, this));
 }
 
+// The agent has what there is, and a call costs nothing.
+bool Discovery::is_pushed() const { return !config_.setup.settings.list_must_be_asked; }
+
 void Discovery::ask()
 {
     if (asking_) return;
     asking_ = true;
+    resting_ = false;
     version_.reset();
-    call();
+    call_in(Span{});
 }
 
 void Discovery::rest()
 {
     asking_ = false;
-    connection_.reset();
-    version_.reset();
+    resting_ = true;
+    drop_all();
     event_del(again_.get());
 }
 
-// The versions of two agents say nothing of each other. Freeing the connection drops a call that is still out
-// there: its late answer is never heard.
+// The versions of two agents say nothing of each other. Dropping the calls that are out there: a late answer
+// is never heard. The new agent is asked at once, also where the module was to say when to ask the last one.
 void Discovery::move(Address to)
 {
     spdlog::info("discovery moves to {}:{}", to.host, to.port);
     address_ = std::move(to);
-    connection_.reset();
-    version_.reset();
+    drop_all();
     newest_ = 0;
     pause_ = first_pause;
-    if (!asking_) return;
-    event_del(again_.get());
-    call();
+    if (resting_) return;
+    asking_ = true;
+    call_in(Span{});
+}
+
+void Discovery::drop_all()
+{
+    version_.reset();
+    for (Call& c : calls_) c.dropped = true, c.overdue.reset(), c.until.reset();
+    dropped_.splice(dropped_.end(), calls_);
+}
+
+void Discovery::call_in(Span pause)
+{
+    const auto wait = to_timeval(pause);
+    event_add(again_.get(), &wait);
 }
 
+template <auto then>
+Timer Discovery::timer(Call& call, Span wait)
+{
+    Timer made(evtimer_new(
+        base_,
+        [](evutil_socket_t, short, void* arg) {
+            auto* due = static_cast<Call*>(arg);
+            (due->owner->*then)(*due);
+        },
+        &call));
+    const auto after = to_timeval(wait);
+    event_add(made.get(), &after);
+    return made;
+}
+
+// Only ever from a timer: nothing of evhttp's is on the stack, so that what was dropped can be freed.
 void Discovery::call()
 {
-    if (!connection_) {
-        connection_.reset(evhttp_connection_base_new(base_, nullptr, address_.host.c_str(), address_.port));
-        if (!connection_) return failed("no connection");
-        evhttp_connection_set_max_body_size(connection_.get(), most_list);
+    dropped_.clear();
+    if (!asking_) return;
+    auto at = std::find_if(calls_.begin(), calls_.end(), [](const Call& c) { return !c.out; });
+    if (at == calls_.end()) {
+        at = calls_.emplace(calls_.end());
+        at->owner = this;
+        at->connection.reset(
+            evhttp_connection_base_new(base_, nullptr, address_.host.c_str(), address_.port));
+        if (!at->connection) return failed(*at, "no connection");
+        evhttp_connection_set_max_body_size(at->connection.get(), most_list);
     }
-    // The whole list is there at once. Guards against waiting as long as for a watch where nobody answers.
-    const auto wait = to_timeval(version_ ? watch_for + silence : silence);
-    evhttp_connection_set_timeout_tv(connection_.get(), &wait);
     auto* request = evhttp_request_new(
         [](evhttp_request* got, void* arg) {
-            auto* self = static_cast<Discovery*>(arg);
+            auto* due = static_cast<Call*>(arg);
+            if (due->dropped) return;
             try {
-                self->came(got);
+                due->owner->came(*due, got);
             } catch (const std::exception& e) {
-                self->failed(e.what());
+                due->owner->failed(*due, e.what());
             }
         },
-        this);
-    if (!request) return failed("no memory");
+        &*at);
+    if (!request) return failed(*at, "no memory");
     const auto host = address_.host + ":" + std::to_string(address_.port);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", host.c_str());
     std::string target = "/api/targets";
     if (version_)
         target += "?after=" + std::to_string(*version_) + "&wait_ms=" + std::to_string(watch_for.us / 1000);
-    if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, target.c_str()) != 0) {
-        connection_.reset();
-        failed("the call could not be made");
-    }
+    at->out = true;
+    // On the whole call. Guards against an answer whose bytes trickle and never end: evhttp's own limit is on
+    // each of them.
+    at->until = timer<&Discovery::late>(*at, version_ ? watch_within : whole_within);
+    if (is_pushed()) at->overdue = timer<&Discovery::overdue>(*at, version_ ? overdue_watch : overdue_whole);
+    if (evhttp_make_request(at->connection.get(), request, EVHTTP_REQ_GET, target.c_str()) != 0 &&
+        !at->dropped)
+        return failed(*at, "the call could not be made");
+    // Before all else that has come; each new connection loses it. Guards against work that is sent, after a
+    // stall, where the list that waits to be read says that nothing may go there.
+    bufferevent_priority_set(evhttp_connection_get_bufferevent(at->connection.get()), 0);
 }
 
-void Discovery::came(evhttp_request* request)
+// Guards against an agent that was silent as it was called, and has come back since.
+void Discovery::overdue(const Call& call)
+{
+    if (&call != &calls_.back()) return;  // there is another beside it
+    version_.reset();
+    this->call();
+}
+
+void Discovery::late(Call& call) { failed(call, "no answer in time"); }
+
+void Discovery::came(Call& call, evhttp_request* request)
 {
     const int status = request ? evhttp_request_get_response_code(request) : 0;
-    if (status != 200) return failed(status == 0 ? "no answer" : "an answer without a list");
+    if (status != 200) return failed(call, status == 0 ? "no answer" : "an answer without a list");
     auto* body = evhttp_request_get_input_buffer(request);
     const size_t size = evbuffer_get_length(body);
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(body, -1));
     const std::string text(bytes ? bytes : "", size);
     auto list = decode_list(config_.setup, text, epoch_);
-    if (!list) return failed("the answer is no list");
+    if (!list) return failed(call, "the answer is no list");
     // Guards against an agent that has fallen behind: an older list would bring back what drains or has gone.
-    if (list->version < newest_) return failed("a list older than the last one");
+    if (list->version < newest_) return failed(call, "a list older than the last one");
     newest_ = list->version;
+    call.out = false;
+    call.overdue.reset(), call.until.reset();
+    calls_.remove_if([&](const Call& c) { return &c != &call; });
     if (!well_) spdlog::info("discovery answers again");
     well_ = true;
     pause_ = first_pause;
@@ -193,26 +259,27 @@
         spdlog::debug("list {}: {} {} {}", list->version, e.uid, e.endpoint, static_cast<int>(e.presence));
     if (first) spdlog::info("list {} of {} upstreams", list->version, list->told.entries.size());
     // The next call goes out before anything else, so that the watch has no gap.
-    const auto now = to_timeval(Span{});
-    event_add(again_.get(), &now);
+    call_in(Span{});
     if (!whole_) return tell_(std::move(list->told));
     take_in(lines_, text);
     whole_(list->version, whole_list(list->version, lines_));
 }
 
-void Discovery::failed(const char* why)
+void Discovery::failed(Call& call, const char* why)
 {
+    call.dropped = true;
+    call.overdue.reset(), call.until.reset();
+    const auto at = std::find_if(calls_.begin(), calls_.end(), [&](const Call& c) { return &c == &call; });
+    dropped_.splice(dropped_.end(), calls_, at);
     if (well_) spdlog::warn("discovery: {}; the last list stays in use", why);
     well_ = false;
-    version_.reset();  // a new watch begins with the whole list
+    version_.reset();                              // a new watch begins with the whole list
+    if (!calls_.empty()) return;                   // another is out beside it
+    if (!is_pushed() && !whole_) asking_ = false;  // the module says when to ask again
     tell_(ListFailed{});
-    if (config_.setup.settings.list_must_be_asked && !whole_) {
-        asking_ = false;  // the module says when to ask again
-        return;
-    }
-    const auto pause = to_timeval(pause_);
-    event_add(again_.get(), &pause);
-    pause_ = std::min(longest_pause, pause_ * 2);
+    if (!asking_) return;
+    call_in(pause_);
+    pause_ = std::min(is_pushed() ? longest_pause : longest_asked, pause_ * 2);
 }
 
 }  // namespace firtide::net
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -4,6 +4,7 @@
 #include <event2/http.h>
 
 #include <functional>
+#include <list>
 #include <map>
 
 #include "config.h"
@@ -43,9 +44,24 @@
     void ask();  // the whole list, and then watches it; asks anew after failures, where that is its own job
 
   private:
+    // One call, or a connection that the next one may use.
+    struct Call {
+        Discovery* owner = nullptr;
+        std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> connection;
+        Timer overdue, until;
+        bool out = false, dropped = false;
+    };
+
+    bool is_pushed() const;
     void call();
-    void came(evhttp_request* request);
-    void failed(const char* why);
+    void overdue(const Call& call);
+    void late(Call& call);
+    void came(Call& call, evhttp_request* request);
+    void failed(Call& call, const char* why);
+    void call_in(Span pause);
+    void drop_all();
+    template <auto then>
+    Timer timer(Call& call, Span wait);
 
     event_base* base_;
     const Config& config_;
@@ -54,10 +70,12 @@
     std::function<void(Event)> tell_;
     Whole whole_;
     std::map<std::string, std::string> lines_;  // by uid: what a whole list is made of
-    std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> connection_;
+    std::list<Call> calls_;
+    std::list<Call> dropped_;  // to be freed outside of their own callbacks
     Timer again_;
     std::optional<uint64_t> version_;
     uint64_t newest_ = 0;  // that this agent told
+    bool resting_ = true;  // until it is to ask for the first time, or while another balancer asks
     bool asking_ = false;
     bool well_ = true;
     Span pause_;
--- a/tests/upstreams.cpp
+++ b/tests/upstreams.cpp
@@ -42,6 +42,18 @@
     asked.balancer.list_answered(asked.now, false);
     asked.wake();
     asked.balancer.list_answered(asked.now, true);
+    // A change counts as told 6 s after discovery could be reached again: no wait may come near to that.
+    Span longest;
+    asked.quiet = true;
+    for (int i = 0; i < 40; ++i) {
+        asked.balancer.list_answered(asked.now, false);
+        const Point since = asked.now;
+        asked.wake();
+        longest = std::max(longest, asked.now - since);
+    }
+    asked.quiet = false;
+    std::printf("after 40 failures it is asked for again %s\n",
+                longest <= seconds(3) ? "within 3 s" : "later than 3 s");
     asked.wake();
 
     settings.list_must_be_asked = false;
