Every end of a connection lingers; what comes after SIGTERM is answered before the kill

By reading and then by a test that fails without the mend (tests/endings.cpp against the program before): - Callers::close_idle and make_room closed over bytes that crossed: a reset.

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -23,6 +23,7 @@
 constexpr double slowest_body = 24 * 1024;  // bytes a second
 constexpr Span may_rest = seconds(2);       // whatever room is needed
 constexpr Span asks_within = seconds(0.2);  // the same for a new connection or a request begun
+constexpr Span lingers = seconds(0.1);      // the same for one whose sending side is shut
 constexpr size_t some = 16;                 // connections to make room for at a time
 constexpr Span ends_with_request = seconds(0.03);
 constexpr Span tell_every = seconds(1);  // of the same trouble in the log
@@ -173,7 +174,8 @@
         &*at);
     bufferevent_setwatermark(at->stream.get(), EV_READ, 0, read_ahead);
     bufferevent_enable(at->stream.get(), EV_READ | EV_WRITE);
-    if (room_.full(open()) && make_room(1) == 0) pause_listening();
+    if (room_.full(open())) make_room(1);
+    if (room_.full(open())) pause_listening();
 }
 
 void Callers::enter(Place at, Phase phase)
@@ -364,17 +366,32 @@
     bufferevent_setwatermark(at->stream.get(), EV_READ, 0, read_ahead);
     hold(*at, 0);
     if (at->sent_all) return close(at);
-    if (at->last) {
-        // Guards against an answer that is lost to a reset: what still comes is read for a moment.
-        enter(at, leaving);
-        if (at->due == 0) shutdown(bufferevent_getfd(at->stream.get()), SHUT_WR);
-    } else {
+    if (at->last)
+        close_lingering(at);
+    else
         enter(at, resting);
-    }
     // Whatever came early has its turn after all others. Guards against callers that send hundreds at once.
     bufferevent_trigger(at->stream.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
+// Every end of a connection on which nothing is owed any more passes here (lingering close): the sending side
+// is shut, once all that is due has come, and what still comes is read until the caller closes or its time is
+// up. Guards against an answer, or the end itself, that is lost to a reset over unread bytes. What is read
+// from here on is sent on to nobody: its caller sees the end and asks elsewhere.
+void Callers::close_lingering(Place at)
+{
+    enter(at, leaving);
+    if (at->due == 0) shutdown(bufferevent_getfd(at->stream.get()), SHUT_WR);
+}
+
+// Whether bytes of a request are here, read or not.
+bool Callers::asks(Place at) const
+{
+    pollfd unread{bufferevent_getfd(at->stream.get()), POLLIN, 0};
+    return at->reader.begun() || evbuffer_get_length(bufferevent_get_input(at->stream.get())) > 0 ||
+           poll(&unread, 1, 0) > 0;
+}
+
 // Whether a caller that sends nothing more is taken to read its answer all the same. One that closes its
 // sending side does so with its request, one that goes away has waited for a while; one that is being told
 // shows it by what it does with the bytes.
@@ -384,6 +401,7 @@
         at->phase == waiting && at->reader.done() && monotonic_now() - at->since < ends_with_request;
     if (!with_request && at->phase != telling) return false;
     at->last = at->sent_all = true;
+    if (with_request) tell_(HalfClosed{at->caller});
     return true;
 }
 
@@ -418,8 +436,12 @@
             }
             spdlog::debug("a caller is closed on in phase {}, {} ms after it entered it", phase,
                           (now - at->since).us / 1000);
-            ended(at);
+            if (phase == asking || phase == resting)
+                close_lingering(at);
+            else
+                ended(at);
         }
+    look_for_closed();
     if (before_ready_ && listener_ && ready_()) before_ready_ = false, evconnlistener_enable(listener_.get());
     if (!paused_ || !listener_) return;
     if (now - told_ > tell_every) {
@@ -434,6 +456,18 @@
     evconnlistener_enable(listener_.get());
 }
 
+// Guards against a caller that has sent more behind its request and closed: its end waits behind bytes that
+// are not read before it has its answer.
+void Callers::look_for_closed()
+{
+    for (Place at = in_[waiting].begin(), next; at != in_[waiting].end(); at = next) {
+        next = std::next(at);
+        if (evbuffer_get_length(bufferevent_get_input(at->stream.get())) == 0) continue;
+        pollfd closed{bufferevent_getfd(at->stream.get()), POLLRDHUP, 0};
+        if (poll(&closed, 1, 0) > 0) ended(at);
+    }
+}
+
 bool Callers::someone_waits() const
 {
     if (!listener_ || room_.full(open())) return false;
@@ -445,19 +479,23 @@
 
 void Callers::close_idle(Span rested, Span silent)
 {
-    // Guards against closing on a request that has come and was not looked at yet.
     const Point now = monotonic_now();
     for (const auto phase : {resting, asking})
         for (Place at = in_[phase].begin(), next; at != in_[phase].end(); at = next) {
             next = std::next(at);
             if (now - at->since < (phase == resting ? rested : silent)) break;
-            pollfd unread{bufferevent_getfd(at->stream.get()), POLLIN, 0};
-            const bool asks = at->reader.begun() || poll(&unread, 1, 0) > 0 ||
-                              evbuffer_get_length(bufferevent_get_input(at->stream.get())) > 0;
-            if (!asks) close(at);
+            if (!asks(at)) close_lingering(at);
         }
 }
 
+void Callers::end_begun()
+{
+    for (Place at = in_[asking].begin(), next; at != in_[asking].end(); at = next) {
+        next = std::next(at);
+        if (at->reader.begun()) refuse(at, 408, "the request took too long");
+    }
+}
+
 void Callers::share(size_t processes)
 {
     room_.share(processes);
@@ -468,18 +506,34 @@
 size_t Callers::make_room(size_t count)
 {
     const Point now = monotonic_now();
-    size_t closed = 0;
-    const auto from = [&](Phase phase, Span rested) {
-        for (Place at = in_[phase].begin(); at != in_[phase].end() && closed < count;) {
+    size_t made = 0;
+    const auto from = [&](Phase phase, Span rested, auto&& end) {
+        for (Place at = in_[phase].begin(), next; at != in_[phase].end() && made < count; at = next) {
+            next = std::next(at);
             if (now - at->since < rested) break;
-            close(at++), ++closed;
+            made += end(at);
         }
     };
-    from(leaving, asks_within);
-    from(resting, may_rest);
+    // Those that end by themselves within a moment make room as well.
+    from(leaving, Span{}, [&](Place at) {
+        if (now - at->since >= lingers) close(at);
+        return true;
+    });
+    const auto end = [&](Place at) {
+        if (asks(at)) return false;
+        close_lingering(at);
+        return true;
+    };
+    from(resting, may_rest, end);
+    from(asking, asks_within, end);
     // Also what has begun. Guards against half requests by hundreds, which would keep all others out.
-    from(asking, asks_within);
-    return closed;
+    from(asking, asks_within, [&](Place at) {
+        pollfd unread{bufferevent_getfd(at->stream.get()), POLLIN, 0};
+        if (!at->reader.begun() || poll(&unread, 1, 0) > 0) return false;
+        refuse(at, 408, "the request took too long");
+        return true;
+    });
+    return made;
 }
 
 }  // namespace firtide::net
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -34,7 +34,10 @@
     void stop_listening();
     // Those at rest, and those that have connected and said nothing, for so long.
     void close_idle(Span rested, Span silent);
-    // Closes what rests longest, at most so many; nobody who has just come or just been answered.
+    // Of those that have begun a request and not ended it each gets its answer now.
+    void end_begun();
+    // Ends what rests longest, at most so many; nobody who has just come or just been answered. How many have
+    // gone or go within a moment.
     size_t make_room(size_t count);
     size_t open() const;
     bool telling_any() const { return !in_[telling].empty(); }
@@ -44,7 +47,8 @@
     struct Connection;
     using Place = std::list<Connection>::iterator;
     // Asking: has connected or begun a request. Bringing: more of one that is passed on already. Resting:
-    // between requests. Telling: is given an answer. Leaving: has been given its last one.
+    // between requests. Telling: is given an answer. Leaving: its sending side is shut, or will be once what
+    // is due has come; what it still says is read and goes nowhere.
     enum Phase { asking, bringing, resting, waiting, telling, leaving, phases };
 
     static void accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self);
@@ -61,7 +65,10 @@
     void refuse(Place at, int status, const char* why);
     void reply(Place at, const Response& response, bool last);
     void written(Place at);
+    void close_lingering(Place at);
+    bool asks(Place at) const;
     bool still_listens(Place at);
+    void look_for_closed();
     void ended(Place at);
     void close(Place at);
     void hold(Connection& c, size_t bytes);
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -50,7 +50,7 @@
 
 // How far an attempt came, and what ended it. What this proves is decided in the reducer, once.
 enum class Progress { not_connected, partly_written, written, answering };
-enum class Cause { refused, no_answer_in_time, broken, malformed, no_descriptor };
+enum class Cause { refused, no_answer_in_time, broken, malformed, no_descriptor, withdrawn };
 struct Broken {
     Progress progress = Progress::not_connected;
     Cause cause = Cause::broken;
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -8,11 +8,17 @@
 {
 
 constexpr Span probe_waits = seconds(0.25);
+constexpr Span may_listen_for =
+    seconds(0.05);  // forwards go on for a caller that has closed its sending side
 // Bytes of one message that is passed on, before its reader is held: less where there are many.
 constexpr size_t least_window = 16 * 1024, most_window = 64 * 1024;
-constexpr Span serve_on = seconds(2);          // after the signal to stop, on connections that are there
 constexpr Span front_sends_on = seconds(0.4);  // to a balancer that drains, until it has noticed
-constexpr Span answer_by = seconds(3.4);  // after it, what has come meanwhile: then the process may be killed
+// The process may be killed so long after the signal to stop and the longest time that a client waits, of
+// which no more than so much counts.
+constexpr Span killed_after = seconds(0.7), longest_wait = seconds(3);
+// What has come after the signal is answered so long before that, and callers are turned out before this
+// again by so much.
+constexpr Span before_kill = seconds(0.3), for_last_answers = seconds(1.4);
 
 Response plain_answer(int status, const char* text)
 {
@@ -132,9 +138,14 @@
         listed.push_back({at, id_of(e.uid), e.presence, e.zone, e.cell, 1, e.started});
         if (setup_.sizes_listed && e.size > 0) listed.back().size = e.size;
     }
+    bool left = false;
     for (Tgt t = 0; t < upstreams_.size(); ++t)
         if (before[t] == Presence::ready && upstreams_[t].presence != Presence::ready)
-            effects_.push_back(CloseIdle{t});
+            effects_.push_back(CloseIdle{t}), left = true;
+    // Guards against a request that passed the gate before this list and leaves after it.
+    if (left)
+        for (const auto& [id, a] : attempts_)
+            if (upstreams_[a.tgt].presence != Presence::ready) effects_.push_back(Withdraw{id});
     listed_ = listed_ || !listed.empty();
     return listed;
 }
@@ -345,7 +356,7 @@
     free_.pop_back();
     invocation_of_.emplace(arrived.caller, inv);
     if (stopped_)
-        arrived.request.time_left = std::min(arrived.request.time_left, *stopped_ + answer_by - now_);
+        arrived.request.time_left = std::min(arrived.request.time_left, *stopped_ + answers_for() - now_);
     const Ask ask{arrived.request.operation, arrived.request.tenant, arrived.request.time_left,
                   arrived.request.more};
     Invocation& i = invocations_[inv] = {};
@@ -353,6 +364,8 @@
     i.over = false;
     i.request = std::move(arrived.request);
     i.outcomes = &outcomes;
+    const Operation& op = setup_.settings.operations[ask.operation];
+    if (op.repeat == Repeat::deduplicated) i.window = op.window;
     sending_ += i.request.more;
     balancer_.accept(now_, inv, ask);
 }
@@ -376,7 +389,7 @@
         return;
     }
     i.request.time_left = std::max(Span{}, i.request.time_left - brought.waited);
-    if (stopped_) i.request.time_left = std::min(i.request.time_left, *stopped_ + answer_by - now_);
+    if (stopped_) i.request.time_left = std::min(i.request.time_left, *stopped_ + answers_for() - now_);
     balancer_.sent(now_, at->second, i.request.time_left);
 }
 
@@ -453,14 +466,29 @@
     balancer_.client_left(now_, at->second);
 }
 
+// One that has gone and one that listens look the same: what is out goes on, nothing more begins.
+void Reducer::on(HalfClosed closed)
+{
+    if (const auto at = invocation_of_.find(closed.caller); at != invocation_of_.end())
+        invocations_[at->second].half_closed = now_;
+}
+
 // The last check before bytes leave. Guards against an upstream that drained or moved, and an invocation that
 // ended or ran out of time, while the connection was being made.
 bool Reducer::may_write(const Attempt& attempt) const
 {
     const Upstream& u = upstreams_[attempt.tgt];
-    if (u.presence != Presence::ready || u.endpoint != attempt.endpoint || now_ >= attempt.until)
+    if (u.presence != Presence::ready || u.endpoint != attempt.endpoint || now_ >= attempt.until ||
+        (attempt.written_by && now_ >= *attempt.written_by))
         return false;
-    return !attempt.inv || (!invocations_[*attempt.inv].over && !invocations_[*attempt.inv].spent);
+    if (!attempt.inv) return true;
+    const Invocation& i = invocations_[*attempt.inv];
+    return !i.over && !i.spent && may_begin(i);
+}
+
+bool Reducer::may_begin(const Invocation& i) const
+{
+    return !i.half_closed || now_ - *i.half_closed < may_listen_for;
 }
 
 void Reducer::on(Connected connected)
@@ -660,9 +688,20 @@
     effects_.push_back(MoveWatch{std::move(read.discovery)});
 }
 
+// After the signal to stop. Guards against answers that wait for upstreams until the process is killed, where
+// clients wait for a short time only.
+Span Reducer::answers_for() const
+{
+    Span longest;
+    for (const Operation& op : setup_.settings.operations) longest = std::max(longest, op.client_timeout);
+    return std::min(longest_wait, longest) + killed_after - before_kill;
+}
+
 bool Reducer::turns_out(Point now) const
 {
-    if (stopped_) return another_serves_ || now >= *stopped_ + serve_on;
+    if (stopped_)
+        return another_serves_ ||
+               now >= *stopped_ + std::max(front_sends_on, answers_for() - for_last_answers);
     return drained_ && now >= *drained_ + front_sends_on;
 }
 
@@ -704,7 +743,9 @@
     i.met.push_back(tgt);
     ++upstreams_[tgt].referred;
     Attempt attempt{inv, nth, tgt, upstreams_[tgt].endpoint, now_, now_ + limit};
-    if (!i.spent && within_budgets(nth, tgt)) return dial(id, std::move(attempt));
+    if (nth == 0) i.first_sent = now_;
+    if (nth > 0 && i.window > Span{}) attempt.written_by = i.first_sent + i.window;
+    if (!i.spent && may_begin(i) && within_budgets(nth, tgt)) return dial(id, std::move(attempt));
     // Guards against a request that lacks the bytes which were not held: there is nothing left to send. And
     // against more than this balancer's part of a budget of the fleet.
     attempts_.emplace(id, std::move(attempt));
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -68,6 +68,9 @@
 struct CallerLeft {
     CallerId caller;
 };
+struct HalfClosed {  // the caller sends nothing more: it listens, or has gone
+    CallerId caller;
+};
 struct Brought {  // more of a request's body
     CallerId caller;
     std::string bytes;
@@ -145,10 +148,10 @@
 };
 struct Ticked {  // every tenth of a second or so, as a member of a fleet
 };
-using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, Brought, Taken,
-                           Connected, Answered, Came, Failed, Written, TurnedAway, Ordered, Woken, Shared,
-                           Stopping, Reread, ProbeDue, ReportHeard, FleetIs, SignalsTold, PartsAre,
-                           Remembered, FleetStateIs, Ticked>;
+using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, HalfClosed,
+                           Brought, Taken, Connected, Answered, Came, Failed, Written, TurnedAway, Ordered,
+                           Woken, Shared, Stopping, Reread, ProbeDue, ReportHeard, FleetIs, SignalsTold,
+                           PartsAre, Remembered, FleetStateIs, Ticked>;
 
 // Effects.
 struct Answer {
@@ -191,6 +194,9 @@
 struct HangUp {
     AttemptId attempt;
 };
+struct Withdraw {  // what was handed over, as long as none of it has left; then Failed follows
+    AttemptId attempt;
+};
 struct CloseIdle {
     Tgt tgt;
 };
@@ -216,8 +222,8 @@
     std::optional<Figures> figures;
 };
 using fleet::Observed;  // for the fleet
-using Effect = std::variant<Answer, Pass, Cut, Hear, Dial, Write, Limit, Read, HangUp, CloseIdle, Wake,
-                            WatchList, MoveWatch, Obeyed, Probed, Observed>;
+using Effect = std::variant<Answer, Pass, Cut, Hear, Dial, Write, Limit, Read, HangUp, Withdraw, CloseIdle,
+                            Wake, WatchList, MoveWatch, Obeyed, Probed, Observed>;
 
 // The same at every instance, whatever the order in which upstreams are met.
 uint64_t id_of(std::string_view uid);
@@ -241,6 +247,8 @@
     bool ready() const { return life() == Life::ready && (!recovery_ || list_told_ || recovery_->ready()); }
     // Draining or stopping for so long that each answer is the last on its connection and idle ones may go.
     bool turns_out(Point now) const;
+    // What comes after the signal to stop has its answer within this after it.
+    Span answers_for() const;
     Figures figures();
     size_t places() const { return upstreams_.size(); }  // for upstreams
     size_t in_flight() const { return invocation_of_.size() + relays_.size(); }
@@ -259,6 +267,9 @@
         size_t on_way = 0;
         bool spent = false;  // bytes have gone that are not held any more: it cannot be sent again
         bool bound = false;  // to an attempt whose answer is being passed on
+        std::optional<Point> half_closed;  // by its caller
+        Span window;                       // in which a repeat is recognised; zero: no such limit
+        Point first_sent;                  // the first of its forwards
     };
     // Lives while an answer is passed on that is too large to be taken in whole. The module knows it as
     // succeeded: nothing but this attempt can be the answer any more.
@@ -276,8 +287,9 @@
         Tgt tgt = 0;
         std::string endpoint;
         Point sent, until;
-        bool counted = false;  // as written whole
-        uint64_t stamp = 0;    // of a duty's probe
+        bool counted = false;                  // as written whole
+        uint64_t stamp = 0;                    // of a duty's probe
+        std::optional<Point> written_by = {};  // its first byte; later it is no repeat any more
     };
     // Lives until its place is wanted for another, and nothing refers to it any more.
     struct Upstream {
@@ -292,6 +304,7 @@
     void on(ListFailed);
     void on(Arrived& arrived);
     void on(CallerLeft left);
+    void on(HalfClosed closed);
     void on(Brought& brought);
     void on(Taken taken);
     void on(Connected connected);
@@ -329,6 +342,7 @@
     std::vector<Listing> listings(const std::vector<Entry>& entries, bool all);
     void dial(AttemptId id, Attempt attempt);
     bool may_write(const Attempt& attempt) const;
+    bool may_begin(const Invocation& i) const;
     Outcomes& outcomes_of(uint32_t operation);
     void ended(AttemptId id, Result result, Response* response);
     void answer(Inv inv, Response response);
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -13,7 +13,7 @@
 {
 
 constexpr Span accept_on = seconds(0.5);    // after SIGTERM: callers go on coming for a moment
-constexpr Span wait_on = seconds(2.9);      // and no longer for a caller that does not finish its request
+constexpr Span last_word = seconds(0.15);   // for callers to read the answers of the last moment
 constexpr Span look_every = seconds(0.02);  // whether all is answered
 constexpr Span count_every = seconds(0.2);  // processes of this balancer
 // While others serve the same callers: who has been at rest this long hardly asks just now, and who has come
@@ -291,6 +291,7 @@
     if (auto* probed = std::get_if<Probed>(&effect)) return carry_out(*probed);
     if (auto* observed = std::get_if<Observed>(&effect)) return fleet_->tell(std::move(*observed));
     if (auto* up = std::get_if<HangUp>(&effect)) return upstreams_.hang_up(up->attempt);
+    if (auto* back = std::get_if<Withdraw>(&effect)) return upstreams_.withdraw(back->attempt);
     if (auto* idle = std::get_if<CloseIdle>(&effect)) return upstreams_.close_idle(idle->tgt);
     if (std::get_if<WatchList>(&effect)) return shares_list() ? void() : discovery_.ask();
     if (auto* to = std::get_if<MoveWatch>(&effect))
@@ -341,6 +342,7 @@
 {
     if (stopping_) return;
     stopping_ = true;
+    stopping_since_ = monotonic_now();
     spdlog::info("stopping: {} in flight", reducer_.in_flight());
     if (fleet_) fleet_->tell(fleet::Stops{});
     post(Stopping{config_.passed_socket.has_value()});
@@ -362,7 +364,7 @@
         return;
     }
     callers_.stop_listening();
-    stopped_accepting_ = monotonic_now();
+    stopped_accepting_ = true;
 }
 
 // Two processes of one upgrade have half of what the balancer may have each.
@@ -395,12 +397,14 @@
     const bool gentle = !stopping_ || config_.passed_socket;
     callers_.close_idle(gentle ? rested : Span{}, gentle ? silent : Span{});
     if (!stopped_accepting_) return;
-    const Span since = monotonic_now() - *stopped_accepting_;
-    // Guards against leaving with the last answer handed to the loop and not yet to its caller. What had come
-    // before the signal and has longer is seen to for as long as the process is let live.
-    if (reducer_.in_flight() > 0 || callers_.telling_any()) return;
     // Guards against a caller that stops within a request and would hold the whole restart up.
-    if (callers_.open() == 0 || since > wait_on) event_base_loopbreak(base_.get());
+    const Span since = monotonic_now() - stopping_since_, answers = reducer_.answers_for();
+    if (since >= answers) callers_.end_begun();
+    // Guards against leaving with the last answer handed to the loop and not yet to its caller, or read by
+    // nobody yet. What had come before the signal and has longer is seen to for as long as the process is let
+    // live.
+    if (reducer_.in_flight() > 0 || callers_.telling_any()) return;
+    if (callers_.open() == 0 || since > answers + last_word) event_base_loopbreak(base_.get());
 }
 
 }  // namespace firtide::net
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -72,9 +72,9 @@
     size_t processes_ = 1;  // of this balancer
     Point counted_processes_;
     std::deque<Event> events_;
-    bool reducing_ = false, stopping_ = false;
+    bool reducing_ = false, stopping_ = false, stopped_accepting_ = false;
+    Point stopping_since_;
     Point told_of_no_room_;
-    std::optional<Point> stopped_accepting_;
     std::vector<Timer> signals_;
     Timer stop_accepting_, look_;
 };
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -61,6 +61,7 @@
     bool looked_again = false;  // past its time, for what the kernel has and the loop has not seen
     bool answering = false;
     bool asked = false;                    // the request, or a part of it, was handed to the stream
+    size_t handed = 0;                     // bytes of the request, to the stream
     bool more = false;                     // of the request is still to be handed over
     bool passed_on = false, held = false;  // its answer, in pieces; and nobody takes them now
     Point rests_since;
@@ -175,6 +176,7 @@
 {
     at->attempt = attempt;
     at->asked = at->more = at->answering = at->passed_on = at->held = at->looked_again = false;
+    at->handed = 0;
     at->until = monotonic_now() + limit;
     at->reader = ResponseReader(setup_);
     of_attempt_[attempt] = at;
@@ -188,6 +190,7 @@
     const Place place = at->second;
     place->asked = true;
     place->more = write.more;
+    place->handed += write.bytes.size();
     bufferevent_write(place->stream.get(), write.bytes.data(), write.bytes.size());
     // Guards against an upstream that does not read what is sent to it for longer than its caller sends.
     if (write.more) wait_for(place, moves_within);
@@ -235,6 +238,14 @@
     rest(place);
 }
 
+void Upstreams::withdraw(AttemptId attempt)
+{
+    const auto at = of_attempt_.find(attempt);
+    if (at == of_attempt_.end() || !at->second->asked) return;  // the gate is asked again before its bytes
+    if (evbuffer_get_length(bufferevent_get_output(at->second->stream.get())) == at->second->handed)
+        fail(at->second, Cause::withdrawn);
+}
+
 void Upstreams::rest(Place at)
 {
     at->attempt = 0;
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -25,6 +25,7 @@
     void limit(const Limit& limit);
     void read(const Read& read);
     void hang_up(AttemptId attempt);
+    void withdraw(AttemptId attempt);
     void close_idle(Tgt tgt);
     size_t close_oldest_idle(size_t count);  // how many there were
     size_t open() const { return all_.size(); }
--- /dev/null
+++ b/tests/endings.cpp
@@ -0,0 +1,394 @@
+// Each way in which something ends, or falls silent, at an instant at which something is still owed: the
+// crossing is forced by a scripted peer, a barrier or a stopped process. The rows of docs/endings.md name
+// these parts.
+#include <mutex>
+
+#include "trace.h"
+
+using namespace firtide;
+using Clock = std::chrono::steady_clock;
+
+namespace
+{
+
+double seconds_since(Clock::time_point then)
+{
+    return std::chrono::duration<double>(Clock::now() - then).count();
+}
+
+std::string target(const std::string& uid, const std::string& endpoint, const char* state = "ready")
+{
+    return R"({"uid":")" + uid + R"(","endpoint":")" + endpoint + R"(","state":")" + state + "\"}";
+}
+
+// Discovery, with what it does to each call in the hands of the test.
+class Agent
+{
+  public:
+    enum class Does { answers, is_silent, refuses, resets, tears, trickles, answers_late, is_behind };
+
+    Agent() : stand_in_([this](Wire& w) { serve(w); }) {}
+    ~Agent() { done_ = true; }
+
+    std::string endpoint() const { return stand_in_.endpoint(); }
+    void list_is(const std::string& targets)
+    {
+        const std::lock_guard hold(lock_);
+        targets_ = targets, ++version_;
+    }
+    void does(Does what) { does_ = what; }
+    // The calls that came since the last time, in seconds after it.
+    std::vector<double> calls()
+    {
+        const std::lock_guard hold(lock_);
+        std::vector<double> at;
+        for (const auto& c : calls_) at.push_back(std::chrono::duration<double>(c - since_).count());
+        calls_.clear(), since_ = Clock::now();
+        return at;
+    }
+    size_t called()
+    {
+        const std::lock_guard hold(lock_);
+        return calls_.size();
+    }
+
+  private:
+    std::string list(int version)
+    {
+        const std::lock_guard hold(lock_);
+        return R"({"rev":)" + std::to_string(version) + R"(,"all":true,"targets":[)" + targets_ + "]}";
+    }
+    int version()
+    {
+        const std::lock_guard hold(lock_);
+        return version_;
+    }
+    void serve(Wire& w)
+    {
+        for (std::string request; w.open() && !(request = w.message()).empty();) {
+            {
+                const std::lock_guard hold(lock_);
+                calls_.push_back(Clock::now());
+            }
+            const auto after = request.find("after=");
+            const int known = after == std::string::npos ? -1 : std::stoi(request.substr(after + 6));
+            for (int i = 0; i < 400 && does_ == Does::answers && known >= version(); ++i) pause(5);
+            switch (does_.load()) {
+                case Does::answers: w.send(http(ok, list(version()))); break;
+                case Does::is_silent: return (void)w.ended(10000);
+                case Does::refuses: w.send(http("HTTP/1.1 500 no")); break;
+                case Does::resets: return w.reset();
+                case Does::tears: w.send(ok + "\r\nContent-Length: 900\r\n\r\n{\"rev\":"); return;
+                case Does::is_behind: w.send(http(ok, list(0))); break;
+                case Does::answers_late: pause(800), w.send(http(ok, list(version()))); break;
+                case Does::trickles:
+                    w.send(ok + "\r\nContent-Length: 900\r\n\r\n{");
+                    while (!done_ && !w.more(50) && !w.over()) w.send(" ");
+                    return;
+            }
+        }
+    }
+
+    std::mutex lock_;
+    std::string targets_;
+    int version_ = 1;
+    std::atomic<Does> does_{Does::answers};
+    std::atomic<bool> done_{false};
+    std::vector<Clock::time_point> calls_;
+    Clock::time_point since_ = Clock::now();
+    StandIn stand_in_;
+};
+
+std::string an_id()
+{
+    static std::atomic<int> last{1};
+    return "Req-Id: " + std::to_string(++last) + "\r\n";
+}
+
+std::string get(const std::string& more = "") { return "GET /safe/x HTTP/1.1\r\n" + an_id() + more + "\r\n"; }
+
+// Upstreams that say who they are.
+StandIn upstream_called(const std::string& name)
+{
+    return StandIn([name](Wire& w) {
+        while (!w.message().empty()) w.send(http(ok, name));
+    });
+}
+
+std::string who_answers(uint16_t port)
+{
+    const auto answer = Wire(port).ask(get());
+    const auto body = answer.find("\r\n\r\n");
+    return body == std::string::npos ? "nobody" : answer.substr(body + 4);
+}
+
+// ---- discovery ----
+
+// What an agent that was down has at its return counts as told at once: the calls go on all the time.
+void silent_agent()
+{
+    Agent agent;
+    StandIn first = upstream_called("the first");
+    agent.list_is(target("a", first.endpoint()));
+    Running f(agent.endpoint());
+    agent.does(Agent::Does::is_silent);
+    agent.list_is(target("a", first.endpoint()));  // ends the watch that is out
+    const auto before = agent.called();
+    until([&] { return agent.called() >= before + 2; }, 4000);
+    agent.calls();
+    pause(3000);
+    double last = 0, longest = 0;
+    for (const double at : agent.calls()) longest = std::max(longest, at - last), last = at;
+    std::printf("a silent agent: it is called again %s\n",
+                longest < 0.4 ? "within 0.4 s, all the time" : std::to_string(longest).c_str());
+}
+
+// However a call ended: the change is in force soon after the agent answers again.
+void spoilt_calls(const char* what, Agent::Does does, double within)
+{
+    Agent agent;
+    StandIn first = upstream_called("the first"), second = upstream_called("the second");
+    agent.list_is(target("a", first.endpoint()));
+    Running f(agent.endpoint());
+    until([&] { return who_answers(f.port) == "the first"; });
+    agent.does(does);
+    agent.list_is(target("b", second.endpoint()));
+    const auto before = agent.called();
+    until([&] { return agent.called() >= before + 7; }, 9000);  // its pauses are the longest by then
+    agent.does(Agent::Does::answers);
+    const auto since = Clock::now();
+    until([&] { return who_answers(f.port) == "the second"; }, 7000);
+    const double took = seconds_since(since);
+    std::printf("an agent %s: the change is in force %s\n", what,
+                took < within ? "in time" : std::to_string(took).c_str());
+}
+
+// An agent that is always slow: no call may be given up before it has had a chance.
+void late_agent()
+{
+    Agent agent;
+    StandIn first = upstream_called("the first");
+    agent.list_is(target("a", first.endpoint()));
+    agent.does(Agent::Does::answers_late);
+    Running f(agent.endpoint());
+    std::printf("an agent that takes 0.8 s: %s answers\n",
+                until([&] { return who_answers(f.port) == "the first"; }, 4000) ? "the first" : "nobody");
+}
+
+// SIGHUP while the module waits for its turn to ask the old address again.
+void moved_between_calls()
+{
+    Agent dead, agent;
+    StandIn first = upstream_called("the first");
+    dead.does(Agent::Does::refuses);
+    agent.list_is(target("a", first.endpoint()));
+    Running f(dead.endpoint(), "1024", "", {}, 0, R"("registry_mode":"subscribe",)");
+    until([&] { return dead.called() >= 3; }, 8000);  // 1 s at the least until the next
+    const auto since = Clock::now();
+    f.reread(dead.endpoint(), agent.endpoint());
+    until([&] { return agent.called() > 0; }, 8000);
+    std::printf("moved while it waits to ask again: it asks the new agent %s\n",
+                seconds_since(since) < 0.5 ? "at once" : "late");
+}
+
+// The process stands still while requests come and then a list that says that their upstream drains.
+void list_behind_requests()
+{
+    std::atomic<int> asked{0};
+    StandIn first([&](Wire& w) {
+        while (!w.message().empty()) ++asked, w.send(http(ok, "the first"));
+    });
+    Agent agent;
+    agent.list_is(target("a", first.endpoint()));
+    Running f(agent.endpoint());
+    std::vector<Wire> callers;
+    for (int i = 0; i < 20; ++i) callers.emplace_back(f.port), callers.back().send(get());
+    for (auto& w : callers) w.message();
+    until([&] { return agent.called() >= 2; });  // the watch is out
+    kill(f.process, SIGSTOP);
+    asked = 0;
+    for (auto& w : callers) w.send(get());
+    // Long enough not to be read at once.
+    agent.list_is(target("a", first.endpoint(), "draining") + std::string(60000, ' '));
+    pause(50);  // the watch is answered: its bytes are with the stopped process
+    kill(f.process, SIGCONT);
+    int throttled = 0;
+    for (auto& w : callers) throttled += first_line(w.message()).find(" 503 ") != std::string::npos;
+    std::printf(
+        "a list that came behind 20 requests, in a stall: %d throttled, %d sent to the one that drains\n",
+        throttled, asked.load());
+}
+
+// ---- callers ----
+
+struct Held {
+    std::atomic<int> asked{0}, ended{0};
+    std::atomic<bool> go{false};
+    StandIn upstream{[this](Wire& w) {
+        while (!w.message().empty()) {
+            ++asked;
+            while (!go && !w.over()) w.more(5);
+            if (w.over()) break;
+            w.send(http(ok, "held"));
+        }
+        ++ended;
+    }};
+};
+
+void gone_behind_bytes()
+{
+    Held held;
+    Agent agent;
+    agent.list_is(target("a", held.upstream.endpoint()));
+    Running f(agent.endpoint());
+    Wire caller(f.port);
+    caller.send(get());
+    until([&] { return held.asked == 1; });
+    caller.send(std::string(64 * 1024, 'x'));  // stays unread while the request waits
+    pause(60);                                 // sooner, it could be one that sends nothing more and listens
+    const auto since = Clock::now();
+    caller.close();
+    until([&] { return held.ended == 1; });
+    std::printf("a caller closes behind 64 KiB that nobody reads: its forward is ended %s\n",
+                seconds_since(since) < 0.2 ? "at once" : "late");
+}
+
+void half_closed()
+{
+    std::atomic<int> asked{0};
+    StandIn declines([&](Wire& w) {
+        while (!w.message().empty())
+            ++asked, pause(200), w.send(http("HTTP/1.1 503 no", "", "Srv-Declined: 1\r\n"));
+    });
+    Agent agent;
+    agent.list_is(target("a", declines.endpoint()) + "," + target("b", declines.endpoint()));
+    Running f(agent.endpoint());
+    Wire caller(f.port);
+    caller.send(get()), caller.end_sending();
+    const auto answer = first_line(caller.message());
+    std::printf(
+        "a caller closes its sending side with its request, which is declined 0.2 s later: %s, %d sent\n",
+        answer.c_str(), asked.load());
+}
+
+// At the end of a connection, between requests: what crosses it is not sent on, and nothing is reset.
+void crossing_shutdown()
+{
+    Held held;
+    Agent agent;
+    agent.list_is(target("a", held.upstream.endpoint()));
+    Running f(agent.endpoint());
+    held.go = true;
+    Wire resting(f.port), silent(f.port);
+    resting.ask(get());
+    const int before = held.asked;
+    kill(f.process, SIGTERM);
+    const bool ended = resting.ended(3000) && silent.ended(3000);
+    resting.send(get()), silent.send(get().substr(0, 9));
+    resting.end_sending(), silent.end_sending();
+    int status = 0;
+    waitpid(std::exchange(f.process, 0), &status, 0);
+    std::printf("a request crosses the end of its connection: %s, %d sent on, %s, exit status %d\n",
+                ended ? "the end came first" : "NO END", held.asked - before,
+                resting.was_reset() || silent.was_reset() ? "reset" : "not reset", status);
+}
+
+// Clients wait for 1 s at the most: the process is killed 1.7 s after the signal at the earliest.
+void short_deadlines()
+{
+    Held held;
+    Agent agent;
+    agent.list_is(target("a", held.upstream.endpoint()));
+    Running f(agent.endpoint());
+    Wire half(f.port), before(f.port), never(f.port);
+    half.send("POST /once/x HTTP/1.1\r\n" + an_id() + "Req-Deadline-Ms: 1000\r\nContent-Length: 1\r\n");
+    never.send("POST /once/x HTTP/1.1\r\n");
+    before.send(get("Req-Deadline-Ms: 1000\r\n"));
+    until([&] { return held.asked == 1; });
+    const auto since = Clock::now();
+    kill(f.process, SIGTERM);
+    kill(f.process, SIGTERM);
+    const auto first = first_line(before.message());
+    half.send("\r\nx");  // whole now, a second or so after the signal
+    const auto second = first_line(half.message());
+    const auto third = first_line(never.message());
+    const double took = seconds_since(since);
+    int status = 0;
+    waitpid(std::exchange(f.process, 0), &status, 0);
+    std::printf(
+        "stopping where clients wait for 1 s: %s, whole after the signal: %s, never whole: %s, all %s, "
+        "exit status %d %s\n",
+        first.c_str(), second.c_str(), third.c_str(),
+        took < 1.6 ? "before it may be killed" : std::to_string(took).c_str(), status,
+        seconds_since(since) < 1.7 ? "before that too" : "later");
+}
+
+// SIGTERM before the first list, and with a SIGHUP right behind it.
+void stopped_early()
+{
+    Agent agent;
+    agent.does(Agent::Does::is_silent);
+    Running f(agent.endpoint());
+    Wire caller(f.port);
+    std::printf("no list yet: %s", first_line(caller.ask(get())).c_str());
+    kill(f.process, SIGTERM), kill(f.process, SIGHUP);
+    std::printf(", after SIGTERM and SIGHUP: %s", first_line(caller.ask(get())).c_str());
+    caller.close();
+    int status = 0;
+    waitpid(std::exchange(f.process, 0), &status, 0);
+    std::printf(", exit status %d\n", status);
+}
+
+// ---- upstreams ----
+
+// An answer with no length that is reset has not ended.
+void reset_within_an_answer()
+{
+    StandIn resets([&](Wire& w) {
+        w.message();
+        w.send(ok + "\r\nConnection: close\r\n\r\nhalf");
+        w.more(100);
+        w.reset();
+    });
+    StandIn ends([&](Wire& w) {
+        w.message();
+        w.send(ok + "\r\nConnection: close\r\n\r\nwhole");
+    });
+    Agent agent;
+    agent.list_is(target("a", resets.endpoint()));
+    Running f(agent.endpoint());
+    Wire caller(f.port);
+    std::printf(
+        "an answer with no length is reset: %s\n",
+        first_line(caller.ask("POST /once/x HTTP/1.1\r\n" + an_id() + "Content-Length: 0\r\n\r\n")).c_str());
+    agent.list_is(target("b", ends.endpoint()));
+    until([&] { return who_answers(f.port) == "whole"; });
+    std::printf("it ends: %s\n", who_answers(f.port).c_str());
+}
+
+}  // namespace
+
+int main(int, char** argv)
+{
+    program = argv[1];
+    signal(SIGPIPE, SIG_IGN);
+    std::printf("-- discovery\n");
+    silent_agent();
+    using Does = Agent::Does;
+    spoilt_calls("refuses", Does::refuses, 0.5);
+    spoilt_calls("resets its calls", Does::resets, 0.5);
+    spoilt_calls("tears its answers", Does::tears, 0.5);
+    spoilt_calls("is behind", Does::is_behind, 0.5);
+    spoilt_calls("never ends its answers", Does::trickles, 0.5);
+    late_agent();
+    moved_between_calls();
+    list_behind_requests();
+    std::printf("-- callers\n");
+    gone_behind_bytes();
+    half_closed();
+    crossing_shutdown();
+    short_deadlines();
+    stopped_early();
+    std::printf("-- upstreams\n");
+    reset_within_an_answer();
+}
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -22,8 +22,10 @@
 class Play
 {
   public:
-    Play(const char* what, Repeat repeat, bool probes = false) : setup_(setup(repeat))
+    Play(const char* what, Repeat repeat, bool probes = false, Span client_timeout = seconds(2))
+        : setup_(setup(repeat))
     {
+        setup_.settings.operations[0].client_timeout = client_timeout;
         std::printf("-- %s\n", what);
         setup_.settings.may_probe = setup_.settings.reports_by_probe = probes;
         reducer = std::make_unique<Reducer>(setup_, 1, "here:1");
@@ -32,11 +34,10 @@
     }
     ~Play() { figures(); }
     void list(bool all, std::vector<Entry> entries) { tell(ListTold{all, std::move(entries)}); }
-    void arrive(CallerId caller = 1, const char* id = nullptr)
+    void arrive(CallerId caller = 1, const char* id = nullptr, Span left = seconds(2))
     {
         const std::string name = id ? id : "id" + std::to_string(caller);
-        tell(Arrived{caller,
-                     {"POST", "/op/x?y", name, 0, 0, seconds(2), {{"Req-Id", name}}, "body", edition}});
+        tell(Arrived{caller, {"POST", "/op/x?y", name, 0, 0, left, {{"Req-Id", name}}, "body", edition}});
     }
     void answered(int status, bool declined = false, Report report = {})
     {
@@ -76,6 +77,8 @@
             if (const auto* m = std::get_if<MoveWatch>(&e))
                 std::printf("move the watch to %s\n", m->discovery.c_str());
             if (std::get_if<HangUp>(&e)) std::printf("hang up\n");
+            if (const auto* w = std::get_if<Withdraw>(&e))
+                std::printf("withdraw attempt %llu\n", static_cast<unsigned long long>(w->attempt));
             if (const auto* c = std::get_if<CloseIdle>(&e))
                 std::printf("close idle connections of u%u\n", c->tgt);
             if (const auto* w = std::get_if<Wake>(&e)) woken_ = w->name;
@@ -184,6 +187,42 @@
         Play p("time is up before the connection is there", Repeat::non_idempotent);
         p.arrive(), p.now = p.now + seconds(3), p.connected();
     }
+    {
+        // What is out goes on; nothing begins later, for it may have gone.
+        Play p("a caller closes its sending side, and its forward fails later", Repeat::idempotent);
+        p.list(false, {Play::b()});
+        p.arrive(), p.connected(), p.tell(HalfClosed{1}), p.now = p.now + seconds(0.1);
+        p.answered(503, true);
+    }
+    {
+        Play p("a caller closes its sending side, and the connection comes late", Repeat::idempotent);
+        p.arrive(), p.tell(HalfClosed{1}), p.now = p.now + seconds(0.1), p.connected();
+    }
+    {
+        Play p("a list tells of a drain while the request waits to leave", Repeat::non_idempotent);
+        p.list(false, {Play::b()});
+        p.arrive(), p.connected();
+        p.list(false, {Play::a(Presence::draining), Play::b(Presence::draining)});
+        p.failed(Progress::partly_written, Cause::withdrawn);
+    }
+    for (const double late : {0.1, 2.5}) {
+        // Recognised as a repeat for 2 s: the gate looks again when the connection is there.
+        Play p(
+            late < 1 ? "a second forward within the window" : "its connection comes when the window is over",
+            Repeat::deduplicated);
+        p.list(false, {Play::b()});
+        p.arrive(1, nullptr, seconds(6)), p.connected(), p.failed(Progress::written, Cause::broken);
+        p.now = p.now + seconds(late), p.connected();
+    }
+    for (const auto waits : {seconds(0.5), seconds(2), seconds(8)}) {
+        Play p("stopping, by how long clients wait", Repeat::idempotent, false, waits);
+        std::printf("%.1f s: answers for %.1f s\n", waits.seconds(), p.reducer->answers_for().seconds());
+        p.tell(Stopping{});
+        for (const double after : {0.3, 0.7, 1.9})
+            std::printf("%.1f s after: callers are %s\n", after,
+                        p.reducer->turns_out(p.now + seconds(after)) ? "turned out" : "served");
+        p.arrive(1, nullptr, seconds(8));
+    }
     {
         Play p("stopping", Repeat::idempotent);
         p.arrive(), p.connected(), p.tell(Stopping{}), p.answered(200);
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -506,7 +506,11 @@
 
 void stopping(const std::string& discovery)
 {
+    // Clients that wait for 3 s: a process is killed no sooner than 3.7 s after the signal. What holds where
+    // they wait for less is in endings.cpp.
     Running firtide(discovery);
+    firtide.reread(R"("client_timeout_us":1000000},)", R"("client_timeout_us":3000000},)");
+    Wire(firtide.port).ask("GET /-/ready HTTP/1.1\r\n\r\n");
     upstream_does = [](Wire& w, auto&) { pause(700), w.send(http(ok, "late")); };
     Wire busy(firtide.port), resting(firtide.port), half(firtide.port), other(firtide.port);
     busy.send(get("x"));
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -197,6 +197,14 @@
         return n > 0;
     }
     bool ended(int ms = 2000) { return !more(ms) && ended_; }
+    bool over() const { return ended_; }
+    bool was_reset() const
+    {
+        int error = 0;
+        socklen_t size = sizeof error;
+        getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+        return error != 0;
+    }
     // One message with Content-Length or without a body; empty where none comes whole.
     std::string message()
     {
@@ -334,17 +342,18 @@
 
 // The program in a process of its own, until SIGTERM.
 struct Running {
-    // more: further keys of the configuration; in_child: what is to be done before the program starts.
+    // more, settings: further keys of the configuration and of its settings; in_child: what is to be done
+    // before the program starts.
     explicit Running(const std::string& discovery, const std::string& sockets = "1024",
                      const std::string& more = "", const std::function<void()>& in_child = {},
-                     uint16_t at = 0)
+                     uint16_t at = 0, const std::string& settings = "")
         : port(at ? at : free_port())
     {
         char path[] = "/tmp/firtide-test-XXXXXX";
         const int fd = mkstemp(path);
         const auto config = R"({"listen":"127.0.0.1:)" + std::to_string(port) + R"(","discovery":")" +
                             discovery + "\"" + more + R"(,"seed":"1","limits":{"sockets":)" + sockets +
-                            R"(},"settings":{"operations":[
+                            R"(},"settings":{)" + settings + R"("operations":[
             {"name":"safe","repeat":"free","client_timeout_us":1000000},
             {"name":"once","repeat":"single_shot","client_timeout_us":1000000}],
             "policy_limits":{"max_forwards":3,"cancel":true,"conn_idle_us":400000,"connect_timeout_us":100000}}})";
