A pause of some milliseconds is no standstill of an upstream

The debug log says that no attempt failed and nothing was refused elsewhere: the module throttled for some 10 ms. Ruled out: the half of descriptors, the bound after SIGTERM, entries. At fault: stalled(), by which an upstream that answers in 0.2 ms stands still after half a millisecond of silence; it then counts for a quarter in weigh_room and the own limit falls to it at once. Change: no standstill under 20 ms.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -39,6 +39,7 @@
 constexpr Span tell_every = seconds(0.1);    // changes of own work out, where messages are allowed
 constexpr Span tell_all_every = seconds(2);  // about: all of it, and what tenants ask
 constexpr Span believed = seconds(5);        // what another instance told, after its last message
+constexpr double least_late = 0.02;          // seconds: a pause of this machine, and no sign of an upstream's
 constexpr double overdue_at = 2;             // high quantiles of answer times: no more counted as held
 constexpr size_t most_subjects = 32;         // keys that failed lately, of which something is kept
 constexpr double nearly_late = 0.7;          // of the latency objective
@@ -47,8 +48,8 @@
 constexpr size_t least_message = 8;          // bytes, as counted
 constexpr double usual_crowd = 5;  // held by an upstream: more is left to others, where that is known
 constexpr Span rate_over = seconds(4);
-constexpr Span may_send_for = seconds(3600);           // a request that is still coming: who reads it ends it
-constexpr double cold_spend = 0.7;                     // of the multiple that would push a cold upstream over
+constexpr Span may_send_for = seconds(3600);  // a request that is still coming: who reads it ends it
+constexpr double cold_spend = 0.7;            // of the multiple that would push a cold upstream over
 constexpr Span first_backoff = seconds(0.5), longest_backoff = seconds(2);  // of asking for the list, about
 constexpr double retry_share = 0.1, most_retries = 5;  // second tries: of own traffic, and saved up
 constexpr uint32_t most_redirects = 3;                 // after answers that prove nothing ran
@@ -449,7 +450,8 @@
     // Guards against an upstream that takes work and stands still: seen by the age of what waits there.
     bool stalled(const Upstream& u) const
     {
-        return u.out > 0 && late_any > 0 && (now - u.waiting_since).seconds() > late_any * (1 + 2.0 / u.out);
+        const double late = std::max(late_any, least_late) * (1 + 2.0 / u.out);
+        return u.out > 0 && late_any > 0 && (now - u.waiting_since).seconds() > late;
     }
 
     double reduction(const Upstream& u) const { return stalled(u) ? 1 : entry_reduction(u); }
