Callers are not blamed for a stall; a stop's bound keeps the margin of clocks; tests

By reading, then by a test that fails with the program before: Callers::look gave 408 to a request whose bytes had come while the process stood still for 2.7 s (tests/endings.cpp); Reducer bounded what comes after SIGTERM by a time that the module exceeds by left_margin (tests/reducer.cpp: 0.89 s, now 0.39 s with a margin of 0.2 s). New tests of a burst of a hundred that leaves before its first attempt (11 were sent on before, 0 now) and of a crowd that says nothing.

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -27,7 +27,7 @@
 constexpr size_t some = 16;                 // connections to make room for at a time
 constexpr Span ends_with_request = seconds(0.03);
 constexpr Span tell_every = seconds(1);  // of the same trouble in the log
-constexpr Span look_every = seconds(0.05);
+constexpr Span look_every = seconds(0.05), stalled = seconds(0.2);
 constexpr size_t read_ahead = 8 * 1024;      // bytes of one connection that wait to be read
 constexpr size_t read_at_once = 64 * 1024;   // the same of a large body
 constexpr size_t nearly_taken = 16 * 1024;   // bytes of an answer left to send, when more of it is asked for
@@ -423,6 +423,9 @@
 void Callers::look()
 {
     const Point now = monotonic_now();
+    // Guards against blaming callers for a stall of this program: what they have sent meanwhile is read
+    // first.
+    if (now - std::exchange(looked_, now) > stalled) return;
     for (size_t phase = 0; phase < phases; ++phase)
         for (Place at = in_[phase].begin(), next; at != in_[phase].end(); at = next) {
             next = std::next(at);
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -86,6 +86,7 @@
     bool paused_ = false, before_ready_ = false;
     Point told_;  // of no room, in the log
     Timer look_;
+    Point looked_;
     CallerId next_ = 1;
     std::array<std::list<Connection>, phases> in_;  // each: the longest in its phase first
     std::unordered_map<CallerId, Place> waiting_;
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -355,8 +355,7 @@
     const Inv inv = free_.back();
     free_.pop_back();
     invocation_of_.emplace(arrived.caller, inv);
-    if (stopped_)
-        arrived.request.time_left = std::min(arrived.request.time_left, *stopped_ + answers_for() - now_);
+    bound_by_stop(arrived.request);
     const Ask ask{arrived.request.operation, arrived.request.tenant, arrived.request.time_left,
                   arrived.request.more};
     Invocation& i = invocations_[inv] = {};
@@ -389,7 +388,7 @@
         return;
     }
     i.request.time_left = std::max(Span{}, i.request.time_left - brought.waited);
-    if (stopped_) i.request.time_left = std::min(i.request.time_left, *stopped_ + answers_for() - now_);
+    bound_by_stop(i.request);
     balancer_.sent(now_, at->second, i.request.time_left);
 }
 
@@ -697,6 +696,14 @@
     return std::min(longest_wait, longest) + killed_after - before_kill;
 }
 
+// The module may wait longer than it is told by the margin of clocks.
+void Reducer::bound_by_stop(Request& request) const
+{
+    if (!stopped_) return;
+    const Span bound = *stopped_ + answers_for() - setup_.settings.left_margin - now_;
+    request.time_left = std::min(request.time_left, bound);
+}
+
 bool Reducer::turns_out(Point now) const
 {
     if (stopped_)
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -343,6 +343,7 @@
     void dial(AttemptId id, Attempt attempt);
     bool may_write(const Attempt& attempt) const;
     bool may_begin(const Invocation& i) const;
+    void bound_by_stop(Request& request) const;
     Outcomes& outcomes_of(uint32_t operation);
     void ended(AttemptId id, Result result, Response* response);
     void answer(Inv inv, Response response);
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -343,7 +343,8 @@
     if (stopping_) return;
     stopping_ = true;
     stopping_since_ = monotonic_now();
-    spdlog::info("stopping: {} in flight", reducer_.in_flight());
+    spdlog::info("stopping: {} in flight; what still comes is answered within {} ms", reducer_.in_flight(),
+                 reducer_.answers_for().us / 1000);
     if (fleet_) fleet_->tell(fleet::Stops{});
     post(Stopping{config_.passed_socket.has_value()});
     if (config_.passed_socket) return stop_accepting();
--- a/tests/endings.cpp
+++ b/tests/endings.cpp
@@ -271,6 +271,83 @@
         answer.c_str(), asked.load());
 }
 
+// Half a request, and the rest while the process stands still for longer than a request may take.
+void whole_in_a_stall()
+{
+    Held held;
+    held.go = true;
+    Agent agent;
+    agent.list_is(target("a", held.upstream.endpoint()));
+    Running f(agent.endpoint());
+    Wire caller(f.port);
+    const auto request = get();
+    caller.send(request.substr(0, 20));
+    Wire(f.port).ask(get());  // the first half has been read by now
+    kill(f.process, SIGSTOP);
+    pause(2700);
+    caller.send(request.substr(20));
+    kill(f.process, SIGCONT);
+    std::printf("a request that became whole in a stall of 2.7 s: %s\n",
+                first_line(caller.message()).c_str());
+}
+
+// A hundred that wait for their first attempt, at an upstream that nobody answers for, and leave together: at
+// once, when they could be such that send nothing more and listen, or a moment later.
+void burst_that_leaves(int after_ms)
+{
+    const int full = socket(AF_INET, SOCK_STREAM, 0);
+    auto at = Wire::address(0);
+    bind(full, reinterpret_cast<sockaddr*>(&at), sizeof at);
+    socklen_t size = sizeof at;
+    getsockname(full, reinterpret_cast<sockaddr*>(&at), &size);
+    listen(full, 0);
+    const uint16_t port = ntohs(at.sin_port);
+    Wire fills(port);  // its queue: further connections never come up, and are given up after 0.1 s
+    std::atomic<int> sent_on{0};
+    StandIn other([&](Wire& w) {
+        for (std::string request; !(request = w.message()).empty(); w.send(http(ok, "the other")))
+            sent_on += request.find("/safe/burst") != std::string::npos;
+    });
+    const auto nobody = target("a", "127.0.0.1:" + std::to_string(port));
+    Agent agent;
+    agent.list_is(nobody);
+    Running f(agent.endpoint());
+    std::vector<Wire> callers;
+    for (int i = 0; i < 100; ++i) callers.emplace_back(f.port);
+    for (auto& w : callers) w.send("GET /safe/burst HTTP/1.1\r\n" + an_id() + "\r\n");
+    pause(after_ms);
+    callers.clear();
+    agent.list_is(nobody + "," + target("b", other.endpoint()));
+    until([&] { return who_answers(f.port) == "the other"; }, 4000);
+    pause(300);  // by now all that they waited for is given up
+    std::printf("a hundred leave %s, before their first attempt: %d sent on\n",
+                after_ms ? "a moment later" : "at once", sent_on.load());
+    close(full);
+}
+
+// All descriptors are taken by callers that say nothing and by such that rest; some wait for their answers.
+void crowded()
+{
+    Held held;
+    Agent agent;
+    agent.list_is(target("a", held.upstream.endpoint()));
+    Running f(agent.endpoint(), "128");
+    std::vector<Wire> owed, idle;
+    for (int i = 0; i < 8; ++i) owed.emplace_back(f.port), owed.back().send(get());
+    until([&] { return held.asked == 8; });
+    for (int i = 0; i < 100; ++i) idle.emplace_back(f.port);
+    Wire asks(f.port);
+    const auto since = Clock::now();
+    const auto answer = first_line(asks.ask("GET /-/ready HTTP/1.1\r\n\r\n"));
+    const bool soon = seconds_since(since) < 1.5;
+    held.go = true;
+    int served = 0;
+    for (auto& w : owed) served += first_line(w.message()) == ok;
+    std::printf(
+        "behind 100 that say nothing, with 128 descriptors: %s %s, %d of 8 that were owed an answer got it\n",
+        answer.c_str(), soon ? "soon" : "late", served);
+}
+
 // At the end of a connection, between requests: what crosses it is not sent on, and nothing is reset.
 void crossing_shutdown()
 {
@@ -386,6 +463,10 @@
     std::printf("-- callers\n");
     gone_behind_bytes();
     half_closed();
+    whole_in_a_stall();
+    burst_that_leaves(0);
+    burst_that_leaves(50);
+    crowded();
     crossing_shutdown();
     short_deadlines();
     stopped_early();
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -117,6 +117,12 @@
                     f.taken == answered + f.inflight + f.left ? "" : "; TAKEN IS ANOTHER SUM");
     }
     void connected() { tell(Connected{last}); }
+    void margin(Span by)  // of clocks, by new settings
+    {
+        setup_.settings.left_margin = by;
+        tell(Reread{"here:1", setup_});
+        ++edition;
+    }
     static Entry b(Presence p = Presence::ready) { return {"b", "2.2.2.2:2", p, 0, 0, 1, {}}; }
     static Entry a(Presence p, const char* endpoint = "1.1.1.1:1") { return {"a", endpoint, p, 0, 0, 1, {}}; }
 
@@ -216,12 +222,13 @@
     }
     for (const auto waits : {seconds(0.5), seconds(2), seconds(8)}) {
         Play p("stopping, by how long clients wait", Repeat::idempotent, false, waits);
+        p.margin(seconds(0.2));
         std::printf("%.1f s: answers for %.1f s\n", waits.seconds(), p.reducer->answers_for().seconds());
         p.tell(Stopping{});
         for (const double after : {0.3, 0.7, 1.9})
             std::printf("%.1f s after: callers are %s\n", after,
                         p.reducer->turns_out(p.now + seconds(after)) ? "turned out" : "served");
-        p.arrive(1, nullptr, seconds(8));
+        p.now = p.now + seconds(0.5), p.arrive(1, nullptr, seconds(8));
     }
     {
         Play p("stopping", Repeat::idempotent);
