A crowd that never speaks is evicted first and at once; discovery at every phase, thirty at a time

Those that never said anything go first now, without lingering, after a look whether bytes are there: nothing was ever sent to them that a reset could take.

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -522,13 +522,17 @@
         if (now - at->since >= lingers) close(at);
         return true;
     });
-    const auto end = [&](Place at) {
+    // Who has never said anything goes at once: nothing that a reset could take was ever sent there.
+    from(asking, asks_within, [&](Place at) {
+        if (asks(at)) return false;
+        close(at);
+        return true;
+    });
+    from(resting, may_rest, [&](Place at) {
         if (asks(at)) return false;
         close_lingering(at);
         return true;
-    };
-    from(resting, may_rest, end);
-    from(asking, asks_within, end);
+    });
     // Also what has begun. Guards against half requests by hundreds, which would keep all others out.
     from(asking, asks_within, [&](Place at) {
         pollfd unread{bufferevent_getfd(at->stream.get()), POLLIN, 0};
--- a/tests/endings.cpp
+++ b/tests/endings.cpp
@@ -1,6 +1,8 @@
 // Each way in which something ends, or falls silent, at an instant at which something is still owed: the
 // crossing is forced by a scripted peer, a barrier or a stopped process. The rows of docs/endings.md name
 // these parts.
+#include <algorithm>
+#include <memory>
 #include <mutex>
 
 #include "trace.h"
@@ -163,6 +165,36 @@
                 took < within ? "in time" : std::to_string(took).c_str());
 }
 
+// At every phase of a call: from the moment at which the agent answers again to the change being in force.
+// Where lists are asked for the module says when; a change counts as told 6 s after that moment.
+void every_phase(const char* what, Agent::Does does, bool pushed, double within)
+{
+    Agent agent;
+    StandIn upstreams[] = {upstream_called("0"), upstream_called("1")};
+    agent.list_is(target("u0", upstreams[0].endpoint()));
+    Running f(agent.endpoint(), "1024", "", {}, 0, pushed ? "" : R"("registry_mode":"subscribe",)");
+    until([&] { return who_answers(f.port) == "0"; });
+    std::vector<double> took;
+    const int phases = pushed ? 8 : 3;
+    for (int i = 1; i <= phases; ++i) {
+        const auto now = std::to_string(i % 2);
+        agent.does(does);
+        agent.list_is(target("u" + now, upstreams[i % 2].endpoint()));
+        const auto before = agent.called();
+        until([&] { return agent.called() >= before + (pushed ? 5 : 2); }, 12000);
+        pause(i * 47);  // somewhere within the next call or pause
+        agent.does(Agent::Does::answers);
+        const auto since = Clock::now();
+        until([&] { return who_answers(f.port) == now; }, 9000);
+        took.push_back(seconds_since(since));
+    }
+    std::sort(took.begin(), took.end());
+    std::fprintf(stderr, "%s, %s: median %.2f s, worst %.2f s\n", what, pushed ? "pushed" : "asked for",
+                 took[took.size() / 2], took.back());
+    std::printf("an agent %s, lists are %s: the change is in force %s at every phase\n", what,
+                pushed ? "pushed" : "asked for", took.back() < within ? "in time" : "late");
+}
+
 // An agent that is always slow: no call may be given up before it has had a chance.
 void late_agent()
 {
@@ -348,6 +380,92 @@
         answer.c_str(), soon ? "soon" : "late", served);
 }
 
+// The same while discovery is down, and operators and upstreams need theirs when it is back.
+void crowded_while_down()
+{
+    Held held;
+    held.go = true;
+    Agent agent;
+    agent.does(Agent::Does::is_silent);
+    agent.list_is(target("a", held.upstream.endpoint()));
+    const uint16_t door = free_port();
+    Running f(agent.endpoint(), "128", R"(,"mgmt":"127.0.0.1:)" + std::to_string(door) + "\"");
+    std::vector<Wire> idle;
+    for (int i = 0; i < 200; ++i) idle.emplace_back(f.port);
+    const auto before = agent.called();
+    until([&] { return agent.called() >= before + 3; });
+    agent.does(Agent::Does::answers);
+    const auto since = Clock::now();
+    until([&] {
+        Wire w(door);
+        w.send("ready\n");
+        return w.rest() == "SUCCESS ready\n";
+    });
+    const auto answer = who_answers(f.port);
+    std::printf("discovery is back behind 200 that say nothing: %s, %s\n", answer.c_str(),
+                seconds_since(since) < 1.5 ? "soon" : "late");
+}
+
+// Evicted to make room: what crosses the end is not reset.
+void evicted()
+{
+    Held held;
+    held.go = true;
+    Agent agent;
+    agent.list_is(target("a", held.upstream.endpoint()));
+    Running f(agent.endpoint(), "128");
+    Wire rests(f.port);
+    rests.ask(get());
+    const int before = held.asked;
+    pause(2100);  // nobody who has rested for less than 2 s is evicted
+    std::vector<Wire> idle;
+    for (int i = 0; i < 100; ++i) idle.emplace_back(f.port);
+    const bool ended = rests.ended(4000);
+    rests.send(get());
+    pause(5);
+    std::printf("one that rests is evicted, and its next request crosses: %s, %s, %d sent on\n",
+                ended ? "the end came first" : "NO END", rests.was_reset() ? "reset" : "not reset",
+                held.asked - before);
+}
+
+// Thirty that start at once: with the list of before while discovery is down, and without one when it is
+// back.
+void thirty_at_once()
+{
+    Held held;
+    held.go = true;
+    for (const bool known : {true, false}) {
+        Agent agent;
+        agent.does(Agent::Does::is_silent);
+        agent.list_is(target("a", held.upstream.endpoint()));
+        const auto list =
+            R"(,"known":{"rev":1,"all":true,"targets":[)" + target("a", held.upstream.endpoint()) + "]}";
+        std::vector<std::unique_ptr<Running>> all;
+        std::vector<std::thread> starting;
+        for (int i = 0; i < 30; ++i) all.emplace_back();
+        for (auto& one : all)
+            starting.emplace_back(
+                [&] { one = std::make_unique<Running>(agent.endpoint(), "256", known ? list : ""); });
+        for (auto& t : starting) t.join();
+        const auto ready = [&] {
+            int n = 0;
+            for (auto& one : all) n += first_line(Wire(one->port).ask("GET /-/ready HTTP/1.1\r\n\r\n")) == ok;
+            return n;
+        };
+        const int down = ready();
+        agent.does(Agent::Does::answers);
+        const auto since = Clock::now();
+        until([&] { return ready() == 30; }, 5000);
+        const double took = seconds_since(since);
+        std::fprintf(stderr, "thirty at once, %s: %d ready while discovery is down, all %.2f s after\n",
+                     known ? "with a list" : "without", down, took);
+        std::printf(
+            "thirty start at once %s a list while discovery is down: %d ready, all %s once it is back\n",
+            known ? "with" : "without", down, took < 2 ? "soon" : "late");
+        for (auto& one : all) kill(one->process, SIGTERM);
+    }
+}
+
 // At the end of a connection, between requests: what crosses it is not sent on, and nothing is reset.
 void crossing_shutdown()
 {
@@ -457,6 +575,10 @@
     spoilt_calls("tears its answers", Does::tears, 0.5);
     spoilt_calls("is behind", Does::is_behind, 0.5);
     spoilt_calls("never ends its answers", Does::trickles, 0.5);
+    every_phase("is silent", Does::is_silent, true, 0.6);
+    every_phase("tears its answers", Does::tears, true, 0.6);
+    every_phase("is silent", Does::is_silent, false, 5.5);
+    every_phase("refuses", Does::refuses, false, 5.5);
     late_agent();
     moved_between_calls();
     list_behind_requests();
@@ -467,6 +589,9 @@
     burst_that_leaves(0);
     burst_that_leaves(50);
     crowded();
+    crowded_while_down();
+    evicted();
+    thirty_at_once();
     crossing_shutdown();
     short_deadlines();
     stopped_early();
