Events of the network core by the field's names; nothing else changes

ListTold, SignalsTold, Brought, Came and Taken are ListUpdate, SignalsUpdate, RequestData, ResponseData and WriteDrained; Service::door_ is management_.

--- a/lab/town.cpp
+++ b/lab/town.cpp
@@ -69,7 +69,7 @@
         if (auto* uses = std::get_if<UseFleet>(&e)) {
             tell(node, net::FleetIs{std::move(uses->sharers)});
         } else if (auto* signals = std::get_if<UseSignals>(&e)) {
-            tell(node, net::SignalsTold{std::move(signals->results)});
+            tell(node, net::SignalsUpdate{std::move(signals->results)});
         } else if (auto* memory = std::get_if<UseMemory>(&e)) {
             tell(node, net::Remembered{std::move(memory->memory)});
         } else if (auto* state = std::get_if<UseState>(&e)) {
@@ -364,7 +364,7 @@
 {
     nodes_[b]->without = std::move(without);
     if (!nodes_[b]->reducer) return;
-    net::ListTold list{true, {}};
+    net::ListUpdate list{true, {}};
     for (size_t u = 0; u < towers_.size(); ++u)
         if (std::find(nodes_[b]->without.begin(), nodes_[b]->without.end(), u) == nodes_[b]->without.end())
             list.entries.push_back(entry(u));
--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -243,7 +243,7 @@
 void Callers::brought(Place at, bool last)
 {
     enter(at, last ? waiting : bringing);
-    tell_(Brought{at->caller, at->reader.take_piece(), last, last ? unread(at) : Span{}});
+    tell_(RequestData{at->caller, at->reader.take_piece(), last, last ? unread(at) : Span{}});
 }
 
 // How long the last byte has waited here.
@@ -356,11 +356,11 @@
     if (at->phase != telling || left > (at->in_pieces ? nearly_taken : 0)) return;
     if (at->in_pieces) {
         enter(at, telling);
-        return tell_(Taken{at->caller});
+        return tell_(WriteDrained{at->caller});
     }
     if (const auto caller = std::exchange(at->caller, 0)) {
         waiting_.erase(caller);
-        tell_(Taken{caller});
+        tell_(WriteDrained{caller});
     }
     at->to_the_end = at->chunked = false;
     bufferevent_setwatermark(at->stream.get(), EV_READ, 0, read_ahead);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -15,7 +15,7 @@
 
 struct List {
     uint64_t version = 0;
-    ListTold told;
+    ListUpdate told;
 };
 
 // Nullopt where the text is no list.
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -150,7 +150,7 @@
     return listed;
 }
 
-void Reducer::on(ListTold& told)
+void Reducer::on(ListUpdate& told)
 {
     // Guards against a discovery that has lost its own past: no good list is thrown away for an empty one.
     const bool empty =
@@ -200,7 +200,7 @@
     view_->fleet_is(std::move(fleet.sharers));
 }
 
-void Reducer::on(const SignalsTold& told)
+void Reducer::on(const SignalsUpdate& told)
 {
     if (view_) view_->told(now_, told.results);
 }
@@ -370,7 +370,7 @@
 }
 
 // More of a request that goes on while it comes. Until its last byte nothing has run; its time begins there.
-void Reducer::on(Brought& brought)
+void Reducer::on(RequestData& brought)
 {
     const auto at = invocation_of_.find(brought.caller);
     if (at == invocation_of_.end() || invocations_[at->second].over) return;
@@ -404,7 +404,7 @@
     if (i.request.more) effects_.push_back(Hear{i.caller, true});
 }
 
-void Reducer::on(Taken taken)
+void Reducer::on(WriteDrained taken)
 {
     const auto at = relay_of_.find(taken.caller);
     if (at == relay_of_.end()) return;
@@ -427,7 +427,7 @@
     relays_[id] = {i.caller, i.request.id, i.outcomes, 0, false, false};
 }
 
-void Reducer::on(Came& came)
+void Reducer::on(ResponseData& came)
 {
     const auto at = relays_.find(came.attempt);
     if (at == relays_.end()) return;
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -32,7 +32,7 @@
     uint64_t success = 0, busy = 0, failure = 0;
 };
 
-// Taken is the sum of all outcomes, of what is in flight and of what its caller left.
+// `taken` is the sum of all outcomes, of what is in flight and of what its caller left.
 struct Figures {
     std::map<std::string, Outcomes> of_operation;
     uint64_t backend_calls = 0;  // forwards written whole; probes are none
@@ -52,7 +52,7 @@
 // Events.
 struct Started {
 };
-struct ListTold {
+struct ListUpdate {
     bool all = false;
     std::vector<Entry> entries;
 };
@@ -71,14 +71,15 @@
 struct HalfClosed {  // the caller sends nothing more: it listens, or has gone
     CallerId caller;
 };
-struct Brought {  // more of a request's body
+struct RequestData {  // more of a request's body
     CallerId caller;
     std::string bytes;
     bool last = false;
     Span waited = {};  // the last byte, unread
 };
-struct Taken {  // by the caller: nearly all that was passed on to it; of an answer that was passed on whole,
-                // all
+struct WriteDrained {  // to the caller: nearly all that was passed on to it; of an answer that was passed on
+                       // whole,
+                       // all
     CallerId caller;
 };
 struct Connected {
@@ -88,7 +89,7 @@
     AttemptId attempt;
     Response response;
 };
-struct Came {  // more of the body of an answer that is passed on
+struct ResponseData {  // more of the body of an answer that is passed on
     AttemptId attempt;
     std::string bytes;
     bool last = false;
@@ -134,7 +135,7 @@
 struct FleetIs {
     std::vector<fleet::Sharer> sharers;
 };
-struct SignalsTold {
+struct SignalsUpdate {
     std::map<uint64_t, fleet::Signals::Result> results;
 };
 struct PartsAre {
@@ -148,10 +149,10 @@
 };
 struct Ticked {  // every tenth of a second or so, as a member of a fleet
 };
-using Event = std::variant<Started, ListTold, ListRemembered, ListFailed, Arrived, CallerLeft, HalfClosed,
-                           Brought, Taken, Connected, Answered, Came, Failed, Written, TurnedAway, Ordered,
-                           Woken, Shared, Stopping, Reread, ProbeDue, ReportHeard, FleetIs, SignalsTold,
-                           PartsAre, Remembered, FleetStateIs, Ticked>;
+using Event = std::variant<Started, ListUpdate, ListRemembered, ListFailed, Arrived, CallerLeft, HalfClosed,
+                           RequestData, WriteDrained, Connected, Answered, ResponseData, Failed, Written,
+                           TurnedAway, Ordered, Woken, Shared, Stopping, Reread, ProbeDue, ReportHeard,
+                           FleetIs, SignalsUpdate, PartsAre, Remembered, FleetStateIs, Ticked>;
 
 // Effects.
 struct Answer {
@@ -299,17 +300,17 @@
     };
 
     void on(Started);
-    void on(ListTold& told);
+    void on(ListUpdate& told);
     void on(ListRemembered& told);
     void on(ListFailed);
     void on(Arrived& arrived);
     void on(CallerLeft left);
     void on(HalfClosed closed);
-    void on(Brought& brought);
-    void on(Taken taken);
+    void on(RequestData& brought);
+    void on(WriteDrained taken);
     void on(Connected connected);
     void on(Answered& answered);
-    void on(Came& came);
+    void on(ResponseData& came);
     void on(Failed failed);
     void on(Written written);
     void on(TurnedAway turned);
@@ -321,7 +322,7 @@
     void on(ProbeDue due);
     void on(const ReportHeard& heard);
     void on(FleetIs& fleet);
-    void on(const SignalsTold& told);
+    void on(const SignalsUpdate& told);
     void on(const PartsAre& parts);
     void on(Ticked);
     void on(const Remembered& remembered);
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -108,7 +108,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     if (!config_.shared_folder.empty()) handover_.emplace(config_.shared_folder);
     if (config_.door)
-        door_.emplace(base_.get(), *config_.door, [this](Event e) {
+        management_.emplace(base_.get(), *config_.door, [this](Event e) {
             const auto* ordered = std::get_if<Ordered>(&e);
             if (fleet_ && ordered && ordered->order == Order::resume)
                 fleet_->tell(fleet::DoorAsked{0, "turn-over", "", ""});
@@ -124,8 +124,8 @@
             discovery_.tell_whole([this](uint64_t version, std::string text) {
                 fleet_->tell(fleet::ListSeen{text_of(config_.discovery), version, std::move(text)});
             });
-        if (door_)
-            door_->fleet_orders(
+        if (management_)
+            management_->fleet_orders(
                 [this](OperatorId caller, const auto& words) { return ordered(caller, words); },
                 [this](OperatorId caller) { fleet_->tell(fleet::DoorLeft{caller}); });
     }
@@ -154,7 +154,7 @@
 {
     fleet::Host::Hooks h;
     h.reply = [this](uint64_t caller, const std::string& text) {
-        if (door_) door_->answer(caller, text);
+        if (management_) management_->answer(caller, text);
     };
     h.drain = [this] { post(Ordered{0, Order::drain}); };
     h.resume = [this] { post(Ordered{0, Order::resume}); };
@@ -176,7 +176,7 @@
             post(ListRemembered{std::move(decoded->told.entries)});
     };
     h.use_fleet = [this](fleet::UseFleet& uses) { post(FleetIs{std::move(uses.sharers)}); };
-    h.use_signals = [this](fleet::UseSignals& uses) { post(SignalsTold{std::move(uses.results)}); };
+    h.use_signals = [this](fleet::UseSignals& uses) { post(SignalsUpdate{std::move(uses.results)}); };
     h.use_parts = [this](fleet::UseParts& uses) {
         // Of the fleet's clock, which also counts what the machine was suspended for, to the loop's.
         const Span apart = monotonic_now() - fleet::fleet_now();
@@ -280,7 +280,7 @@
 void Service::carry_out(Effect& effect)
 {
     if (auto* answer = std::get_if<Answer>(&effect)) return callers_.answer(*answer);
-    if (auto* obeyed = std::get_if<Obeyed>(&effect)) return door_->answer(*obeyed);
+    if (auto* obeyed = std::get_if<Obeyed>(&effect)) return management_->answer(*obeyed);
     if (auto* pass = std::get_if<Pass>(&effect)) return callers_.pass(*pass);
     if (auto* cut = std::get_if<Cut>(&effect)) return callers_.cut(cut->caller);
     if (auto* hear = std::get_if<Hear>(&effect)) return callers_.hear(*hear);
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -57,7 +57,7 @@
     Upstreams upstreams_;
     Discovery discovery_;
     Callers callers_;
-    std::optional<Management> door_;
+    std::optional<Management> management_;
     std::optional<fleet::Host> fleet_;
     // Probes of duties that are on their way, and what they found and is not passed on yet.
     struct Stamp {
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -348,7 +348,7 @@
     if (at->passed_on) {
         wait_for(at, moves_within);
         if (auto piece = at->reader.take_piece(); !piece.empty())
-            tell_(Came{at->attempt, std::move(piece), false});
+            tell_(ResponseData{at->attempt, std::move(piece), false});
     } else if (at->reader.length() ? at->reader.large() && at->reader.come() > 0
                                    : at->reader.come() > most_untold) {
         // Guards against gathering an answer of no stated length, piece by piece, until its time is up.
@@ -376,7 +376,7 @@
     else
         at->attempt = 0, close(at);
     if (passed_on)
-        tell_(Came{attempt, std::move(response.body), true});
+        tell_(ResponseData{attempt, std::move(response.body), true});
     else
         tell_(Answered{attempt, std::move(response)});
 }
--- a/tests/recovery.cpp
+++ b/tests/recovery.cpp
@@ -177,9 +177,9 @@
                  reducer.ready() ? "READY" : "not ready yet"));
     std::printf("an id that may have run: %s; of what may be repeated: %s; another id: %s\n",
                 ask(0, "id-1").c_str(), ask(1, "id-1").c_str(), ask(0, "id-2").c_str());
-    tell(net::ListTold{true, {}});
+    tell(net::ListUpdate{true, {}});
     std::printf("an empty list leaves %zu\n", reducer.figures().hosts_listed);
-    tell(net::ListTold{true, {{"u", "1.1.1.1:1", Presence::ready, 0, 0, 1, {}}}});
+    tell(net::ListUpdate{true, {{"u", "1.1.1.1:1", Presence::ready, 0, 0, 1, {}}}});
     for (int i = 0; i < 12; ++i)
         for (const auto& e : tell(net::Ticked{}))
             if (const auto* o = std::get_if<Observed>(&e); o && i > 8)
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -33,7 +33,7 @@
         list(true, {{"a", "1.1.1.1:1", Presence::ready, 0, 0, 1, {}}});
     }
     ~Play() { figures(); }
-    void list(bool all, std::vector<Entry> entries) { tell(ListTold{all, std::move(entries)}); }
+    void list(bool all, std::vector<Entry> entries) { tell(ListUpdate{all, std::move(entries)}); }
     void arrive(CallerId caller = 1, const char* id = nullptr, Span left = seconds(2))
     {
         const std::string name = id ? id : "id" + std::to_string(caller);
@@ -87,7 +87,7 @@
     void wake() { tell(Woken{woken_}); }
     void bring(CallerId caller, size_t bytes, bool whole)
     {
-        tell(Brought{caller, std::string(bytes, 'x'), whole});
+        tell(RequestData{caller, std::string(bytes, 'x'), whole});
     }
     void begin(CallerId caller)  // a request that is too large to come whole
     {
@@ -101,7 +101,7 @@
         r.more = true, r.length = 300000;
         tell(Answered{last, std::move(r)});
     }
-    void comes(size_t bytes, bool whole) { tell(Came{last, std::string(bytes, 'x'), whole}); }
+    void comes(size_t bytes, bool whole) { tell(ResponseData{last, std::string(bytes, 'x'), whole}); }
     // Whatever happened: what was taken is answered, in flight or left.
     void figures() const
     {
@@ -304,7 +304,7 @@
         Play p("a large answer: its upstream is held while the caller takes nothing", Repeat::non_idempotent);
         p.arrive(), p.connected(), p.begins_answer(), p.figures();
         for (int i = 0; i < 5; ++i) p.comes(20000, false);
-        p.tell(Taken{1}), p.comes(20000, true), p.figures(), p.tell(Taken{1});
+        p.tell(WriteDrained{1}), p.comes(20000, true), p.figures(), p.tell(WriteDrained{1});
     }
     {
         Play p("it breaks in the middle: nothing else follows", Repeat::idempotent);
