A test of what all send to cold upstreams, against N + 2 root N + 2

1, 5, 20 and 30 balancers that share nothing, 200 seeds, two upstreams cold at once, in virtual time: even and uneven traffic, traffic that comes back, balancers that have just started. No change of the module. Answers are all well in this test: probes and second tries do not occur in it.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -1,5 +1,6 @@
 // What many instances do together, each with a part of the traffic: counts over all of them.
 #include <algorithm>
+#include <cmath>
 #include <memory>
 #include <queue>
 #include <random>
@@ -16,7 +17,9 @@
 class Fleet
 {
   public:
-    Fleet(uint32_t balancers, uint32_t upstreams) : upstreams_(upstreams), held(upstreams)
+    // uneven: the first has five times the traffic of each other one.
+    Fleet(uint32_t balancers, uint32_t upstreams, uint32_t seed = 0, bool uneven = false)
+        : upstreams_(upstreams), held(upstreams), first_parts_(uneven ? 5 : 1), chance(7 + seed)
     {
         auto settings = Stage::settings(Stage::op(Repeat::idempotent));
         settings.balancers = balancers;
@@ -28,7 +31,7 @@
         for (uint32_t i = 0; i < balancers; ++i) {
             settings.self = i;
             settings.zone = i % 2;
-            stages.push_back(std::make_unique<Stage>(settings, i + 1));
+            stages.push_back(std::make_unique<Stage>(settings, i + 1 + seed * 1000));
             stages.back()->quiet = true;
             stages.back()->list(upstreams);
             spare.emplace_back();
@@ -64,7 +67,8 @@
             }
             now = arrival;
             arrival = next();
-            const auto i = static_cast<uint32_t>(chance() % stages.size());
+            const auto part = chance() % (stages.size() + first_parts_ - 1);
+            const auto i = static_cast<uint32_t>(part < first_parts_ ? 0 : part - first_parts_ + 1);
             if (spare[i].empty()) spare[i].push_back(names++);
             const Inv inv = spare[i].back();
             Stage& s = *stages[i];
@@ -99,6 +103,29 @@
                     n / span.seconds() / std::max(1, count), most);
     }
 
+    // Of the windows of one second that begin with a send to it: how many there are, how many hold more than
+    // N + 2 root N + 2, and the greatest excess over N as a part of 2 root N + 2. N: what the settings allow
+    // it at its age, of so many a second to a warm one.
+    struct Windows {
+        uint64_t all = 0, over = 0;
+        double worst = 0;
+    };
+    void windows(Tgt tgt, Point started, double warm_rate, Windows& w) const
+    {
+        std::vector<Point> at;
+        for (const auto& [when, to] : sends)
+            if (to == tgt) at.push_back(when);
+        for (size_t first = 0, last = 0; first < at.size(); ++first) {
+            while (last < at.size() && at[last] - at[first] < seconds(1)) ++last;
+            const double warm = 0.16 + 0.84 * ((at[first] - started).seconds() / 20);
+            const double n = 2.5 * warm * warm_rate, chance_of_it = 2 * std::sqrt(n) + 2;
+            const double excess = static_cast<double>(last - first) - n;
+            ++w.all;
+            w.over += excess > chance_of_it;
+            w.worst = std::max(w.worst, excess / chance_of_it);
+        }
+    }
+
     // What some upstreams hold now, in the mean.
     template <class Which>
     double holds(Which which) const
@@ -139,7 +166,8 @@
     Inv names = 0;
     std::priority_queue<Out> out;
     std::vector<std::pair<Point, Tgt>> sends;
-    std::ranlux24_base chance{7};
+    size_t first_parts_;
+    std::ranlux24_base chance;
 };
 
 }  // namespace
@@ -174,6 +202,27 @@
     }
 }
 
+// What all together send to cold upstreams, against what the settings allow and chance may add: 200 seeds
+// each.
+void cold_windows(const char* what, bool uneven, double before, double after, Span lead = seconds(5))
+{
+    std::printf("-- cold upstreams under the sum of all, %s\n", what);
+    for (const uint32_t balancers : {1u, 5u, 20u, 30u}) {
+        Fleet::Windows w;
+        for (uint32_t seed = 1; seed <= 200; ++seed) {
+            Fleet fleet(balancers, 20, seed, uneven);
+            fleet.play(lead, before);
+            const Point started = fleet.now;
+            fleet.change(0, Presence::ready, started), fleet.change(1, Presence::ready, started);
+            fleet.play(seconds(4), after);
+            for (const Tgt t : {0u, 1u}) fleet.windows(t, started, after / 20, w);
+        }
+        std::printf(
+            "%u balancers: %.2f in 100 windows over N + 2 root N + 2, the worst at %.2f of the chance\n",
+            balancers, 100.0 * static_cast<double>(w.over) / static_cast<double>(w.all), w.worst);
+    }
+}
+
 int main()
 {
     std::printf("-- a hundred instances, 20 upstreams in two zones; one zone comes back cold\n");
@@ -209,4 +258,8 @@
     }
 
     replaced();
+    cold_windows("traffic dealt out evenly", false, 120, 120);
+    cold_windows("one balancer with five times the traffic of each other", true, 120, 120);
+    cold_windows("the traffic comes back from a sixth as they start", true, 20, 120);
+    cold_windows("all balancers have started 0.3 s before", true, 120, 120, seconds(0.3));
 }
