A stall is waited out once; what discovery has dropped is freed where another asks

By reading: Callers::look would have returned early for ever in a process whose loop takes over 0.2 s each time, and with it the listener would never be let in again; Discovery::rest left dropped calls' connections until the next call.

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -424,8 +424,9 @@
 {
     const Point now = monotonic_now();
     // Guards against blaming callers for a stall of this program: what they have sent meanwhile is read
-    // first.
-    if (now - std::exchange(looked_, now) > stalled) return;
+    // first. Once, for it may be this slow all the time.
+    waits_for_bytes_ = now - std::exchange(looked_, now) > stalled && !waits_for_bytes_;
+    if (waits_for_bytes_) return;
     for (size_t phase = 0; phase < phases; ++phase)
         for (Place at = in_[phase].begin(), next; at != in_[phase].end(); at = next) {
             next = std::next(at);
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -87,6 +87,7 @@
     Point told_;  // of no room, in the log
     Timer look_;
     Point looked_;
+    bool waits_for_bytes_ = false;  // since the last look, after a stall
     CallerId next_ = 1;
     std::array<std::list<Connection>, phases> in_;  // each: the longest in its phase first
     std::unordered_map<CallerId, Place> waiting_;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -135,7 +135,7 @@
     asking_ = false;
     resting_ = true;
     drop_all();
-    event_del(again_.get());
+    call_in(Span{});  // which frees them
 }
 
 // The versions of two agents say nothing of each other. Dropping the calls that are out there: a late answer
