A caller that has gone before its request was read gets no attempt

By reading, then by a test that fails without it: a request and the end of its connection that came 0.2 s before they were read were sent on (1, now 0; the caller is throttled, for it may listen).

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -25,7 +25,7 @@
 constexpr Span asks_within = seconds(0.2);  // the same for a new connection or a request begun
 constexpr Span lingers = seconds(0.1);      // the same for one whose sending side is shut
 constexpr size_t some = 16;                 // connections to make room for at a time
-constexpr Span ends_with_request = seconds(0.03);
+constexpr Span ends_with_request = seconds(0.03), goes_after = seconds(0.05);
 constexpr Span tell_every = seconds(1);  // of the same trouble in the log
 constexpr Span look_every = seconds(0.05), stalled = seconds(0.2);
 constexpr size_t read_ahead = 8 * 1024;      // bytes of one connection that wait to be read
@@ -266,10 +266,14 @@
     } else {
         request.time_left = std::max(Span{}, request.time_left - unread(at));
     }
+    // Guards against work for a caller that sent its request and went, while this program had no time to
+    // read.
+    pollfd closed{bufferevent_getfd(at->stream.get()), POLLRDHUP, 0};
+    const bool went = !more && unread(at) > goes_after && poll(&closed, 1, 0) > 0;
     enter(at, waiting);
     at->caller = next_++;
     waiting_[at->caller] = at;
-    tell_(Arrived{at->caller, std::move(request)});
+    tell_(Arrived{at->caller, std::move(request), went});
 }
 
 // What could not be read may have been framed otherwise than it was taken: nothing more is read there.
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -362,6 +362,7 @@
     i.caller = arrived.caller;
     i.over = false;
     i.request = std::move(arrived.request);
+    if (arrived.half_closed) i.half_closed = now_ - may_listen_for;
     i.outcomes = &outcomes;
     const Operation& op = setup_.settings.operations[ask.operation];
     if (op.repeat == Repeat::deduplicated) i.window = op.window;
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -64,6 +64,7 @@
 struct Arrived {
     CallerId caller;
     Request request;
+    bool half_closed = false;  // by its caller, and a while ago
 };
 struct CallerLeft {
     CallerId caller;
--- a/tests/endings.cpp
+++ b/tests/endings.cpp
@@ -323,6 +323,26 @@
                 first_line(caller.message()).c_str());
 }
 
+// Its request and its end come while the process stands still.
+void gone_in_a_stall()
+{
+    Held held;
+    held.go = true;
+    Agent agent;
+    agent.list_is(target("a", held.upstream.endpoint()));
+    Running f(agent.endpoint());
+    Wire caller(f.port);
+    caller.ask(get());
+    const int before = held.asked;
+    kill(f.process, SIGSTOP);
+    caller.send(get()), caller.end_sending();
+    pause(200);
+    kill(f.process, SIGCONT);
+    const auto answer = first_line(caller.message());
+    std::printf("a caller asks and closes its sending side in a stall of 0.2 s: %s, %d sent on\n",
+                answer.c_str(), held.asked - before);
+}
+
 // A hundred that wait for their first attempt, at an upstream that nobody answers for, and leave together: at
 // once, when they could be such that send nothing more and listen, or a moment later.
 void burst_that_leaves(int after_ms)
@@ -349,6 +369,7 @@
     for (auto& w : callers) w.send("GET /safe/burst HTTP/1.1\r\n" + an_id() + "\r\n");
     pause(after_ms);
     callers.clear();
+    pause(60);  // what begins at the other one begins later than this after they have gone
     agent.list_is(nobody + "," + target("b", other.endpoint()));
     until([&] { return who_answers(f.port) == "the other"; }, 4000);
     pause(300);  // by now all that they waited for is given up
@@ -586,6 +607,7 @@
     gone_behind_bytes();
     half_closed();
     whole_in_a_stall();
+    gone_in_a_stall();
     burst_that_leaves(0);
     burst_that_leaves(50);
     crowded();
