One look at a socket's readiness in callers; the last byte's wait is asked for once

Read once more: five copies of the same poll are shows(); came() asked TCP_INFO twice for each request; a comment that the formatter had broken.

--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -45,6 +45,13 @@
     return Span{int64_t{info.tcpi_last_data_recv} * 1000};
 }
 
+// Whether the socket shows this now.
+bool shows(int fd, short events)
+{
+    pollfd at{fd, events, 0};
+    return poll(&at, 1, 0) > 0;
+}
+
 }  // namespace
 
 // Lives as long as the connection.
@@ -260,16 +267,17 @@
     }
     Request request = std::move(at->reader.request());
     request.more = more;
+    bool went = false;
     if (more) {
         request.length = at->reader.length();
         at->reader.take_piece();
     } else {
-        request.time_left = std::max(Span{}, request.time_left - unread(at));
+        const Span waited = unread(at);
+        request.time_left = std::max(Span{}, request.time_left - waited);
+        // Guards against work for a caller that sent its request and went, while this program had no time to
+        // read.
+        went = waited > goes_after && shows(bufferevent_getfd(at->stream.get()), POLLRDHUP);
     }
-    // Guards against work for a caller that sent its request and went, while this program had no time to
-    // read.
-    pollfd closed{bufferevent_getfd(at->stream.get()), POLLRDHUP, 0};
-    const bool went = !more && unread(at) > goes_after && poll(&closed, 1, 0) > 0;
     enter(at, waiting);
     at->caller = next_++;
     waiting_[at->caller] = at;
@@ -391,9 +399,8 @@
 // Whether bytes of a request are here, read or not.
 bool Callers::asks(Place at) const
 {
-    pollfd unread{bufferevent_getfd(at->stream.get()), POLLIN, 0};
     return at->reader.begun() || evbuffer_get_length(bufferevent_get_input(at->stream.get())) > 0 ||
-           poll(&unread, 1, 0) > 0;
+           shows(bufferevent_getfd(at->stream.get()), POLLIN);
 }
 
 // Whether a caller that sends nothing more is taken to read its answer all the same. One that closes its
@@ -471,16 +478,14 @@
     for (Place at = in_[waiting].begin(), next; at != in_[waiting].end(); at = next) {
         next = std::next(at);
         if (evbuffer_get_length(bufferevent_get_input(at->stream.get())) == 0) continue;
-        pollfd closed{bufferevent_getfd(at->stream.get()), POLLRDHUP, 0};
-        if (poll(&closed, 1, 0) > 0) ended(at);
+        if (shows(bufferevent_getfd(at->stream.get()), POLLRDHUP)) ended(at);
     }
 }
 
 bool Callers::someone_waits() const
 {
     if (!listener_ || room_.full(open())) return false;
-    pollfd at{evconnlistener_get_fd(listener_.get()), POLLIN, 0};
-    return poll(&at, 1, 0) > 0;
+    return shows(evconnlistener_get_fd(listener_.get()), POLLIN);
 }
 
 void Callers::stop_listening() { listener_.reset(); }
@@ -540,8 +545,7 @@
     });
     // Also what has begun. Guards against half requests by hundreds, which would keep all others out.
     from(asking, asks_within, [&](Place at) {
-        pollfd unread{bufferevent_getfd(at->stream.get()), POLLIN, 0};
-        if (!at->reader.begun() || poll(&unread, 1, 0) > 0) return false;
+        if (!at->reader.begun() || shows(bufferevent_getfd(at->stream.get()), POLLIN)) return false;
         refuse(at, 408, "the request took too long");
         return true;
     });
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -78,9 +78,8 @@
     bool last = false;
     Span waited = {};  // the last byte, unread
 };
-struct WriteDrained {  // to the caller: nearly all that was passed on to it; of an answer that was passed on
-                       // whole,
-                       // all
+// To the caller: nearly all that was passed on to it; of an answer that was passed on whole, all.
+struct WriteDrained {
     CallerId caller;
 };
 struct Connected {
