--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -82,7 +82,7 @@
             Outcome sum;
             size_t never = 0;
             for (uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
-                const Outcome o = play(t, town_of(balancers, upstreams, on), seed);
+                const Outcome o = play(t, simulation_options(balancers, upstreams, on), seed);
                 never += o.back90 < 0;
                 sum.back50 += o.back50, sum.back90 += o.back90, sum.back99 += o.back99;
                 sum.value += o.value, sum.fell_over += o.fell_over;
@@ -137,7 +137,7 @@
 
 // Each trouble alone and with what balancers do together, on the same seeds: means, and how far from alone,
 // with the half-width of the 95 % interval of the paired differences.
-int town(size_t balancers, size_t upstreams, Seeds seeds, const std::string& only)
+int simulate_service(size_t balancers, size_t upstreams, Seeds seeds, const std::string& only)
 {
     const std::pair<const char*, On> ways[] = {{"alone", {}},
                                                {"subset", {true, false, false}},
@@ -158,7 +158,7 @@
             Outcome sum;
             std::vector<double> apart;
             for (uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
-                const Outcome o = play(t, town_of(balancers, upstreams, on), seed);
+                const Outcome o = play(t, simulation_options(balancers, upstreams, on), seed);
                 if (alone.size() < seeds.last - seeds.first + 1) alone.push_back(o.value);
                 apart.push_back(o.value - alone[seed - seeds.first]);
                 sum.value += o.value, sum.greatest_over_mean += o.greatest_over_mean;
@@ -225,22 +225,22 @@
     subsetting->add_option("--upstreams", upstreams)->check(CLI::Range(1, 5000));
     subsetting->add_option("--size", size)->check(CLI::Range(1, 5000));
     subsetting->add_option("--seeds", seeds.last)->check(CLI::Range(1, 1000));
-    auto* towning = app.add_subcommand("town", "troubles, alone and with what balancers do together");
-    size_t town_members = 60, town_upstreams = 24;
+    auto* simulating = app.add_subcommand("service", "troubles, alone and with what balancers do together");
+    size_t simulated_balancers = 60, simulated_upstreams = 24;
     std::string only;
-    towning->add_option("--balancers", town_members)->check(CLI::Range(6, 2000));
-    towning->add_option("--upstreams", town_upstreams)->check(CLI::Range(6, 1000));
-    towning->add_option("--from", seeds.first, "seed");
-    towning->add_option("--to", seeds.last, "seed");
-    towning->add_option("--only", only, "troubles whose name holds this");
+    simulating->add_option("--balancers", simulated_balancers)->check(CLI::Range(6, 2000));
+    simulating->add_option("--upstreams", simulated_upstreams)->check(CLI::Range(6, 1000));
+    simulating->add_option("--from", seeds.first, "seed");
+    simulating->add_option("--to", seeds.last, "seed");
+    simulating->add_option("--only", only, "troubles whose name holds this");
     auto* returning = app.add_subcommand("returns", "power losses, alone and with a return in stages");
-    returning->add_option("--balancers", town_members)->check(CLI::Range(6, 2000));
-    returning->add_option("--upstreams", town_upstreams)->check(CLI::Range(6, 1000));
+    returning->add_option("--balancers", simulated_balancers)->check(CLI::Range(6, 2000));
+    returning->add_option("--upstreams", simulated_upstreams)->check(CLI::Range(6, 1000));
     returning->add_option("--from", seeds.first, "seed");
     returning->add_option("--to", seeds.last, "seed");
     CLI11_PARSE(app, argc, argv);
-    if (returning->parsed()) return returns(town_members, town_upstreams, seeds);
-    if (towning->parsed()) return town(town_members, town_upstreams, seeds, only);
+    if (returning->parsed()) return returns(simulated_balancers, simulated_upstreams, seeds);
+    if (simulating->parsed()) return simulate_service(simulated_balancers, simulated_upstreams, seeds, only);
     if (subsetting->parsed()) return subsets(members, upstreams, static_cast<uint32_t>(size), seeds.last);
     options.lease.length = seconds(lease);
     rules.take_out_of(options);
--- a/lab/town.cpp
+++ b/lab/service_simulation.cpp
@@ -1,4 +1,4 @@
-#include "town.h"
+#include "service_simulation.h"
 
 #include <algorithm>
 #include <cmath>
@@ -10,7 +10,7 @@
 
 constexpr Span ticks = seconds(0.1), one_way = seconds(0.0005);
 
-World::Options world_options(const Town::Options& o)
+World::Options world_options(const ServiceSimulation::Options& o)
 {
     World::Options w;
     w.members = o.balancers;
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-struct Town::Node {
+struct ServiceSimulation::Node {
     Setup setup;
     std::unique_ptr<net::Reducer> reducer;
     uint64_t run = 0;
@@ -43,8 +43,8 @@
     uint64_t served = 0, second_tries = 0;
 };
 
-struct Town::Up {
-    Tower tower;
+struct ServiceSimulation::Up {
+    ServerModel server;
     uint64_t life = 1;
     std::optional<Point> started;
     Point frozen_until;
@@ -55,13 +55,13 @@
     std::deque<Point> lately;  // what reached it, while cold
 };
 
-Town::Town(Options options, uint64_t seed)
+ServiceSimulation::ServiceSimulation(Options options, uint64_t seed)
     : options_(std::move(options)), world_(world_options(options_), seed), load_(options_.load)
 {
     for (size_t u = 0; u < options_.upstreams; ++u) {
-        towers_.push_back(std::make_unique<Up>());
-        towers_.back()->tower = options_.upstream;
-        towers_.back()->tower.zone = static_cast<uint32_t>(u % 3);
+        servers_.push_back(std::make_unique<Up>());
+        servers_.back()->server = options_.upstream;
+        servers_.back()->server.zone = static_cast<uint32_t>(u % 3);
     }
     for (size_t i = 0; i < options_.balancers; ++i) nodes_.push_back(std::make_unique<Node>());
     since_ = world_.now();
@@ -86,17 +86,17 @@
     };
 }
 
-Town::~Town() = default;
+ServiceSimulation::~ServiceSimulation() = default;
 
-net::Entry Town::entry(size_t upstream) const
+net::Entry ServiceSimulation::entry(size_t upstream) const
 {
-    const Up& up = *towers_[upstream];
+    const Up& up = *servers_[upstream];
     const auto name = "u" + std::to_string(upstream + 1);
-    return {name,      "10.0.0.1:" + std::to_string(upstream + 1), Presence::ready, 0, 0, up.tower.size,
+    return {name,      "10.0.0.1:" + std::to_string(upstream + 1), Presence::ready, 0, 0, up.server.size,
             up.started};
 }
 
-void Town::start(size_t b)
+void ServiceSimulation::start(size_t b)
 {
     Node& n = *nodes_[b];
     if (n.reducer) return;
@@ -142,27 +142,27 @@
     });
 }
 
-void Town::stop(size_t b)
+void ServiceSimulation::stop(size_t b)
 {
     world_.crash(b);
     nodes_[b]->reducer.reset();
     nodes_[b]->shown = 0;
 }
 
-void Town::run(Span span) { world_.run(span); }
+void ServiceSimulation::run(Span span) { world_.run(span); }
 
-void Town::tick(size_t b)
+void ServiceSimulation::tick(size_t b)
 {
     tell(b, net::Ticked{});
     world_.schedule(ticks, b, [this, b] { tick(b); });
 }
 
 // Poisson arrivals, in even parts among those that run.
-void Town::ask(size_t b)
+void ServiceSimulation::ask(size_t b)
 {
     double all = 0, able = 0;
     for (const auto& n : nodes_) all += n->reducer ? 1 : 0;
-    for (const auto& up : towers_) able += static_cast<double>(up->tower.slots) / up->tower.mean;
+    for (const auto& up : servers_) able += static_cast<double>(up->server.slots) / up->server.mean;
     const double rate = load_ * able / all;
     const Span next = seconds(-std::log(1 - world_.roll()) / rate);
     world_.schedule(next, b, [this, b] {
@@ -178,13 +178,13 @@
     });
 }
 
-void Town::tell(size_t b, net::Event event)
+void ServiceSimulation::tell(size_t b, net::Event event)
 {
     if (!nodes_[b]->reducer) return;
     carry_out(b, nodes_[b]->reducer->reduce(world_.now(), std::move(event)));
 }
 
-void Town::carry_out(size_t b, std::vector<net::Effect> effects)
+void ServiceSimulation::carry_out(size_t b, std::vector<net::Effect> effects)
 {
     Node& n = *nodes_[b];
     for (net::Effect& e : effects) {
@@ -214,7 +214,7 @@
             world_.schedule(d->limit, b, [this, b, id = d->attempt] {
                 const auto open = nodes_[b]->attempts.find(id);
                 if (open == nodes_[b]->attempts.end()) return;
-                if (open->second.job) towers_[open->second.upstream]->called_off.insert(*open->second.job);
+                if (open->second.job) servers_[open->second.upstream]->called_off.insert(*open->second.job);
                 nodes_[b]->attempts.erase(open);
                 tell(b, net::Failed{id, {net::Progress::written, net::Cause::no_answer_in_time}});
             });
@@ -225,15 +225,15 @@
             const Job job{b, n.run, w->attempt, next_job_++};
             at->second.job = job.number;
             ++count.forwards;
-            if (towers_[at->second.upstream]->started &&
-                world_.now() - *towers_[at->second.upstream]->started < options_.cold) {
+            if (servers_[at->second.upstream]->started &&
+                world_.now() - *servers_[at->second.upstream]->started < options_.cold) {
                 ++count.cold_forwards;
             }
             world_.schedule(one_way, SIZE_MAX, [this, up = at->second.upstream, job] { reach(up, job); });
         } else if (auto* up = std::get_if<net::HangUp>(&e)) {
             const auto at = n.attempts.find(up->attempt);
             if (at == n.attempts.end()) continue;
-            if (at->second.job) towers_[at->second.upstream]->called_off.insert(*at->second.job);
+            if (at->second.job) servers_[at->second.upstream]->called_off.insert(*at->second.job);
             n.attempts.erase(at);
         } else if (auto* wake = std::get_if<net::Wake>(&e)) {
             world_.schedule(wake->at - world_.now(), b,
@@ -251,53 +251,54 @@
     }
 }
 
-size_t Town::slots_now(const Up& up) const
+size_t ServiceSimulation::slots_now(const Up& up) const
 {
-    if (!up.started) return up.tower.slots;
+    if (!up.started) return up.server.slots;
     const double age = std::min(1.0, (world_.now() - *up.started) / options_.cold);
     const double part = options_.cold_share + (1 - options_.cold_share) * age;
-    return std::max<size_t>(1, static_cast<size_t>(std::lround(part * static_cast<double>(up.tower.slots))));
+    return std::max<size_t>(1, static_cast<size_t>(std::lround(part * static_cast<double>(up.server.slots))));
 }
 
 // A cold one falls over where so much more reaches it within a moment than it can do by then.
-void Town::judge_cold(size_t u)
+void ServiceSimulation::judge_cold(size_t u)
 {
-    Up& up = *towers_[u];
+    Up& up = *servers_[u];
     if (!up.started || world_.now() - *up.started >= options_.cold) return;
     up.lately.push_back(world_.now());
     while (world_.now() - up.lately.front() > options_.falls_after) up.lately.pop_front();
     const double age = (world_.now() - *up.started) / options_.cold;
     const double able = (options_.cold_share + (1 - options_.cold_share) * age) *
-                        static_cast<double>(up.tower.slots) / up.tower.mean * options_.falls_after.seconds();
+                        static_cast<double>(up.server.slots) / up.server.mean *
+                        options_.falls_after.seconds();
     if (static_cast<double>(up.lately.size()) <= able * options_.push + 3) return;
     ++count.fell_over;
     restart(u);
 }
 
-void Town::reach(size_t u, Job job)
+void ServiceSimulation::reach(size_t u, Job job)
 {
-    Up& up = *towers_[u];
+    Up& up = *servers_[u];
     ++up.reached;
     judge_cold(u);
     if (up.busy < slots_now(up)) return begin(u, job);
-    if (up.waiting.size() < up.tower.queue) return up.waiting.push_back(job);
+    if (up.waiting.size() < up.server.queue) return up.waiting.push_back(job);
     net::Response declined;
     declined.status = 503, declined.declined = true;
     declined.report.queue = static_cast<double>(up.waiting.size());
     answer(job, std::move(declined));
 }
 
-void Town::begin(size_t u, Job job)
+void ServiceSimulation::begin(size_t u, Job job)
 {
-    Up& up = *towers_[u];
+    Up& up = *servers_[u];
     ++up.busy;
-    const Span takes = seconds(-std::log(1 - world_.roll()) * up.tower.mean);
+    const Span takes = seconds(-std::log(1 - world_.roll()) * up.server.mean);
     world_.schedule(takes, SIZE_MAX, [this, u, job, life = up.life] { end(u, job, life); });
 }
 
-void Town::end(size_t u, Job job, uint64_t life)
+void ServiceSimulation::end(size_t u, Job job, uint64_t life)
 {
-    Up& up = *towers_[u];
+    Up& up = *servers_[u];
     if (up.life != life) return;
     if (world_.now() < up.frozen_until)
         return world_.schedule(up.frozen_until - world_.now(), SIZE_MAX,
@@ -316,7 +317,7 @@
     }
 }
 
-void Town::answer(const Job& job, net::Response response)
+void ServiceSimulation::answer(const Job& job, net::Response response)
 {
     world_.schedule(one_way, SIZE_MAX, [this, job, response = std::move(response)]() mutable {
         Node& n = *nodes_[job.node];
@@ -328,11 +329,11 @@
     });
 }
 
-void Town::freeze(size_t u, Span span) { towers_[u]->frozen_until = world_.now() + span; }
+void ServiceSimulation::freeze(size_t u, Span span) { servers_[u]->frozen_until = world_.now() + span; }
 
-void Town::restart(size_t u)
+void ServiceSimulation::restart(size_t u)
 {
-    Up& up = *towers_[u];
+    Up& up = *servers_[u];
     ++up.life;
     up.started = world_.now();
     up.lately.clear(), up.called_off.clear();
@@ -352,7 +353,7 @@
     list_to_all();
 }
 
-void Town::road(size_t b, size_t u, bool whole)
+void ServiceSimulation::road(size_t b, size_t u, bool whole)
 {
     if (whole)
         nodes_[b]->broken_roads.erase(u);
@@ -360,19 +361,19 @@
         nodes_[b]->broken_roads.insert(u);
 }
 
-void Town::list_to(size_t b, std::vector<size_t> without)
+void ServiceSimulation::list_to(size_t b, std::vector<size_t> without)
 {
     nodes_[b]->without = std::move(without);
     if (!nodes_[b]->reducer) return;
     net::ListUpdate list{true, {}};
-    for (size_t u = 0; u < towers_.size(); ++u)
+    for (size_t u = 0; u < servers_.size(); ++u)
         if (std::find(nodes_[b]->without.begin(), nodes_[b]->without.end(), u) == nodes_[b]->without.end())
             list.entries.push_back(entry(u));
     tell(b, std::move(list));
 }
 
 // Each hears of it within a few tens of milliseconds.
-void Town::list_to_all()
+void ServiceSimulation::list_to_all()
 {
     for (size_t b = 0; b < nodes_.size(); ++b)
         if (nodes_[b]->reducer)
@@ -380,27 +381,30 @@
                             [this, b] { list_to(b, nodes_[b]->without); });
 }
 
-void Town::lies(size_t b, std::vector<size_t> about) { nodes_[b]->liar_about = {about.begin(), about.end()}; }
+void ServiceSimulation::lies(size_t b, std::vector<size_t> about)
+{
+    nodes_[b]->liar_about = {about.begin(), about.end()};
+}
 
-void Town::reset()
+void ServiceSimulation::reset()
 {
     count = {};
     in_time_by_.clear();
     since_ = world_.now();
-    for (auto& up : towers_) up->reached = 0;
+    for (auto& up : servers_) up->reached = 0;
     for (auto& n : nodes_) n->served = 0;
 }
 
-std::vector<double> Town::offered() const
+std::vector<double> ServiceSimulation::offered() const
 {
     std::vector<double> out;
-    for (const auto& up : towers_)
-        out.push_back(static_cast<double>(up->reached) / up->tower.size /
+    for (const auto& up : servers_)
+        out.push_back(static_cast<double>(up->reached) / up->server.size /
                       std::max(1e-9, (world_.now() - since_).seconds()));
     return out;
 }
 
-double Town::greatest_over_mean() const
+double ServiceSimulation::greatest_over_mean() const
 {
     const auto all = offered();
     double sum = 0;
@@ -408,7 +412,7 @@
     return sum > 0 ? *std::max_element(all.begin(), all.end()) * static_cast<double>(all.size()) / sum : 0;
 }
 
-size_t Town::connections() const
+size_t ServiceSimulation::connections() const
 {
     size_t n = 0;
     for (const auto& node : nodes_)
@@ -416,10 +420,10 @@
     return n;
 }
 
-double Town::back_to(double part, double usual_load) const
+double ServiceSimulation::back_to(double part, double usual_load) const
 {
     double able = 0;
-    for (const auto& up : towers_) able += static_cast<double>(up->tower.slots) / up->tower.mean;
+    for (const auto& up : servers_) able += static_cast<double>(up->server.slots) / up->server.mean;
     const double wanted = part * usual_load * able * 0.5;
     for (size_t w = 0; w + 4 < in_time_by_.size(); ++w) {
         double least = 1e18;
@@ -429,7 +433,7 @@
     return -1;
 }
 
-std::vector<uint64_t> Town::served_by() const
+std::vector<uint64_t> ServiceSimulation::served_by() const
 {
     std::vector<uint64_t> out;
     for (const auto& n : nodes_)
--- a/lab/town.h
+++ b/lab/service_simulation.h
@@ -12,19 +12,19 @@
 
 // A server of so many slots and a queue, first come first served; times are exponential. After a start its
 // slots grow from a part to all; pushed beyond what it can take then, it falls over and starts again.
-struct Tower {
+struct ServerModel {
     size_t slots = 8, queue = 40;
     double mean = 0.02;  // seconds of an answer
     double size = 1;
     uint32_t zone = 0;
 };
 
-class Town
+class ServiceSimulation
 {
   public:
     struct Options {
         size_t balancers = 30, upstreams = 20;
-        Tower upstream;
+        ServerModel upstream;
         double load = 0.6;  // of what all upstreams can do
         std::optional<SubsetRule> subset;
         std::optional<SignalRule> signals;
@@ -35,12 +35,12 @@
         double cold_share = 0.1, push = 2;  // what pushes a cold one over: so much more than it can do
         Span objective = seconds(0.25), client_timeout = seconds(1);
     };
-    Town(Options options, uint64_t seed);
-    ~Town();
+    ServiceSimulation(Options options, uint64_t seed);
+    ~ServiceSimulation();
 
     World& world() { return world_; }
     size_t balancers() const { return nodes_.size(); }
-    size_t upstreams() const { return towers_.size(); }
+    size_t upstreams() const { return servers_.size(); }
     void start(size_t balancer);
     void stop(size_t balancer);
     void run(Span span);
@@ -96,7 +96,7 @@
     Options options_;
     World world_;
     std::vector<std::unique_ptr<Node>> nodes_;
-    std::vector<std::unique_ptr<Up>> towers_;
+    std::vector<std::unique_ptr<Up>> servers_;
     double load_;
     uint64_t next_job_ = 1;
     Point since_;
--- a/lab/troubles.cpp
+++ b/lab/troubles.cpp
@@ -11,20 +11,20 @@
 
 constexpr double usual = 0.75;  // of what all upstreams can do
 
-void start_all(Town& t)
+void start_all(ServiceSimulation& t)
 {
     for (size_t i = 0; i < t.balancers(); ++i) t.start(i);
     t.run(seconds(4));
     t.reset();
 }
 
-void calm(Town& t)
+void calm(ServiceSimulation& t)
 {
     start_all(t);
     t.run(seconds(6));
 }
 
-void views_differ(Town& t)
+void views_differ(ServiceSimulation& t)
 {
     start_all(t);
     for (size_t b = 0; b < t.balancers(); ++b) {
@@ -39,7 +39,7 @@
 }
 
 // A tenth of the balancers can't reach a third of the upstreams.
-void one_sided_road(Town& t)
+void one_sided_road(ServiceSimulation& t)
 {
     start_all(t);
     for (size_t b = 0; b < t.balancers(); b += 10)
@@ -48,7 +48,7 @@
 }
 
 // A fifth of the upstreams stands still, twice.
-void frozen_group(Town& t)
+void frozen_group(ServiceSimulation& t)
 {
     start_all(t);
     for (int n = 0; n < 2; ++n) {
@@ -58,7 +58,7 @@
 }
 
 // A quarter of the upstreams restarts at once and is cold.
-void mass_restart(Town& t)
+void mass_restart(ServiceSimulation& t)
 {
     start_all(t);
     for (size_t u = 0; u < t.upstreams(); u += 4) t.restart(u);
@@ -66,7 +66,7 @@
 }
 
 // Each balancer asks so little that it meets an upstream once in seconds; a sixth of them freezes.
-void thin_spread(Town& t)
+void thin_spread(ServiceSimulation& t)
 {
     t.load(0.15);
     start_all(t);
@@ -75,7 +75,7 @@
 }
 
 // One balancer tells all others that half of the upstreams are gone.
-void liar(Town& t)
+void liar(ServiceSimulation& t)
 {
     start_all(t);
     std::vector<size_t> about;
@@ -85,7 +85,7 @@
 }
 
 // A tenth of the balancers, all of them within two seconds, and back.
-void growth(Town& t)
+void growth(ServiceSimulation& t)
 {
     const size_t few = std::max<size_t>(6, t.balancers() / 10);
     for (size_t i = 0; i < few; ++i) t.start(i);
@@ -104,7 +104,7 @@
 }
 
 // A third of the balancers is killed at once.
-void third_killed(Town& t)
+void third_killed(ServiceSimulation& t)
 {
     start_all(t);
     for (size_t i = 2; i < t.balancers(); i += 3) t.stop(i);
@@ -112,7 +112,7 @@
 }
 
 // Two halves of the fleet that don't hear each other, and together again.
-void split(Town& t)
+void split(ServiceSimulation& t)
 {
     start_all(t);
     const size_t n = t.balancers();
@@ -125,7 +125,7 @@
 
 // All balancers and upstreams stop; upstreams come back cold, balancers within `within`, in an order that
 // differs by `part` of them never, and callers ask `times` as much for ten seconds.
-void power(Town& t, double within, double part, double times)
+void power(ServiceSimulation& t, double within, double part, double times)
 {
     start_all(t);
     t.run(seconds(10));
@@ -143,9 +143,9 @@
     t.load(usual);
     t.run(seconds(20));
 }
-void power_at_once(Town& t) { power(t, 0.2, 0, 1); }
-void power_storm(Town& t) { power(t, 1, 0, 6); }
-void power_third_never(Town& t) { power(t, 4, 0.34, 3); }
+void power_at_once(ServiceSimulation& t) { power(t, 0.2, 0, 1); }
+void power_storm(ServiceSimulation& t) { power(t, 1, 0, 6); }
+void power_third_never(ServiceSimulation& t) { power(t, 4, 0.34, 3); }
 
 }  // namespace
 
@@ -167,9 +167,9 @@
     return all;
 }
 
-Town::Options town_of(size_t balancers, size_t upstreams, On on)
+ServiceSimulation::Options simulation_options(size_t balancers, size_t upstreams, On on)
 {
-    Town::Options o;
+    ServiceSimulation::Options o;
     o.balancers = balancers, o.upstreams = upstreams;
     o.load = usual;
     const double able = static_cast<double>(o.upstream.slots) / o.upstream.mean;
@@ -190,9 +190,9 @@
     return o;
 }
 
-Outcome play(const Trouble& trouble, const Town::Options& options, uint64_t seed)
+Outcome play(const Trouble& trouble, const ServiceSimulation::Options& options, uint64_t seed)
 {
-    Town t(options, seed);
+    ServiceSimulation t(options, seed);
     trouble.plays(t);
     Outcome o;
     const auto asked = static_cast<double>(std::max<uint64_t>(1, t.count.asked));
--- a/lab/troubles.h
+++ b/lab/troubles.h
@@ -1,10 +1,11 @@
-// Experiments on a town: a trouble, and what came of it with and without what balancers do together.
+// Experiments on a simulated service: a trouble, and what came of it with and without what balancers do
+// together.
 #pragma once
 
 #include <string>
 #include <vector>
 
-#include "town.h"
+#include "service_simulation.h"
 
 namespace firtide::lab
 {
@@ -21,7 +22,7 @@
 
 struct Trouble {
     std::string name;
-    void (*plays)(Town& town);
+    void (*plays)(ServiceSimulation& simulation);
     bool power = false;  // all come back: told in the times of return
 };
 const std::vector<Trouble>& troubles();
@@ -29,7 +30,7 @@
 struct On {  // what is on
     bool subset = false, signals = false, turns = false, recovery = false;
 };
-Town::Options town_of(size_t balancers, size_t upstreams, On on);
-Outcome play(const Trouble& trouble, const Town::Options& options, uint64_t seed);
+ServiceSimulation::Options simulation_options(size_t balancers, size_t upstreams, On on);
+Outcome play(const Trouble& trouble, const ServiceSimulation::Options& options, uint64_t seed);
 
 }  // namespace firtide::lab
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -56,11 +56,11 @@
     FleetFile file;
     Disk disk;
     std::unique_ptr<Fleet> fleet;
-    std::unique_ptr<Desk> desk;
+    std::unique_ptr<VoterAgent> voter_agent;
     uint64_t run = 0;
     Incarnation incarnation = 0;
     bool up = false;
-    Point frozen_until, desk_free;
+    Point frozen_until, voter_agent_free;
     double rate = 1;
     Point clock_from, clock_was;  // true time, and its own at that
     std::optional<Span> freeze_at_effect;
@@ -190,7 +190,7 @@
     if (n.up) return;
     ++n.run;
     n.up = true;
-    n.frozen_until = n.desk_free = now_;
+    n.frozen_until = n.voter_agent_free = now_;
     n.asking = false;
     n.list = 0;
     n.freeze_at_effect.reset();
@@ -199,10 +199,11 @@
     if (options_.granter) options_.granter(n.fleet->granter());
     note(n.file.id + " starts");
     if (n.file.members[node].voter) {
-        n.desk = std::make_unique<Desk>(n.file, n.disk, options_.voters_times,
-                                        uint64_t{chance_()} << 24 | chance_());
-        later({}, node,
-              [this, node] { desk(node, [this, node](Point p) { return nodes_[node]->desk->start(p); }); });
+        n.voter_agent = std::make_unique<VoterAgent>(n.file, n.disk, options_.voters_times,
+                                                     uint64_t{chance_()} << 24 | chance_());
+        later({}, node, [this, node] {
+            call_voter_agent(node, [this, node](Point p) { return nodes_[node]->voter_agent->start(p); });
+        });
     }
     later({}, node, [this, node] {
         // A power loss: its clock begins anew.
@@ -235,7 +236,7 @@
     Node& n = *nodes_[node];
     if (options_.fork && ++n.ticks % 10 == 0 && forked_turn(node)) return;
     tell(node, Ticked{});
-    if (n.desk) desk(node, [&n](Point p) { return n.desk->tick(p); });
+    if (n.voter_agent) call_voter_agent(node, [&n](Point p) { return n.voter_agent->tick(p); });
     later(options_.tick, node, [this, node] { tick(node); });
 }
 
@@ -247,7 +248,7 @@
     ++n.run;
     n.up = false;
     n.fleet.reset();
-    n.desk.reset();
+    n.voter_agent.reset();
     if (power) n.disk.lose_power();
 }
 
@@ -288,13 +289,13 @@
 
 void World::ask(size_t node, const std::string& what, const std::string& first, const std::string& second)
 {
-    later({}, node, [=, this] { tell(node, DoorAsked{1, what, first, second}); });
+    later({}, node, [=, this] { tell(node, AdminRequest{1, what, first, second}); });
 }
 
 std::string World::show(size_t node)
 {
     last_reply.clear();
-    tell(node, DoorAsked{1, "show-fleet", "", ""});
+    tell(node, AdminRequest{1, "show-fleet", "", ""});
     return last_reply;
 }
 
@@ -320,17 +321,18 @@
     carry_out(node, n.fleet->reduce(clock_of(node), std::move(event)));
 }
 
-void World::desk(size_t node, const std::function<std::vector<DeskEffect>(Point)>& call)
+void World::call_voter_agent(size_t node, const std::function<std::vector<VoterAgentEffect>(Point)>& call)
 {
     Node& n = *nodes_[node];
-    // The desk has a thread of its own, that may wait for the disk.
-    if (now_ < n.desk_free) return later(n.desk_free - now_, node, [this, node, call] { desk(node, call); });
+    // The voter agent has a thread of its own, that may wait for the disk.
+    if (now_ < n.voter_agent_free)
+        return later(n.voter_agent_free - now_, node, [this, node, call] { call_voter_agent(node, call); });
     n.disk.waited = {};
     auto effects = call(clock_of(node));
-    n.desk_free = now_ + n.disk.waited;
+    n.voter_agent_free = now_ + n.disk.waited;
     if (effects.empty()) return;
     later(n.disk.waited, node, [this, node, effects = std::move(effects)]() mutable {
-        for (DeskEffect& e : effects) tell(node, DeskSaid{std::move(e)});
+        for (VoterAgentEffect& e : effects) tell(node, VoterAgentReported{std::move(e)});
     });
 }
 
@@ -415,18 +417,18 @@
         if (on_effect) on_effect(node, e);
         if (auto* s = std::get_if<Send>(&e)) {
             send(node, *s);
-        } else if (auto* d = std::get_if<ToDesk>(&e)) {
-            if (!n.desk) continue;
-            desk(node, [&n, call = std::move(d->call)](Point p) -> std::vector<DeskEffect> {
-                Desk& k = *n.desk;
-                if (const auto* w = std::get_if<std::pair<Member, Word>>(&call))
-                    return k.word(p, w->first, w->second);
+        } else if (auto* d = std::get_if<CallVoterAgent>(&e)) {
+            if (!n.voter_agent) continue;
+            call_voter_agent(node, [&n, call = std::move(d->call)](Point p) -> std::vector<VoterAgentEffect> {
+                VoterAgent& k = *n.voter_agent;
+                if (const auto* w = std::get_if<std::pair<Member, DiskReport>>(&call))
+                    return k.on_disk_report(p, w->first, w->second);
                 if (const auto* f = std::get_if<std::pair<Member, Founded>>(&call))
                     return k.founded(p, f->first, f->second);
                 if (const auto* r = std::get_if<RaftSent>(&call)) return k.raft(p, *r);
                 if (const auto* q = std::get_if<Propose>(&call)) return k.propose(p, *q);
                 const auto& o = std::get<Seating>(call);
-                return o.in ? k.let_in(p, o.name, o.member) : k.put_out(p, o.name, o.member);
+                return o.in ? k.add_voter(p, o.name, o.member) : k.remove_voter(p, o.name, o.member);
             });
         } else if (auto* a = std::get_if<Act>(&e)) {
             const size_t way = options_.fork ? fork(Fork::effect) : 0;
--- a/lab/world.h
+++ b/lab/world.h
@@ -151,7 +151,7 @@
     void carry_out(size_t node, std::vector<FleetEffect> effects);
     void act(size_t node, const Act& act, Span travels = {});
     void send(size_t from, const Send& send);
-    void desk(size_t node, const std::function<std::vector<DeskEffect>(Point)>& call);
+    void call_voter_agent(size_t node, const std::function<std::vector<VoterAgentEffect>(Point)>& call);
     void tick(size_t node);
     void ask_discovery(size_t node);
     size_t fork(Fork at) { return options_.fork ? options_.fork(at) : 0; }
--- a/src/balance.h
+++ b/src/balance.h
@@ -95,8 +95,8 @@
     void probed(Point now, Tgt tgt, Result result, const Report& report);
     void woken(Point now, uint64_t name);
     void told(Point now, uint32_t peer, std::string_view message);  // by another instance
-    double reduction(Point now, Tgt tgt);   // of its entry, 1 where it stands still
-    void share_of_list(double part);        // what is listed is so much of what all balancers share
+    double reduction(Point now, Tgt tgt);                           // of its entry, 1 where it stands still
+    void share_of_list(double part);  // what is listed is so much of what all balancers share
 
   private:
     struct State;
--- a/src/fleet/commands.cpp
+++ b/src/fleet/commands.cpp
@@ -55,7 +55,7 @@
     return 0;
 }
 
-int ask_door(const std::string& door, const std::string& line)
+int ask_management(const std::string& door, const std::string& line)
 {
     sockaddr_storage at{};
     int length = sizeof at;
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -7,10 +7,10 @@
 #include <variant>
 #include <vector>
 
+#include "messages.h"
 #include "rules.h"
 #include "src/fault.h"
 #include "src/time.h"
-#include "words.h"
 
 namespace firtide::fleet
 {
--- a/src/fleet/tellers.cpp
+++ b/src/fleet/duty_notifier.cpp
@@ -1,4 +1,4 @@
-#include "tellers.h"
+#include "duty_notifier.h"
 
 #include <event2/buffer.h>
 #include <event2/util.h>
@@ -19,8 +19,8 @@
 }  // namespace
 
 // Lives as long as this process.
-struct Tellers::One {
-    Tellers* owner = nullptr;
+struct DutyNotifier::One {
+    DutyNotifier* owner = nullptr;
     std::string address;
     net::Stream stream;
     bool connected = false;
@@ -32,7 +32,7 @@
     void readable();
 };
 
-void Tellers::One::connect()
+void DutyNotifier::One::connect()
 {
     sockaddr_storage at{};
     int length = sizeof at;
@@ -53,7 +53,7 @@
     bufferevent_socket_connect(stream.get(), reinterpret_cast<sockaddr*>(&at), length);
 }
 
-void Tellers::One::readable()
+void DutyNotifier::One::readable()
 {
     auto* input = bufferevent_get_input(stream.get());
     const size_t size = evbuffer_get_length(input);
@@ -69,14 +69,14 @@
     if (status == 409) owner->refused_(told.duty, told.epoch);
 }
 
-Tellers::Tellers(event_base* base, std::function<void(const std::string&, Epoch)> refused)
+DutyNotifier::DutyNotifier(event_base* base, std::function<void(const std::string&, Epoch)> refused)
     : base_(base), refused_(std::move(refused))
 {
 }
 
-Tellers::~Tellers() = default;
+DutyNotifier::~DutyNotifier() = default;
 
-void Tellers::tell(const std::string& address, const What& what, const std::function<bool()>& gate)
+void DutyNotifier::tell(const std::string& address, const What& what, const std::function<bool()>& gate)
 {
     // One connection for each duty at each address: none waits for another's answer.
     One& one = all_[address + " " + what.duty];
--- a/src/fleet/tellers.h
+++ b/src/fleet/duty_notifier.h
@@ -6,15 +6,15 @@
 #include <map>
 #include <string>
 
+#include "messages.h"
 #include "src/decode_settings.h"
 #include "src/net/event.h"
 #include "src/net/message.h"
-#include "words.h"
 
 namespace firtide::fleet
 {
 
-class Tellers
+class DutyNotifier
 {
   public:
     struct What {
@@ -24,8 +24,8 @@
         int64_t left_ms = 0;
     };
     // refused: by who has met a higher epoch.
-    Tellers(event_base* base, std::function<void(const std::string& duty, Epoch epoch)> refused);
-    ~Tellers();
+    DutyNotifier(event_base* base, std::function<void(const std::string& duty, Epoch epoch)> refused);
+    ~DutyNotifier();
 
     // Where there is no connection yet one is made, and this is not told: the next one is soon enough.
     void tell(const std::string& address, const What& what, const std::function<bool()>& gate);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -94,7 +94,7 @@
             Heard own{self_, std::move(s.message)};
             on(own);
         }
-        for (Propose& p : granter_.take_proposals()) effects_.push_back(ToDesk{std::move(p)});
+        for (Propose& p : granter_.take_proposals()) effects_.push_back(CallVoterAgent{std::move(p)});
         for (const Change& c : holder_.take_changes()) changed(c), more = true;
         for (const HealthChange& h : members_.take_changes())
             effects_.push_back(
@@ -136,17 +136,17 @@
                    },
                    [&](const Ask& a) { members_.on(now_, from, a); },
                    [&](const Reached& r) { members_.on(now_, from, r); },
-                   [&](const Rumors& r) { members_.on(now_, from, r); },
+                   [&](const MembershipUpdates& r) { members_.on(now_, from, r); },
                    [&](RaftSent& r) {
                        disks_[r.from] = from;
-                       effects_.push_back(ToDesk{std::move(r)});
+                       effects_.push_back(CallVoterAgent{std::move(r)});
                    },
-                   [&](Word& w) {
+                   [&](DiskReport& w) {
                        disks_[w.disk] = from;
-                       effects_.push_back(ToDesk{std::pair{from, std::move(w)}});
+                       effects_.push_back(CallVoterAgent{std::pair{from, std::move(w)}});
                    },
                    [&](Founded& f) {
-                       effects_.push_back(ToDesk{std::pair{from, std::move(f)}});
+                       effects_.push_back(CallVoterAgent{std::pair{from, std::move(f)}});
                    },
                    [&](const Renew& r) {
                        if (granter_.leads()) return granter_.on(now_, from, r);
@@ -176,7 +176,7 @@
                heard.message);
 }
 
-void Fleet::on(DeskSaid& said)
+void Fleet::on(VoterAgentReported& said)
 {
     std::visit(Cases{
                    [&](SendRaft& s) {
@@ -185,19 +185,19 @@
                            effects_.push_back(Send{
                                at->second, RaftSent{standing_->disk, s.to, s.writes, std::move(s.bytes)}});
                    },
-                   [&](SayWord& s) {
+                   [&](BroadcastDiskReport& s) {
                        for (Member m = 0; m < file_.members.size(); ++m)
-                           if (m != self_ && file_.members[m].voter) effects_.push_back(Send{m, s.word});
+                           if (m != self_ && file_.members[m].voter) effects_.push_back(Send{m, s.report});
                    },
-                   [&](SayFounded& s) {
+                   [&](BroadcastFounded& s) {
                        for (Member m = 0; m < file_.members.size(); ++m)
                            if (m != self_ && file_.members[m].voter) effects_.push_back(Send{m, s.founded});
                    },
                    [&](TableIs& t) { table_ = std::move(t.table); },
                    [&](const Proposed& p) {
-                       if (const auto at = desk_orders_.find(p.name); at != desk_orders_.end()) {
+                       if (const auto at = voter_orders_.find(p.name); at != voter_orders_.end()) {
                            const auto [member, number] = at->second;
-                           desk_orders_.erase(at);
+                           voter_orders_.erase(at);
                            const Obeyed obeyed{number, p.well, p.well ? "done" : p.why};
                            if (member == self_)
                                hear(self_, obeyed);
@@ -207,7 +207,7 @@
                        }
                        granter_.proposed(now_, table_, p.name, p.well);
                    },
-                   [&](DeskStanding& s) {
+                   [&](VoterStatus& s) {
                        const bool led = granter_.leads();
                        const Term before = standing_ ? standing_->standing.term : 0;
                        const std::string trouble = standing_ ? standing_->trouble : "";
@@ -429,7 +429,7 @@
     members_.leave(now_);
 }
 
-void Fleet::on(const DoorLeft& left)
+void Fleet::on(const AdminDisconnected& left)
 {
     std::erase_if(callers_, [&](const auto& c) { return c.second.caller == left.caller; });
     // Whoever waited for a turn and is gone needs none.
@@ -440,7 +440,7 @@
     }
 }
 
-void Fleet::on(const DoorAsked& asked)
+void Fleet::on(const AdminRequest& asked)
 {
     if (asked.what == "show-fleet") return reply(asked.caller, show());
     if (asked.what == "show-recovery") return reply(asked.caller, show_recovery());
@@ -495,9 +495,9 @@
         if (from == self_) return hear(self_, no);
         return effects_.push_back(Send{from, no});
     }
-    const auto name = next_desk_++;
-    desk_orders_[name] = {from, o.number};
-    effects_.push_back(ToDesk{Seating{name, in, o.first}});
+    const auto name = next_voter_order_++;
+    voter_orders_[name] = {from, o.number};
+    effects_.push_back(CallVoterAgent{Seating{name, in, o.first}});
 }
 
 void Fleet::hear(Member, const Obeyed& o)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -1,5 +1,5 @@
 // One member of the fleet: a typed event in, effects out. Members, leases and duties are parts of it; the
-// voter's desk stands beside it, for it may wait for the disk. No I/O and no clock of its own: real
+// voter agent stands beside it, for it may wait for the disk. No I/O and no clock of its own: real
 // processes, virtual time and the model checker drive the same code.
 #pragma once
 
@@ -10,11 +10,11 @@
 #include <variant>
 #include <vector>
 
-#include "desk.h"
 #include "leases.h"
 #include "members.h"
 #include "recovery.h"
 #include "view.h"
+#include "voter_agent.h"
 
 namespace firtide::fleet
 {
@@ -28,15 +28,15 @@
 };
 struct Ticked {  // every 20 to 50 ms
 };
-struct DeskSaid {
-    DeskEffect effect;
+struct VoterAgentReported {
+    VoterAgentEffect effect;
 };
-struct DoorAsked {
+struct AdminRequest {
     uint64_t caller = 0;
     std::string what, first,
         second;  // show-fleet, show-recovery, hand-over, let-in, put-out, turn, turn-over
 };
-struct DoorLeft {
+struct AdminDisconnected {
     uint64_t caller = 0;
 };
 struct ListSeen {        // own discovery has answered
@@ -60,8 +60,8 @@
     std::variant<std::monostate, Memory, std::string> memory;
     std::optional<Span> ago;  // by a clock that is trusted: the machine has not been started anew
 };
-using FleetEvent = std::variant<Begun, Heard, Ticked, DeskSaid, DoorAsked, DoorLeft, ListSeen, ProbesSeen,
-                                Refused, Stops, Observed, Recalled>;
+using FleetEvent = std::variant<Begun, Heard, Ticked, VoterAgentReported, AdminRequest, AdminDisconnected,
+                                ListSeen, ProbesSeen, Refused, Stops, Observed, Recalled>;
 
 // Effects. Send is one of them.
 struct Seating {  // of a member among the voters
@@ -69,8 +69,8 @@
     bool in = false;  // or out
     std::string member;
 };
-struct ToDesk {
-    std::variant<std::pair<Member, Word>, std::pair<Member, Founded>, RaftSent, Propose, Seating> call;
+struct CallVoterAgent {
+    std::variant<std::pair<Member, DiskReport>, std::pair<Member, Founded>, RaftSent, Propose, Seating> call;
 };
 struct Publish {
     std::vector<Send> sends;
@@ -135,8 +135,8 @@
     std::string health;
     Point until;  // of a duty that was lost: when its lease ended, at the latest
 };
-using FleetEffect = std::variant<Send, ToDesk, Act, ResumeNow, AskDiscovery, UseList, UseReports, Reply,
-                                 Noted, UseFleet, UseSignals, UseParts, UseMemory, UseState, Keep>;
+using FleetEffect = std::variant<Send, CallVoterAgent, Act, ResumeNow, AskDiscovery, UseList, UseReports,
+                                 Reply, Noted, UseFleet, UseSignals, UseParts, UseMemory, UseState, Keep>;
 
 inline constexpr uint32_t probe_slices = 10;
 inline constexpr Span probe_lasts = seconds(0.3);  // until its answer, or its being given up
@@ -182,9 +182,9 @@
     void on(const Begun&);
     void on(Heard& heard);
     void on(const Ticked&);
-    void on(DeskSaid& said);
-    void on(const DoorAsked& asked);
-    void on(const DoorLeft& left);
+    void on(VoterAgentReported& said);
+    void on(const AdminRequest& asked);
+    void on(const AdminDisconnected& left);
     void on(ListSeen& seen);
     void on(ProbesSeen& seen);
     void on(const Refused& refused);
@@ -221,7 +221,7 @@
     Holder holder_;
     Granter granter_;
     Table table_;  // as committed, at a voter
-    std::optional<DeskStanding> standing_;
+    std::optional<VoterStatus> standing_;
     std::map<DiskId, Member> disks_;  // of voters, as heard of
     std::vector<FleetEffect> effects_;
     std::vector<std::pair<Member, Message>> to_self_;
@@ -256,8 +256,8 @@
     bool older_told_ = false;
 
     std::map<uint64_t, Caller> callers_;  // of orders on their way to the leader
-    std::map<uint64_t, std::pair<Member, uint64_t>> desk_orders_;
-    uint64_t next_order_ = 1, next_desk_ = uint64_t{1} << 63;
+    std::map<uint64_t, std::pair<Member, uint64_t>> voter_orders_;
+    uint64_t next_order_ = 1, next_voter_order_ = uint64_t{1} << 63;
     std::optional<uint64_t> turn_;  // the caller who waits for it
     bool wants_turn_ = false, twin_told_ = false, stopping_ = false;
 };
--- a/src/fleet/host.cpp
+++ b/src/fleet/host.cpp
@@ -17,7 +17,7 @@
 using net::to_timeval;
 
 constexpr const char* incarnation_file = "member";
-constexpr Span tick_every = seconds(0.05), desk_ticks_every = seconds(0.02);
+constexpr Span tick_every = seconds(0.05), voter_tick_every = seconds(0.02);
 
 struct MemberRecord {
     std::string fleet, member;
@@ -49,18 +49,18 @@
     return {int64_t{at.tv_sec} * 1'000'000 + at.tv_nsec / 1000};
 }
 
-DeskThread::DeskThread(event_base* base, const FleetFile& file, Files& files, uint64_t seed,
-                       std::function<void(DeskEffect)> said)
+VoterAgentThread::VoterAgentThread(event_base* base, const FleetFile& file, Files& files, uint64_t seed,
+                                   std::function<void(VoterAgentEffect)> said)
     : file_(file), files_(files), said_(std::move(said)), wakes_loop_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
 {
     waking_.reset(event_new(
         base, wakes_loop_.fd(), EV_READ | EV_PERSIST,
-        [](evutil_socket_t, short, void* self) { static_cast<DeskThread*>(self)->heard(); }, this));
+        [](evutil_socket_t, short, void* self) { static_cast<VoterAgentThread*>(self)->heard(); }, this));
     event_add(waking_.get(), nullptr);
     thread_ = std::thread([this, seed] { run(seed); });
 }
 
-DeskThread::~DeskThread()
+VoterAgentThread::~VoterAgentThread()
 {
     {
         const std::lock_guard lock(mutex_);
@@ -70,7 +70,7 @@
     thread_.join();
 }
 
-void DeskThread::call(ToDesk call)
+void VoterAgentThread::call(CallVoterAgent call)
 {
     {
         const std::lock_guard lock(mutex_);
@@ -81,58 +81,59 @@
     more_.notify_one();
 }
 
-void DeskThread::out(std::vector<DeskEffect> effects)
+void VoterAgentThread::out(std::vector<VoterAgentEffect> effects)
 {
     if (effects.empty()) return;
     {
         const std::lock_guard lock(mutex_);
-        for (DeskEffect& e : effects) effects_.push_back(std::move(e));
+        for (VoterAgentEffect& e : effects) effects_.push_back(std::move(e));
     }
     const uint64_t one = 1;
     (void)!write(wakes_loop_.fd(), &one, sizeof one);
 }
 
-void DeskThread::heard()
+void VoterAgentThread::heard()
 {
     uint64_t count = 0;
     (void)!read(wakes_loop_.fd(), &count, sizeof count);
-    std::deque<DeskEffect> effects;
+    std::deque<VoterAgentEffect> effects;
     {
         const std::lock_guard lock(mutex_);
         effects.swap(effects_);
     }
-    for (DeskEffect& e : effects) said_(std::move(e));
+    for (VoterAgentEffect& e : effects) said_(std::move(e));
 }
 
-void DeskThread::run(uint64_t seed)
+void VoterAgentThread::run(uint64_t seed)
 {
-    Desk desk(file_, files_, VoterTimes{}, seed);
-    out(desk.start(fleet_now()));
+    VoterAgent voter_agent(file_, files_, VoterTimes{}, seed);
+    out(voter_agent.start(fleet_now()));
     Point tick = fleet_now();
     std::unique_lock lock(mutex_);
     while (!stop_) {
-        const Span wait = tick + desk_ticks_every - fleet_now();
+        const Span wait = tick + voter_tick_every - fleet_now();
         if (calls_.empty() && wait > Span{}) more_.wait_for(lock, std::chrono::microseconds(wait.us));
         if (stop_) break;
-        std::deque<ToDesk> calls;
+        std::deque<CallVoterAgent> calls;
         calls.swap(calls_);
         lock.unlock();
-        for (ToDesk& c : calls) {
+        for (CallVoterAgent& c : calls) {
             const Point now = fleet_now();
-            if (auto* w = std::get_if<std::pair<Member, Word>>(&c.call))
-                out(desk.word(now, w->first, w->second));
+            if (auto* w = std::get_if<std::pair<Member, DiskReport>>(&c.call))
+                out(voter_agent.on_disk_report(now, w->first, w->second));
             else if (auto* f = std::get_if<std::pair<Member, Founded>>(&c.call))
-                out(desk.founded(now, f->first, f->second));
+                out(voter_agent.founded(now, f->first, f->second));
             else if (auto* r = std::get_if<RaftSent>(&c.call))
-                out(desk.raft(now, *r));
+                out(voter_agent.raft(now, *r));
             else if (auto* p = std::get_if<Propose>(&c.call))
-                out(desk.propose(now, *p));
+                out(voter_agent.propose(now, *p));
             else if (auto* o = std::get_if<Seating>(&c.call))
-                out(o->in ? desk.let_in(now, o->name, o->member) : desk.put_out(now, o->name, o->member));
+                out(o->in ? voter_agent.add_voter(now, o->name, o->member)
+                          : voter_agent.remove_voter(now, o->name, o->member));
         }
-        if (const Point now = fleet_now(); now - tick >= desk_ticks_every) {
+        if (const Point now = fleet_now(); now - tick >= voter_tick_every) {
             tick = now;
-            out(desk.tick(now));
+            out(voter_agent.tick(now));
         }
         lock.lock();
     }
@@ -232,7 +233,7 @@
              [this](Member from, Message m) {
                  tell(Heard{from, std::move(m)});
              }),
-      tellers_(base, [this](const std::string& duty, Epoch epoch) {
+      duty_notifier_(base, [this](const std::string& duty, Epoch epoch) {
           tell(Refused{duty, epoch});
       })
 {
@@ -247,8 +248,9 @@
 void Host::start()
 {
     if (file_.members[file_.self].voter)
-        desk_ = std::make_unique<DeskThread>(base_, file_, folder_, draw(),
-                                             [this](DeskEffect e) { tell(DeskSaid{std::move(e)}); });
+        voter_agent_ = std::make_unique<VoterAgentThread>(
+            base_, file_, folder_, draw(),
+            [this](VoterAgentEffect e) { tell(VoterAgentReported{std::move(e)}); });
     if (file_.recovery) {
         tell(recall());
         keeper_ = std::make_unique<Keeper>(folder_, boot_id());
@@ -318,7 +320,8 @@
 {
     const auto gate = [&] { return passes(a.duty, a.epoch, a.lasts); };
     if (const auto* told = std::get_if<fleet::Tell>(&a.what))
-        return tellers_.tell(told->address, {a.duty, file_.id, a.epoch, told->number, told->left_ms}, gate);
+        return duty_notifier_.tell(told->address, {a.duty, file_.id, a.epoch, told->number, told->left_ms},
+                                   gate);
     if (!gate()) return;
     if (const auto* publish = std::get_if<Publish>(&a.what)) {
         for (const Send& s : publish->sends) peers_.send(s.to, s.message);
@@ -332,8 +335,8 @@
 void Host::carry_out(FleetEffect& effect)
 {
     if (auto* send = std::get_if<Send>(&effect)) return peers_.send(send->to, send->message);
-    if (auto* desk = std::get_if<ToDesk>(&effect)) {
-        if (desk_) desk_->call(std::move(*desk));
+    if (auto* call = std::get_if<CallVoterAgent>(&effect)) {
+        if (voter_agent_) voter_agent_->call(std::move(*call));
         return;
     }
     if (auto* a = std::get_if<Act>(&effect)) return act(*a);
--- a/src/fleet/host.h
+++ b/src/fleet/host.h
@@ -7,9 +7,9 @@
 #include <mutex>
 #include <thread>
 
+#include "duty_notifier.h"
 #include "fleet.h"
 #include "peers.h"
-#include "tellers.h"
 
 namespace firtide::fleet
 {
@@ -19,31 +19,31 @@
     using std::runtime_error::runtime_error;
 };
 
-// The voter's desk on a thread of its own, which may wait for the disk as long as it takes.
-class DeskThread
+// The voter agent on a thread of its own, which may wait for the disk as long as it takes.
+class VoterAgentThread
 {
   public:
     // said: called on the loop.
-    DeskThread(event_base* base, const FleetFile& file, Files& files, uint64_t seed,
-               std::function<void(DeskEffect)> said);
-    ~DeskThread();
+    VoterAgentThread(event_base* base, const FleetFile& file, Files& files, uint64_t seed,
+                     std::function<void(VoterAgentEffect)> said);
+    ~VoterAgentThread();
 
-    void call(ToDesk call);
+    void call(CallVoterAgent call);
 
   private:
     void run(uint64_t seed);
-    void out(std::vector<DeskEffect> effects);
+    void out(std::vector<VoterAgentEffect> effects);
     void heard();
 
     const FleetFile& file_;
     Files& files_;
-    std::function<void(DeskEffect)> said_;
+    std::function<void(VoterAgentEffect)> said_;
     net::Descriptor wakes_loop_;
     net::Timer waking_;
     std::mutex mutex_;
     std::condition_variable more_;
-    std::deque<ToDesk> calls_;
-    std::deque<DeskEffect> effects_;
+    std::deque<CallVoterAgent> calls_;
+    std::deque<VoterAgentEffect> effects_;
     bool stop_ = false;
     std::thread thread_;
 };
@@ -120,8 +120,8 @@
     Incarnation kept_ = 0;
     Fleet fleet_;
     Peers peers_;
-    Tellers tellers_;
-    std::unique_ptr<DeskThread> desk_;
+    DutyNotifier duty_notifier_;
+    std::unique_ptr<VoterAgentThread> voter_agent_;
     std::unique_ptr<Keeper> keeper_;
     std::string kept_trouble_;
     net::Timer ticking_;
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -94,7 +94,7 @@
     return XXH3_64bits(said.data(), said.size() * sizeof(uint64_t));
 }
 
-Rumor Members::rumor_of(Member m) const
+MembershipUpdate Members::update_of(Member m) const
 {
     const One& o = all_[m];
     return {file_.members[m].key, static_cast<uint8_t>(o.health), o.incarnation, o.life, o.weight};
@@ -115,11 +115,11 @@
     send(to, p);
 }
 
-void Members::spread(const std::vector<Rumor>& rumors, Member not_to)
+void Members::spread(const std::vector<MembershipUpdate>& updates, Member not_to)
 {
-    if (rumors.empty()) return;
+    if (updates.empty()) return;
     for (const Member m : neighbours_)
-        if (m != not_to) send(m, Rumors{rumors, false});
+        if (m != not_to) send(m, MembershipUpdates{updates, false});
 }
 
 bool Members::accept(Point now, Member m, Health health, Incarnation incarnation, Life life, uint8_t weight)
@@ -133,7 +133,7 @@
             (health == Health::alive && (incarnation == o.incarnation || life == o.life)))
             return false;
         o.incarnation = incarnation + 1;
-        spread({rumor_of(self_)}, nobody);
+        spread({update_of(self_)}, nobody);
         return false;
     }
     if (incarnation < o.incarnation || (incarnation == o.incarnation && health <= o.health)) return false;
@@ -162,13 +162,13 @@
 {
     if (all_[from].incarnation < p.incarnation &&
         accept(now, from, Health::alive, p.incarnation, p.life, p.weight))
-        spread({rumor_of(from)}, from);
+        spread({update_of(from)}, from);
     if (p.held != static_cast<uint8_t>(Health::alive) && p.held_at)
         accept(now, self_, Health::suspect, p.held_at, 0, 0);
     else if (p.held_at > incarnation())
         accept(now, self_, Health::suspect, p.held_at, 0, 0);
     if (!p.answers) ping(now, from, p.number);
-    // Mends what rumours have lost. Guards against telling all, again and again, where files name other
+    // Repairs what gossip has lost. Guards against telling all, again and again, where files name other
     // members.
     Watch& w = watch_[from];
     if (p.view == view()) {
@@ -177,9 +177,9 @@
     } else if (now - w.differs_since > period_ && now - w.exchanged > w.exchange_after) {
         w.exchanged = now;
         w.exchange_after = std::min(longest_exchange, w.exchange_after * 2);
-        Rumors all{{}, true};
+        MembershipUpdates all{{}, true};
         for (Member m = 0; m < all_.size(); ++m)
-            if (all_[m].incarnation) all.all.push_back(rumor_of(m));
+            if (all_[m].incarnation) all.all.push_back(update_of(m));
         send(from, std::move(all));
     }
 }
@@ -201,20 +201,20 @@
     watch_[*m].heard = now;
 }
 
-void Members::on(Point now, Member from, const Rumors& rumors)
+void Members::on(Point now, Member from, const MembershipUpdates& updates)
 {
-    std::vector<Rumor> news;
-    for (const Rumor& r : rumors.all) {
+    std::vector<MembershipUpdate> news;
+    for (const MembershipUpdate& r : updates.all) {
         const auto m = file_.member_of(r.member);
         if (!m || r.health > static_cast<uint8_t>(Health::gone)) continue;
         if (accept(now, *m, static_cast<Health>(r.health), r.incarnation, r.life, r.weight))
-            news.push_back(rumor_of(*m));
+            news.push_back(update_of(*m));
     }
     spread(news, from);
-    if (!rumors.answer) return;
-    Rumors back{{}, false};
+    if (!updates.answer) return;
+    MembershipUpdates back{{}, false};
     for (Member m = 0; m < all_.size(); ++m)
-        if (all_[m].incarnation) back.all.push_back(rumor_of(m));
+        if (all_[m].incarnation) back.all.push_back(update_of(m));
     send(from, std::move(back));
 }
 
@@ -223,13 +223,13 @@
     One& o = all_[self_];
     o.weight = weight;
     ++o.incarnation;
-    spread({rumor_of(self_)}, nobody);
+    spread({update_of(self_)}, nobody);
 }
 
 void Members::leave(Point)
 {
     left_ = true;
-    Rumor r = rumor_of(self_);
+    MembershipUpdate r = update_of(self_);
     r.health = static_cast<uint8_t>(Health::gone);
     spread({r}, nobody);
 }
@@ -241,7 +241,7 @@
         for (Watch& w : watch_) w.heard = std::max(w.heard, now - period_);
     woken_ = now;
     std::erase_if(asked_for_, [&](const auto& a) { return now - a.second.second > period_ * 3; });
-    std::vector<Rumor> found;
+    std::vector<MembershipUpdate> found;
     for (const Member m : std::vector<Member>(neighbours_)) {
         Watch& w = watch_[m];
         if (now - w.pinged >= period_) ping(now, m);
@@ -258,16 +258,16 @@
         } else if (w.asking && now - w.asked > period_ * suspect_after) {
             w.asking = false;
             if (accept(now, m, Health::suspect, all_[m].incarnation, 0, all_[m].weight))
-                found.push_back(rumor_of(m));
+                found.push_back(update_of(m));
         }
     }
     std::vector<Member> gone;
     for (Member m = 0; m < all_.size(); ++m) {
         if (all_[m].health == Health::gone) gone.push_back(m);
         if (all_[m].health != Health::suspect || now - all_[m].since <= period_ * gone_after) continue;
-        const bool rumoured = all_[m].incarnation > 0;
-        if (accept(now, m, Health::gone, all_[m].incarnation, 0, all_[m].weight) && rumoured)
-            found.push_back(rumor_of(m));
+        const bool known = all_[m].incarnation > 0;
+        if (accept(now, m, Health::gone, all_[m].incarnation, 0, all_[m].weight) && known)
+            found.push_back(update_of(m));
     }
     spread(found, nobody);
     // Those that are gone are tried in turn: two halves that hold each other for gone find together again.
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -1,5 +1,5 @@
 // Who of the fleet is there: alive, suspect or gone, each at an incarnation. Each member watches a few
-// others, which follow from their ids, whatever the size of the fleet; what it finds goes round by rumour. No
+// others, which follow from their ids, whatever the size of the fleet; what it finds is gossiped. No
 // I/O, no clock.
 #pragma once
 
@@ -51,7 +51,7 @@
     void on(Point now, Member from, const Ping& ping);
     void on(Point now, Member from, const Ask& ask);
     void on(Point now, Member from, const Reached& reached);
-    void on(Point now, Member from, const Rumors& rumors);
+    void on(Point now, Member from, const MembershipUpdates& updates);
     void leave(Point now);       // says that it is gone
     void weigh(uint8_t weight);  // tells all of its own
 
@@ -81,8 +81,8 @@
     void ping(Point now, Member to, uint64_t answers = 0);
     // True where it is news.
     bool accept(Point now, Member m, Health health, Incarnation incarnation, Life life, uint8_t weight);
-    void spread(const std::vector<Rumor>& rumors, Member not_to);
-    Rumor rumor_of(Member m) const;
+    void spread(const std::vector<MembershipUpdate>& updates, Member not_to);
+    MembershipUpdate update_of(Member m) const;
     void find_neighbours();
     bool looked_after(Member m) const;
     uint64_t view() const;
--- a/src/fleet/memory.h
+++ b/src/fleet/memory.h
@@ -6,7 +6,7 @@
 #include <variant>
 #include <vector>
 
-#include "words.h"
+#include "messages.h"
 
 namespace firtide::fleet
 {
--- a/src/fleet/words.cpp
+++ b/src/fleet/messages.cpp
@@ -1,4 +1,4 @@
-#include "words.h"
+#include "messages.h"
 
 #include <xxhash.h>
 
@@ -69,7 +69,7 @@
 {
     if (std::get_if<News>(&message) || std::get_if<Digest>(&message)) return Urgency::news;
     if (std::get_if<Ping>(&message) || std::get_if<Ask>(&message) || std::get_if<Reached>(&message) ||
-        std::get_if<Rumors>(&message) || std::get_if<WantNews>(&message) ||
+        std::get_if<MembershipUpdates>(&message) || std::get_if<WantNews>(&message) ||
         std::get_if<WantParts>(&message) || std::get_if<GivenParts>(&message))
         return Urgency::members;
     return Urgency::leases;
--- a/src/fleet/words.h
+++ b/src/fleet/messages.h
@@ -34,7 +34,7 @@
     Life life = 0;
     MSGPACK_DEFINE(fleet, version, from, to, life)
 };
-struct Rumor {
+struct MembershipUpdate {
     Key member = 0;
     uint8_t health = 0;
     Incarnation incarnation = 0;
@@ -67,8 +67,8 @@
     Incarnation incarnation = 0;
     MSGPACK_DEFINE(member, incarnation)
 };
-struct Rumors {
-    std::vector<Rumor> all;
+struct MembershipUpdates {
+    std::vector<MembershipUpdate> all;
     bool answer = false;  // with all that the receiver holds
     MSGPACK_DEFINE(all, answer)
 };
@@ -84,7 +84,7 @@
     uint64_t writes = 0;
     MSGPACK_DEFINE(disk, writes)
 };
-struct Word {  // of a voter, to the other voters
+struct DiskReport {  // of a voter, to the other voters
     DiskId disk = 0;
     uint8_t stage = 0;
     uint64_t writes = 0;
@@ -218,8 +218,8 @@
 };
 
 using Message =
-    std::variant<Hello, Ping, Ask, Reached, Rumors, RaftSent, Word, Founded, Renew, Renewed, Refer, Revoke,
-                 Released, Order, Obeyed, News, WantNews, Digest, WantParts, GivenParts>;
+    std::variant<Hello, Ping, Ask, Reached, MembershipUpdates, RaftSent, DiskReport, Founded, Renew, Renewed,
+                 Refer, Revoke, Released, Order, Obeyed, News, WantNews, Digest, WantParts, GivenParts>;
 
 inline constexpr uint32_t wire_version = 1;
 inline constexpr size_t most_message = 4 << 20;  // bytes
--- a/src/fleet/subset.h
+++ b/src/fleet/subset.h
@@ -5,8 +5,8 @@
 #include <optional>
 #include <vector>
 
+#include "messages.h"
 #include "rules.h"
-#include "words.h"
 
 namespace firtide::fleet
 {
--- a/src/fleet/table.h
+++ b/src/fleet/table.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "words.h"
+#include "messages.h"
 
 namespace firtide::fleet
 {
--- a/src/fleet/voter.cpp
+++ b/src/fleet/voter.cpp
@@ -523,7 +523,7 @@
     });
 }
 
-std::vector<VoterEffect> Voter::let_in(Point now, uint64_t name, const Seat& seat)
+std::vector<VoterEffect> Voter::add_voter(Point now, uint64_t name, const Seat& seat)
 {
     return after(now, [&] {
         State& s = *state_;
@@ -541,7 +541,7 @@
     });
 }
 
-std::vector<VoterEffect> Voter::put_out(Point now, uint64_t name, DiskId disk)
+std::vector<VoterEffect> Voter::remove_voter(Point now, uint64_t name, DiskId disk)
 {
     return after(now, [&] {
         State& s = *state_;
--- a/src/fleet/voter.h
+++ b/src/fleet/voter.h
@@ -84,8 +84,8 @@
     std::vector<VoterEffect> receive(Point now, DiskId from, std::string_view bytes);
     std::vector<VoterEffect> propose(Point now, uint64_t name, const std::string& bytes);
     // One change of who votes at a time.
-    std::vector<VoterEffect> let_in(Point now, uint64_t name, const Seat& seat);
-    std::vector<VoterEffect> put_out(Point now, uint64_t name, DiskId disk);
+    std::vector<VoterEffect> add_voter(Point now, uint64_t name, const Seat& seat);
+    std::vector<VoterEffect> remove_voter(Point now, uint64_t name, DiskId disk);
     std::vector<VoterEffect> hand_over(Point now, DiskId to);  // leadership; zero: to anyone
 
   private:
--- a/src/fleet/desk.cpp
+++ b/src/fleet/voter_agent.cpp
@@ -1,4 +1,4 @@
-#include "desk.h"
+#include "voter_agent.h"
 
 #include <algorithm>
 
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-struct Desk::Copy : Machine {
+struct VoterAgent::Copy : Machine {
     Table table;
     void apply(std::string_view command) override
     {
@@ -21,21 +21,21 @@
     void restore(std::string_view snapshot) override { table.decode(snapshot); }
 };
 
-Desk::Desk(const FleetFile& file, Files& files, VoterTimes times, uint64_t seed)
+VoterAgent::VoterAgent(const FleetFile& file, Files& files, VoterTimes times, uint64_t seed)
     : file_(file), files_(files), times_(times), chance_(static_cast<uint32_t>(seed ^ seed >> 32))
 {
 }
 
-Desk::~Desk() = default;
+VoterAgent::~VoterAgent() = default;
 
-DiskId Desk::draw_disk()
+DiskId VoterAgent::draw_disk()
 {
     DiskId disk = 0;
     while (!disk) disk = uint64_t{chance_()} << 40 ^ uint64_t { chance_() } << 20 ^ chance_();
     return disk;
 }
 
-void Desk::open(Point now)
+void VoterAgent::open(Point now)
 {
     voter_.reset();
     copy_ = std::make_unique<Copy>();
@@ -43,7 +43,7 @@
     standing_ = {};
     told_version_ = UINT64_MAX;
     trouble_.clear();
-    letting_.clear();
+    promotions_.clear();
     opened_ = now;
     switch (const auto opened = store_->open(file_.name, file_.id, draw_disk())) {
         case Opened::fresh:
@@ -63,7 +63,7 @@
     }
 }
 
-void Desk::begin(Point now, const std::vector<Seat>& founders)
+void VoterAgent::begin(Point now, const std::vector<Seat>& founders)
 {
     voter_.reset();
     voter_ = std::make_unique<Voter>(*store_, times_, chance_(), *copy_);
@@ -72,25 +72,25 @@
 }
 
 // The voter whose key is the lowest says who votes in a new log: never two say so.
-bool Desk::speaks_first() const
+bool VoterAgent::speaks_first() const
 {
     for (const MemberLine& m : file_.members)
         if (m.voter && m.key < file_.members[file_.self].key) return false;
     return true;
 }
 
-bool Desk::all_empty(Point now) const
+bool VoterAgent::all_empty(Point now) const
 {
     for (Member m = 0; m < file_.members.size(); ++m) {
         if (!file_.members[m].voter || m == file_.self) continue;
         const auto at = heard_.find(m);
         if (at == heard_.end() || now - at->second.at > heard_for) return false;
-        if (at->second.word.stage != static_cast<uint8_t>(Stage::empty)) return false;
+        if (at->second.report.stage != static_cast<uint8_t>(Stage::empty)) return false;
     }
     return true;
 }
 
-void Desk::look(Point now)
+void VoterAgent::look(Point now)
 {
     if (store_->failed() && stage_ != Stage::failed) {
         stage_ = Stage::failed;
@@ -105,7 +105,7 @@
         trouble_.clear();
     } else if (stage_ == Stage::empty && speaks_first() && all_empty(now)) {
         std::vector<Seat> seats{{own, file_.id, true}};
-        for (const auto& [m, heard] : heard_) seats.push_back({heard.word.disk, file_.members[m].id, true});
+        for (const auto& [m, heard] : heard_) seats.push_back({heard.report.disk, file_.members[m].id, true});
         begin(now, seats);
         stage_ = Stage::voting;
     } else if (stage_ == Stage::checking) {
@@ -116,7 +116,7 @@
         for (const auto& [m, heard] : heard_) {
             if (heard.at < opened_) continue;
             ++answers;
-            for (const SeenDisk& seen : heard.word.seen)
+            for (const SeenDisk& seen : heard.report.seen)
                 if (seen.disk == own) writes = std::max(writes, seen.writes);
         }
         if (writes > store_->written()) {
@@ -131,7 +131,7 @@
     }
 }
 
-void Desk::take(std::vector<VoterEffect> effects)
+void VoterAgent::take(std::vector<VoterEffect> effects)
 {
     for (VoterEffect& e : effects) {
         if (auto* send = std::get_if<SendRaft>(&e)) {
@@ -148,49 +148,49 @@
     }
 }
 
-void Desk::say(Point now)
+void VoterAgent::say(Point now)
 {
     said_ = now;
-    Word w{store_->owner().disk, static_cast<uint8_t>(stage_), store_->written(), {}};
+    DiskReport w{store_->owner().disk, static_cast<uint8_t>(stage_), store_->written(), {}};
     for (const auto& [disk, writes] : seen_) w.seen.push_back({disk, writes});
-    effects_.push_back(SayWord{std::move(w)});
+    effects_.push_back(BroadcastDiskReport{std::move(w)});
     // Until the log has grown beyond its founding, there may be voters that have not heard of it.
     if (stage_ != Stage::voting || !speaks_first() || store_->kept().last() != 1 ||
         store_->kept().snapshot.index)
         return;
     Founded f;
     for (const Seat& seat : standing_.seats) f.voters.emplace_back(seat.member, seat.disk);
-    if (!f.voters.empty()) effects_.push_back(SayFounded{std::move(f)});
+    if (!f.voters.empty()) effects_.push_back(BroadcastFounded{std::move(f)});
 }
 
-std::vector<DeskEffect> Desk::out(Point now)
+std::vector<VoterAgentEffect> VoterAgent::out(Point now)
 {
     look(now);
     // Of changes that were accepted, the next step.
-    std::vector<std::pair<uint64_t, Letting>> next;
-    for (const DeskEffect& e : effects_)
+    std::vector<std::pair<uint64_t, Promotion>> next;
+    for (const VoterAgentEffect& e : effects_)
         if (const auto* p = std::get_if<Proposed>(&e)) {
-            const auto at = letting_.find(p->name);
-            if (at == letting_.end()) continue;
-            Letting letting = at->second;
-            letting_.erase(at);
-            if (p->well && ++letting.step < 3) next.emplace_back(p->name, letting);
+            const auto at = promotions_.find(p->name);
+            if (at == promotions_.end()) continue;
+            Promotion promotion = at->second;
+            promotions_.erase(at);
+            if (p->well && ++promotion.step < 3) next.emplace_back(p->name, promotion);
         }
-    for (const auto& [name, letting] : next) {
+    for (const auto& [name, promotion] : next) {
         DiskId before = 0;
         for (const Seat& s : standing_.seats)
-            if (s.member == letting.seat.member && s.disk != letting.seat.disk) before = s.disk;
-        if (letting.step == 2 && !before) continue;
+            if (s.member == promotion.seat.member && s.disk != promotion.seat.disk) before = s.disk;
+        if (promotion.step == 2 && !before) continue;
         // It is told of as done only with its last step.
-        std::erase_if(effects_, [n = name](const DeskEffect& e) {
+        std::erase_if(effects_, [n = name](const VoterAgentEffect& e) {
             const auto* p = std::get_if<Proposed>(&e);
             return p && p->name == n;
         });
-        letting_[name] = letting;
-        take(letting.step == 1 ? voter_->let_in(now, name, letting.seat)
-                               : voter_->put_out(now, name, before));
+        promotions_[name] = promotion;
+        take(promotion.step == 1 ? voter_->add_voter(now, name, promotion.seat)
+                                 : voter_->remove_voter(now, name, before));
     }
-    DeskStanding standing{standing_, stage_, store_->owner().disk, trouble_};
+    VoterStatus standing{standing_, stage_, store_->owner().disk, trouble_};
     if (stage_ != Stage::voting) standing.standing.role = Role::none;
     if (standing.trouble.empty()) standing.trouble = standing_.trouble;
     if (!told_ || !(*told_ == standing)) {
@@ -202,31 +202,31 @@
     return std::exchange(effects_, {});
 }
 
-std::vector<DeskEffect> Desk::start(Point now)
+std::vector<VoterAgentEffect> VoterAgent::start(Point now)
 {
     open(now);
     return out(now);
 }
 
-std::vector<DeskEffect> Desk::tick(Point now)
+std::vector<VoterAgentEffect> VoterAgent::tick(Point now)
 {
     if (voter_ && !store_->failed()) take(voter_->tick(now));
     if (now - said_ >= say_every) say(now);
     return out(now);
 }
 
-std::vector<DeskEffect> Desk::word(Point now, Member from, const Word& word)
+std::vector<VoterAgentEffect> VoterAgent::on_disk_report(Point now, Member from, const DiskReport& report)
 {
-    if (!file_.members[from].voter || word.stage > static_cast<uint8_t>(Stage::refused)) return {};
-    heard_[from] = {word, now};
-    auto& seen = seen_[word.disk];
-    seen = std::max(seen, word.writes);
+    if (!file_.members[from].voter || report.stage > static_cast<uint8_t>(Stage::refused)) return {};
+    heard_[from] = {report, now};
+    auto& seen = seen_[report.disk];
+    seen = std::max(seen, report.writes);
     // What a third voter has seen is worth as much: the one that saw it may be gone.
-    for (const SeenDisk& s : word.seen) seen_[s.disk] = std::max(seen_[s.disk], s.writes);
+    for (const SeenDisk& s : report.seen) seen_[s.disk] = std::max(seen_[s.disk], s.writes);
     return out(now);
 }
 
-std::vector<DeskEffect> Desk::founded(Point now, Member from, const Founded& founded)
+std::vector<VoterAgentEffect> VoterAgent::founded(Point now, Member from, const Founded& founded)
 {
     const auto& kept = store_->kept();
     if (!file_.members[from].voter || stage_ != Stage::empty || kept.term != 0 || kept.last() != 0) return {};
@@ -242,7 +242,7 @@
     return out(now);
 }
 
-std::vector<DeskEffect> Desk::raft(Point now, const RaftSent& sent)
+std::vector<VoterAgentEffect> VoterAgent::raft(Point now, const RaftSent& sent)
 {
     auto& seen = seen_[sent.from];
     seen = std::max(seen, sent.writes);
@@ -252,7 +252,7 @@
     return out(now);
 }
 
-std::vector<DeskEffect> Desk::propose(Point now, const Propose& propose)
+std::vector<VoterAgentEffect> VoterAgent::propose(Point now, const Propose& propose)
 {
     if (stage_ == Stage::voting && !store_->failed())
         take(voter_->propose(now, propose.name, pack(propose.commands)));
@@ -261,7 +261,7 @@
     return out(now);
 }
 
-std::vector<DeskEffect> Desk::let_in(Point now, uint64_t name, const std::string& id)
+std::vector<VoterAgentEffect> VoterAgent::add_voter(Point now, uint64_t name, const std::string& id)
 {
     const auto member = file_.member_of(std::string_view(id));
     const auto at = member ? heard_.find(*member) : heard_.end();
@@ -269,7 +269,7 @@
         effects_.push_back(Proposed{name, false, "nothing has been heard of its disk lately"});
         return out(now);
     }
-    const Seat seat{at->second.word.disk, id, true};
+    const Seat seat{at->second.report.disk, id, true};
     for (const Seat& s : standing_.seats)
         if (s.disk == seat.disk && s.votes) {
             effects_.push_back(Proposed{name, true, "it votes already"});
@@ -277,23 +277,23 @@
         }
     const bool added = std::any_of(standing_.seats.begin(), standing_.seats.end(),
                                    [&](const Seat& s) { return s.disk == seat.disk; });
-    letting_[name] = {seat, added ? 1 : 0};
-    take(voter_->let_in(now, name, seat));
+    promotions_[name] = {seat, added ? 1 : 0};
+    take(voter_->add_voter(now, name, seat));
     return out(now);
 }
 
-std::vector<DeskEffect> Desk::put_out(Point now, uint64_t name, const std::string& member)
+std::vector<VoterAgentEffect> VoterAgent::remove_voter(Point now, uint64_t name, const std::string& member)
 {
     for (const Seat& s : standing_.seats)
         if (stage_ == Stage::voting && s.member == member) {
-            take(voter_->put_out(now, name, s.disk));
+            take(voter_->remove_voter(now, name, s.disk));
             return out(now);
         }
     effects_.push_back(Proposed{name, false, "it has no vote"});
     return out(now);
 }
 
-std::vector<DeskEffect> Desk::lead_no_more(Point now)
+std::vector<VoterAgentEffect> VoterAgent::step_down(Point now)
 {
     if (stage_ == Stage::voting) take(voter_->hand_over(now, 0));
     return out(now);
--- a/src/fleet/desk.h
+++ b/src/fleet/voter_agent.h
@@ -13,52 +13,53 @@
 namespace firtide::fleet
 {
 
-struct SayWord {  // to all other voters
-    Word word;
+struct BroadcastDiskReport {  // to all other voters
+    DiskReport report;
 };
-struct SayFounded {
+struct BroadcastFounded {
     Founded founded;
 };
 struct TableIs {  // as committed
     Table table;
 };
-struct DeskStanding {
+struct VoterStatus {
     Standing standing;
     Stage stage = Stage::empty;
     DiskId disk = 0;
     std::string trouble;
 
-    bool operator==(const DeskStanding&) const = default;
+    bool operator==(const VoterStatus&) const = default;
 };
-using DeskEffect = std::variant<SendRaft, SayWord, SayFounded, TableIs, Proposed, DeskStanding>;
+using VoterAgentEffect =
+    std::variant<SendRaft, BroadcastDiskReport, BroadcastFounded, TableIs, Proposed, VoterStatus>;
 
-class Desk
+class VoterAgent
 {
   public:
     // Stages: an empty disk waits to be founded or let in; one that has been written checks with other voters
     // that they know no more of it than it does; then it votes.
-    Desk(const FleetFile& file, Files& files, VoterTimes times, uint64_t seed);
-    ~Desk();
+    VoterAgent(const FleetFile& file, Files& files, VoterTimes times, uint64_t seed);
+    ~VoterAgent();
 
-    std::vector<DeskEffect> start(Point now);
-    std::vector<DeskEffect> tick(Point now);  // every 20 ms or so
-    std::vector<DeskEffect> word(Point now, Member from, const Word& word);
-    std::vector<DeskEffect> founded(Point now, Member from, const Founded& founded);
-    std::vector<DeskEffect> raft(Point now, const RaftSent& sent);
-    std::vector<DeskEffect> propose(Point now, const Propose& propose);
-    std::vector<DeskEffect> let_in(Point now, uint64_t name, const std::string& member);
-    std::vector<DeskEffect> put_out(Point now, uint64_t name, const std::string& member);
-    std::vector<DeskEffect> lead_no_more(Point now);
+    std::vector<VoterAgentEffect> start(Point now);
+    std::vector<VoterAgentEffect> tick(Point now);  // every 20 ms or so
+    std::vector<VoterAgentEffect> on_disk_report(Point now, Member from, const DiskReport& report);
+    std::vector<VoterAgentEffect> founded(Point now, Member from, const Founded& founded);
+    std::vector<VoterAgentEffect> raft(Point now, const RaftSent& sent);
+    std::vector<VoterAgentEffect> propose(Point now, const Propose& propose);
+    std::vector<VoterAgentEffect> add_voter(Point now, uint64_t name, const std::string& member);
+    std::vector<VoterAgentEffect> remove_voter(Point now, uint64_t name, const std::string& member);
+    std::vector<VoterAgentEffect> step_down(Point now);
 
   private:
     struct Copy;
     struct Heard {
-        Word word;
+        DiskReport report;
         Point at;
     };
-    // Letting one in takes up to three changes: it is added, given its vote, and the disk that it had before
-    // goes.
-    struct Letting {
+    // Promotion one in takes up to three changes: it is added, given its vote, and the disk that it had
+    // before goes.
+    struct Promotion {
         Seat seat;
         int step = 0;
     };
@@ -68,7 +69,7 @@
     void look(Point now);
     void say(Point now);
     void take(std::vector<VoterEffect> effects);
-    std::vector<DeskEffect> out(Point now);
+    std::vector<VoterAgentEffect> out(Point now);
     bool all_empty(Point now) const;
     bool speaks_first() const;
     DiskId draw_disk();
@@ -87,9 +88,9 @@
     Point said_, opened_, failed_at_;
     uint64_t told_version_ = UINT64_MAX;
     Standing standing_;
-    std::optional<DeskStanding> told_;
-    std::map<uint64_t, Letting> letting_;
-    std::vector<DeskEffect> effects_;
+    std::optional<VoterStatus> told_;
+    std::map<uint64_t, Promotion> promotions_;
+    std::vector<VoterAgentEffect> effects_;
 };
 
 }  // namespace firtide::fleet
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -43,8 +43,8 @@
     try {
         if (version->parsed()) return std::puts("firtide " FIRTIDE_VERSION) < 0;
         if (fleet_check->parsed()) return firtide::fleet::check_file(fleet_path);
-        if (fleet_status->parsed()) return firtide::fleet::ask_door(door, "show-fleet");
-        if (fleet_recovery->parsed()) return firtide::fleet::ask_door(door, "show-recovery");
+        if (fleet_status->parsed()) return firtide::fleet::ask_management(door, "show-fleet");
+        if (fleet_recovery->parsed()) return firtide::fleet::ask_management(door, "show-recovery");
         if (snapshot->parsed()) return firtide::fleet::check_snapshot(path, snapshot_dump->parsed());
         auto config = firtide::net::read_config(path);
         if (check->parsed()) {
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -111,7 +111,7 @@
         management_.emplace(base_.get(), *config_.door, [this](Event e) {
             const auto* ordered = std::get_if<Ordered>(&e);
             if (fleet_ && ordered && ordered->order == Order::resume)
-                fleet_->tell(fleet::DoorAsked{0, "turn-over", "", ""});
+                fleet_->tell(fleet::AdminRequest{0, "turn-over", "", ""});
             post(std::move(e));
         });
     if (fleet) {
@@ -127,7 +127,7 @@
         if (management_)
             management_->fleet_orders(
                 [this](OperatorId caller, const auto& words) { return ordered(caller, words); },
-                [this](OperatorId caller) { fleet_->tell(fleet::DoorLeft{caller}); });
+                [this](OperatorId caller) { fleet_->tell(fleet::AdminDisconnected{caller}); });
     }
     look_.reset(event_new(
         base_.get(), -1, EV_PERSIST,
@@ -230,11 +230,11 @@
     const auto word = [&](size_t i) { return i < words.size() ? words[i] : std::string(); };
     const bool one = words.size() == 2;
     if (one && word(0) == "drain" && word(1) == "turn")
-        fleet_->tell(fleet::DoorAsked{caller, "turn", "", ""});
+        fleet_->tell(fleet::AdminRequest{caller, "turn", "", ""});
     else if ((words.size() == 1 && (word(0) == "show-fleet" || word(0) == "show-recovery")) ||
              (word(0) == "hand-over" && (one || words.size() == 3)) ||
              (one && (word(0) == "let-in" || word(0) == "put-out")))
-        fleet_->tell(fleet::DoorAsked{caller, word(0), word(1), word(2)});
+        fleet_->tell(fleet::AdminRequest{caller, word(0), word(1), word(2)});
     else
         return false;
     return true;
--- a/tests/fleet_lab.cpp
+++ b/tests/fleet_lab.cpp
@@ -38,8 +38,8 @@
     std::printf("%s: %s\n", what, play(walk, 1, to, rule).walks ? "found" : "NOT FOUND");
 }
 
-// A leader stands still while another is elected; one holder reaches nobody else and goes on asking it. When it
-// wakes it finds those askings before it finds out that another leads.
+// A leader stands still while another is elected; one holder reaches nobody else and goes on asking it. When
+// it wakes it finds those askings before it finds out that another leads.
 size_t leader_asleep(bool confirm)
 {
     size_t broken = 0;
--- a/tests/recovery.cpp
+++ b/tests/recovery.cpp
@@ -69,7 +69,7 @@
         if (const auto* use = std::get_if<UseMemory>(&e))
             std::printf(" used, %zu reductions;", use->memory.reductions.size());
     fleet.reduce(now, Begun{});
-    for (const FleetEffect& e : fleet.reduce(now, DoorAsked{1, "show-recovery", "", ""}))
+    for (const FleetEffect& e : fleet.reduce(now, AdminRequest{1, "show-recovery", "", ""}))
         if (const auto* r = std::get_if<Reply>(&e))
             std::printf(" %s\n", r->text.substr(0, r->text.find('\n')).c_str());
 }
--- a/tests/rig_checker.cpp
+++ b/tests/rig_checker.cpp
@@ -66,7 +66,8 @@
         if (!to.starts_with("socket:[")) continue;
         const auto inode = " " + to.substr(8, to.size() - 9) + " ";
         const auto line = known.rfind('\n', known.find(inode));
-        listeners += known.find(inode) != std::string::npos && known.find(" 00000000:0000 0A ", line) < known.find('\n', line + 1);
+        listeners += known.find(inode) != std::string::npos &&
+                     known.find(" 00000000:0000 0A ", line) < known.find('\n', line + 1);
     }
     return std::to_string(threads) + " threads, " + std::to_string(listeners) + " listeners, " +
            std::to_string(events) + " eventfds, " + std::to_string(folders) + " files of its folder";
