Traffic of a member in show-fleet; queues to other members made at the first message

Peers had the counts and nobody could read them: they are a line of show-fleet now. The time at which a list of the fleet is in force is logged at the level debug, and a note is not put together where nobody logs it.

Queues to all other members were made at the start, some 2 KB each by the sizes of their parts, though a member speaks to few. They are made at the first message; addresses are checked at the start as before.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -442,7 +442,7 @@
 
 void Fleet::on(const AdminRequest& asked)
 {
-    if (asked.what == "show-fleet") return reply(asked.caller, show());
+    if (asked.what == "show-fleet") return reply(asked.caller, show(asked.traffic));
     if (asked.what == "show-recovery") return reply(asked.caller, show_recovery());
     if (asked.what == "turn") {
         if (!file_.drain) return reply(asked.caller, "FAILURE the fleet file has no [drain]\n");
@@ -708,7 +708,7 @@
     return out + "EOT\n";
 }
 
-std::string Fleet::show() const
+std::string Fleet::show(const std::optional<TrafficCounts>& traffic) const
 {
     const Term term = std::max(holder_.term(), standing_ ? standing_->standing.term : 0);
     Key leader = leader_key();
@@ -723,6 +723,7 @@
         if (!standing_->trouble.empty()) out += " trouble: " + standing_->trouble;
     }
     out += "\n";
+    if (traffic) out += text_of(*traffic);
     for (Member m = 0; m < file_.members.size(); ++m) {
         const auto& one = members_.of(m);
         // Whoever was never heard of is not there, whatever becomes of it later.
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -13,6 +13,7 @@
 #include "leases.h"
 #include "members.h"
 #include "recovery.h"
+#include "traffic.h"
 #include "view.h"
 #include "voter_agent.h"
 
@@ -35,6 +36,7 @@
     uint64_t caller = 0;
     std::string what, first,
         second;  // show-fleet, show-recovery, hand-over, let-in, put-out, turn, turn-over
+    std::optional<TrafficCounts> traffic{};  // of the member's connections, where it has any
 };
 struct AdminDisconnected {
     uint64_t caller = 0;
@@ -210,7 +212,7 @@
     void pass_on(const News& news, Member not_to);
     void reply(uint64_t caller, std::string text) { effects_.push_back(Reply{caller, std::move(text)}); }
     void order(uint64_t caller, const std::string& what, const std::string& first, const std::string& second);
-    std::string show() const;
+    std::string show(const std::optional<TrafficCounts>& traffic) const;
     Key leader_key() const;
 
     const FleetFile& file_;
--- a/src/fleet/host.cpp
+++ b/src/fleet/host.cpp
@@ -296,6 +296,7 @@
 // Events that come while effects are carried out wait for their turn.
 void Host::tell(FleetEvent event)
 {
+    if (auto* asked = std::get_if<AdminRequest>(&event)) asked->traffic = peers_.counts();
     events_.push_back(std::move(event));
     if (reducing_) return;
     reducing_ = true;
@@ -369,6 +370,7 @@
 // One line of JSON for each change that somebody may have to trace.
 void Host::note(const Noted& n)
 {
+    if (!spdlog::should_log(spdlog::level::info)) return;
     nlohmann::ordered_json line{
         {"boot_us", fleet_now().us}, {"fleet", file_.name}, {"member", file_.id}, {"event", n.event}};
     if (n.event == "gained" || n.event == "lost") {
--- a/src/fleet/host.h
+++ b/src/fleet/host.h
@@ -98,6 +98,8 @@
     // The gate, for what leaves later than it was ordered.
     bool passes(const std::string& duty, Epoch epoch, Span lasts = {});
     const FleetFile& file() const { return file_; }
+    const Fleet& fleet() const { return fleet_; }
+    const TrafficCounts& traffic() const { return peers_.counts(); }
 
     // Checks the folder of a fleet file as a start would, and lets go of it.
     static void check(const FleetFile& file, const std::string& path);
--- a/src/fleet/peers.cpp
+++ b/src/fleet/peers.cpp
@@ -87,22 +87,8 @@
     if (!listener_)
         throw std::runtime_error("cannot listen on " + file.listen + ": " +
                                  evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
-    for (Member m = 0; m < file.members.size(); ++m) {
-        if (m == file.self) continue;
-        Out& out = out_[m];
-        out.owner = this;
-        out.to = m;
-        out.address = address_of(file.members[m].address);
-        out.timer.reset(evtimer_new(
-            base,
-            [](evutil_socket_t, short, void* arg) {
-                auto* o = static_cast<Out*>(arg);
-                o->pausing = false;
-                if (o->stream && !o->connected) return o->owner->ended(*o);
-                o->owner->flush(*o);
-            },
-            &out));
-    }
+    for (Member m = 0; m < file.members.size(); ++m)
+        if (m != file.self) (void)address_of(file.members[m].address);
 }
 
 Peers::~Peers() = default;
@@ -193,12 +179,33 @@
     }
 }
 
+// Made at the first message. Most members never speak to each other: in a large fleet the memory of queues
+// to all of them is the larger part of a member's own.
+Peers::Out& Peers::out_of(Member to)
+{
+    const auto [at, made] = out_.try_emplace(to);
+    Out& out = at->second;
+    if (!made) return out;
+    out.owner = this;
+    out.to = to;
+    out.address = address_of(file_.members[to].address);
+    out.timer.reset(evtimer_new(
+        base_,
+        [](evutil_socket_t, short, void* arg) {
+            auto* o = static_cast<Out*>(arg);
+            o->pausing = false;
+            if (o->stream && !o->connected) return o->owner->ended(*o);
+            o->owner->flush(*o);
+        },
+        &out));
+    return out;
+}
+
 // Where there is no room, the least urgent goes first, and of these the oldest.
 void Peers::send(Member to, const Message& message)
 {
-    const auto found = out_.find(to);
-    if (found == out_.end()) return;
-    Out& out = found->second;
+    if (to == file_.self || to >= file_.members.size()) return;
+    Out& out = out_of(to);
     Waiting w{monotonic_now(), static_cast<uint16_t>(message.index()), encode_payload(message)};
     auto& own = out.waiting[static_cast<size_t>(urgency_of(message))];
     out.bytes += w.payload.size();
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -12,6 +12,7 @@
 
 #include "config.h"
 #include "src/net/event.h"
+#include "traffic.h"
 
 struct evconnlistener;
 
@@ -21,21 +22,13 @@
 class Peers
 {
   public:
-    struct Counts {
-        uint64_t messages_in = 0, messages_out = 0, bytes_in = 0, bytes_out = 0;
-        uint64_t dropped = 0;  // of the queues, for want of room or by age
-        uint64_t garbage = 0;  // connections ended for what could not be read
-        uint64_t strangers =
-            0;  // refused: another fleet or version, a member nobody knows, not meant for this one
-    };
-
     // Throws std::runtime_error where the address cannot be listened on.
     Peers(event_base* base, const FleetFile& file, Life life, uint64_t seed,
           std::function<void(Member, Message)> heard);
     ~Peers();
 
     void send(Member to, const Message& message);
-    const Counts& counts() const { return counts_; }
+    const TrafficCounts& counts() const { return counts_; }
 
   private:
     struct In;
@@ -50,6 +43,7 @@
     void accept(evutil_socket_t fd);
     void readable(Place at);
     bool greeted(In& in, const Message& message);
+    Out& out_of(Member to);
     void connect(Out& out);
     void ended(Out& out);
     void flush(Out& out);
@@ -62,8 +56,8 @@
     std::function<void(Member, Message)> heard_;
     std::unique_ptr<evconnlistener, void (*)(evconnlistener*)> listener_;
     std::list<In> in_;
-    std::map<Member, Out> out_;
-    Counts counts_;
+    std::map<Member, Out> out_;  // those that anything was ever sent to
+    TrafficCounts counts_;
 };
 
 }  // namespace firtide::fleet
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -160,7 +160,10 @@
     h.resume = [this] { post(Ordered{0, Order::resume}); };
     h.ask_discovery = [this](bool on) { on ? discovery_.ask() : discovery_.rest(); };
     h.use_list = [this](const fleet::UseList& list) {
-        if (auto decoded = decode_list(config_.setup, list.whole, epoch_)) post(std::move(decoded->told));
+        auto decoded = decode_list(config_.setup, list.whole, epoch_);
+        if (!decoded) return;
+        post(std::move(decoded->told));
+        spdlog::debug("fleet list {} in force at boot_us {}", list.version, fleet::fleet_now().us);
     };
     h.probe = [this](const fleet::ProbeNow& now, const std::string& duty, fleet::Epoch epoch) {
         stamps_[next_stamp_] = {duty, epoch};
