firtide-scale: fleets of many members on one machine, measured

Starts real processes of the program and hollow members (the fleet's own code on the wire, several hundred to a process), changes the discovery list, and writes what each role spends and how long each change took to be in force. The call to a door and the stand-ins' servers move from the rig to a library.

--- /dev/null
+++ b/rig/client_call.h
@@ -0,0 +1,18 @@
+// One request over a connection of its own: some bytes there, all that comes back, and the end.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <functional>
+#include <string>
+
+#include "src/net/event.h"
+
+namespace firtide::rig
+{
+
+// then: with what had come by the end of the connection, or until nothing came for `wait`.
+void call(event_base* base, sockaddr_in to, const std::string& bytes, Span wait,
+          std::function<void(std::string)> then);
+
+}  // namespace firtide::rig
--- a/rig/rig.cpp
+++ b/rig/rig.cpp
@@ -17,6 +17,8 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "client_call.h"
+
 namespace firtide::rig
 {
 
@@ -334,52 +336,15 @@
     for (auto& [pair, relay] : relays_) relay->road_is({});
 }
 
-namespace
-{
-
-// A line there, all that comes back, and the end.
-struct Call {
-    net::Stream stream;
-    std::string got;
-    std::function<void(std::string)> then;
-
-    static void ended(bufferevent* stream, short what, void* arg)
-    {
-        if (what & BEV_EVENT_CONNECTED) return;
-        auto* call = static_cast<Call*>(arg);
-        auto* input = bufferevent_get_input(stream);
-        call->got.resize(evbuffer_get_length(input));
-        evbuffer_remove(input, call->got.data(), call->got.size());
-        const std::unique_ptr<Call> own(call);
-        own->then(own->got);
-    }
-};
-
-void call(event_base* base, uint16_t port, const std::string& bytes, Span wait,
-          std::function<void(std::string)> then)
-{
-    auto* c =
-        new Call{net::Stream(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)), {}, std::move(then)};
-    bufferevent_setcb(c->stream.get(), nullptr, nullptr, Call::ended, c);
-    const auto most = to_timeval(wait);
-    bufferevent_set_timeouts(c->stream.get(), &most, &most);
-    bufferevent_enable(c->stream.get(), EV_READ | EV_WRITE);
-    bufferevent_write(c->stream.get(), bytes.data(), bytes.size());
-    auto at = loopback(port);
-    bufferevent_socket_connect(c->stream.get(), reinterpret_cast<sockaddr*>(&at), sizeof at);
-}
-
-}  // namespace
-
 void Rig::ask_later(size_t member, const std::string& line, std::function<void(std::string)> then)
 {
-    call(base_.get(), processes_[member]->door_port, line + "\n", seconds(60), std::move(then));
+    call(base_.get(), loopback(processes_[member]->door_port), line + "\n", seconds(60), std::move(then));
 }
 
 std::string Rig::ask(size_t member, const std::string& line, Span wait)
 {
     auto got = std::make_shared<std::optional<std::string>>();
-    call(base_.get(), processes_[member]->door_port, line + "\n", wait,
+    call(base_.get(), loopback(processes_[member]->door_port), line + "\n", wait,
          [got](std::string text) { *got = std::move(text); });
     until([&] { return got->has_value(); }, wait + seconds(0.5));
     return got->value_or("");
@@ -389,7 +354,7 @@
 {
     static uint64_t next = 1;
     auto got = std::make_shared<std::optional<std::string>>();
-    call(base_.get(), processes_[member]->serve_port,
+    call(base_.get(), loopback(processes_[member]->serve_port),
          "GET /safe/x HTTP/1.1\r\nReq-Id: " + std::to_string(next++) + "\r\nConnection: close\r\n\r\n", wait,
          [got](std::string text) { *got = std::move(text); });
     until([&] { return got->has_value(); }, wait + seconds(0.5));
@@ -399,7 +364,7 @@
 
 void Rig::request_later(size_t member, const std::string& tenant)
 {
-    call(base_.get(), processes_[member]->serve_port,
+    call(base_.get(), loopback(processes_[member]->serve_port),
          "GET /safe/x HTTP/1.1\r\nReq-Id: l" + id_of(member) + "-" + std::to_string(++later_) +
              (tenant.empty() ? "" : "\r\nReq-Owner: " + tenant) + "\r\nConnection: close\r\n\r\n",
          seconds(1.5), [this](const std::string& text) {
@@ -409,7 +374,8 @@
 
 void Rig::garbage(size_t member, const std::string& bytes)
 {
-    call(base_.get(), processes_[member]->fleet_port, bytes, seconds(0.3), [](const std::string&) {});
+    call(base_.get(), loopback(processes_[member]->fleet_port), bytes, seconds(0.3),
+         [](const std::string&) {});
 }
 
 size_t Rig::index_of(const std::string& id) const
--- /dev/null
+++ b/scale/change_tracker.h
@@ -0,0 +1,58 @@
+// Which member used which version of the list from when on, and how long each change took to be in force.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "src/time.h"
+
+namespace firtide::scale
+{
+
+class ChangeTracker
+{
+  public:
+    explicit ChangeTracker(size_t members) : lives_(members) {}
+
+    // From here on a member has to follow changes, until it is down. A change made while it is down, or that
+    // it has not reached when it goes down, does not count for it.
+    void member_up(size_t member, Point at);
+    void member_down(size_t member, Point at);
+    void changed(uint64_t version, Point at);                     // at discovery
+    void in_force(size_t member, uint64_t version, Point since);  // versions up to this one, too
+
+    struct Summary {
+        std::vector<double> seconds;  // for each member and change
+        uint64_t missing = 0;         // of a member and a change: never in force
+        uint64_t members_at_last = 0, members_up = 0;
+    };
+    // Of the changes from this point of time on.
+    Summary summary(Point from) const;
+    // Whether all members that are up have the last change in force.
+    bool all_at_last() const;
+    bool has_list(size_t member) const;
+
+  private:
+    struct InForce {
+        uint64_t version = 0;
+        Point since;
+    };
+    struct Life {
+        Point from;
+        std::optional<Point> until;
+        std::vector<InForce> lists;  // versions grow
+    };
+    struct Change {
+        uint64_t version = 0;
+        Point at;
+    };
+
+    const Life* life_at(size_t member, Point at) const;
+    bool at_last(size_t member) const;
+
+    std::vector<std::vector<Life>> lives_;
+    std::vector<Change> changes_;
+};
+
+}  // namespace firtide::scale
--- /dev/null
+++ b/scale/hollow_process.cpp
@@ -0,0 +1,212 @@
+#include "hollow_process.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <sstream>
+
+#include "line_stream.h"
+#include "src/fleet/commands.h"
+#include "src/fleet/host.h"
+#include "src/net/discovery.h"
+#include "src/net/log.h"
+#include "traffic_meter.h"
+
+namespace firtide::scale
+{
+namespace
+{
+
+constexpr Span leaves_within = seconds(0.3);  // for its last messages to go out
+
+class HollowMember
+{
+  public:
+    using Report = std::function<void(const HollowReport&)>;
+
+    HollowMember(event_base* base, const net::Config& config, fleet::FleetFile file, std::string path,
+                 Report report)
+        : base_(base),
+          config_(config),
+          file_(std::move(file)),
+          path_(std::move(path)),
+          report_(std::move(report))
+    {
+        leaving_.reset(evtimer_new(
+            base, [](evutil_socket_t, short, void* self) { static_cast<HollowMember*>(self)->end(); }, this));
+    }
+    HollowMember(const HollowMember&) = delete;
+
+    void join()
+    {
+        if (host_) end();
+        fleet::Host::Hooks hooks;
+        hooks.use_list = [this](const fleet::UseList& list) {
+            report_(ListInForce{file_.self, list.version, fleet::fleet_now()});
+        };
+        hooks.ask_discovery = [this](bool on) { ask_discovery(on); };
+        host_.emplace(base_, file_, path_, std::move(hooks));
+        host_->start();
+    }
+
+    void leave()
+    {
+        if (!host_) return;
+        host_->tell(fleet::Stops{});
+        const auto wait = net::to_timeval(leaves_within);
+        event_add(leaving_.get(), &wait);
+    }
+
+    MemberTraffic traffic() const { return {file_.self, host_ ? sum(earlier_, host_->traffic()) : earlier_}; }
+
+    void add_to(View& view) const
+    {
+        if (!host_) return;
+        const auto& seen = host_->fleet();
+        const auto alive = static_cast<uint32_t>(seen.members().alive());
+        uint32_t held = 0;
+        for (const auto& duty : file_.duties) held += seen.holder().table().of(duty.name).holder != 0;
+        view.least_alive = view.members == 0 ? alive : std::min(view.least_alive, alive);
+        view.duties_held = view.members == 0 ? held : std::min(view.duties_held, held);
+        view.with_leader += seen.holder().leader().has_value();
+        ++view.members;
+    }
+
+  private:
+    void end()
+    {
+        event_del(leaving_.get());
+        if (!host_) return;
+        earlier_ = sum(earlier_, host_->traffic());
+        discovery_.reset();
+        host_.reset();
+    }
+
+    // The member that holds the list asks discovery, as a balancer would.
+    void ask_discovery(bool on)
+    {
+        if (!discovery_) {
+            discovery_.emplace(base_, config_, Point{}, [](const net::Event&) {});
+            discovery_->tell_whole([this](uint64_t version, std::string text) {
+                host_->tell(fleet::ListSeen{net::text_of(config_.discovery), version, std::move(text)});
+            });
+        }
+        if (on)
+            discovery_->ask();
+        else
+            discovery_->rest();
+    }
+
+    event_base* base_;
+    const net::Config& config_;
+    const fleet::FleetFile file_;
+    const std::string path_;
+    const Report report_;
+    fleet::TrafficCounts earlier_;  // of its lives before this one
+    std::optional<fleet::Host> host_;
+    std::optional<net::Discovery> discovery_;
+    net::Timer leaving_;
+};
+
+class HollowProcess
+{
+  public:
+    explicit HollowProcess(const HollowSpec& spec)
+        : first_(spec.first),
+          config_(net::read_config(spec.config_path)),
+          base_(event_base_new()),
+          controller_(
+              base_.get(), STDIN_FILENO, [this](std::string_view line) { obey(line); },
+              [this] { event_base_loopbreak(base_.get()); })
+    {
+        // Read once; the members' own copies differ in who they are.
+        const auto file = fleet::read_fleet_file(spec.fleet_path);
+        for (size_t place = 0; place < spec.data_folders.size(); ++place) {
+            fleet::FleetFile own = file;
+            own.self = spec.first + static_cast<fleet::Member>(place);
+            own.id = own.members[own.self].id;
+            own.listen = own.members[own.self].address;
+            own.data = spec.data_folders[place];
+            members_.push_back(std::make_unique<HollowMember>(
+                base_.get(), config_, std::move(own), spec.fleet_path,
+                [this](const HollowReport& report) { controller_.write(encode(report)); }));
+        }
+    }
+
+    void run()
+    {
+        for (const auto& member : members_) member->join();
+        controller_.write(encode(Started{}));
+        event_base_dispatch(base_.get());
+    }
+
+  private:
+    HollowMember* member(uint32_t place) const
+    {
+        const bool own = place >= first_ && place - first_ < members_.size();
+        return own ? members_[place - first_].get() : nullptr;
+    }
+
+    void obey(std::string_view line)
+    {
+        const auto command = decode_command(line);
+        if (!command) return;
+        if (std::holds_alternative<SampleTraffic>(*command)) return sample();
+        if (std::holds_alternative<ShowView>(*command)) return show_view();
+        if (const auto* leave = std::get_if<Leave>(&*command)) {
+            if (auto* one = member(leave->member)) one->leave();
+        } else if (const auto* join = std::get_if<Join>(&*command)) {
+            if (auto* one = member(join->member)) one->join();
+        }
+    }
+
+    void sample()
+    {
+        for (const auto& one : members_) controller_.write(encode(one->traffic()));
+        controller_.write(encode(TrafficSampled{}));
+    }
+
+    void show_view()
+    {
+        View view;
+        for (const auto& one : members_) one->add_to(view);
+        controller_.write(encode(view));
+    }
+
+    const uint32_t first_;
+    const net::Config config_;
+    net::Base base_;
+    LineStream controller_;
+    std::vector<std::unique_ptr<HollowMember>> members_;
+};
+
+}  // namespace
+
+int run_hollow_process(const std::string& spec_path)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    // Ctrl-C reaches the whole group of processes; the controller alone decides when this one ends.
+    std::signal(SIGINT, SIG_IGN);
+    std::ifstream file(spec_path);
+    std::stringstream text;
+    text << file.rdbuf();
+    const auto spec = decode_spec(text.str());
+    if (!spec) {
+        std::fprintf(stderr, "firtide-scale: %s: is no description of hollow members\n", spec_path.c_str());
+        return 2;
+    }
+    try {
+        net::start_log("hollow", "error");
+        HollowProcess(*spec).run();
+    } catch (const std::exception& e) {
+        std::fprintf(stderr, "firtide-scale: %s\n", e.what());
+        return 2;
+    }
+    return 0;
+}
+
+}  // namespace firtide::scale
--- /dev/null
+++ b/scale/layout.cpp
@@ -0,0 +1,174 @@
+#include "layout.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "hollow_protocol.h"
+
+namespace firtide::scale
+{
+namespace
+{
+
+// Below those that the system deals out to outgoing connections.
+constexpr uint16_t first_port = 12'000, last_port = 32'000, ports_each = 4;
+constexpr uint16_t serve_offset = 1, door_offset = 2, upstream_offset = 3;
+constexpr uint32_t hosts_per_byte = 250;
+constexpr int member_network = 1, upstream_network = 2;
+constexpr const char* claimed_host = "127.1.255.254";
+
+// A loopback address for each: a machine of its own, as far as ports go.
+std::string host_of(int network, uint32_t place)
+{
+    return "127." + std::to_string(network) + "." + std::to_string(place / hosts_per_byte) + "." +
+           std::to_string(place % hosts_per_byte + 1);
+}
+
+std::string address_of(int network, uint32_t place, int port)
+{
+    return host_of(network, place) + ":" + std::to_string(port);
+}
+
+sockaddr_in socket_address(const std::string& host, uint16_t port)
+{
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(port);
+    inet_pton(AF_INET, host.c_str(), &at.sin_addr);
+    return at;
+}
+
+}  // namespace
+
+std::optional<PortClaim> PortClaim::claim()
+{
+    for (uint16_t port = first_port; port < last_port; port = static_cast<uint16_t>(port + ports_each)) {
+        net::Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        const auto at = socket_address(claimed_host, port);
+        if (bind(socket.fd(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0)
+            return PortClaim(std::move(socket), port);
+    }
+    return {};
+}
+
+TemporaryFolder::TemporaryFolder()
+{
+    char path[] = "/tmp/firtide-scale-XXXXXX";
+    if (!mkdtemp(path)) throw std::runtime_error("no folder can be made in /tmp");
+    path_ = path;
+}
+
+TemporaryFolder::~TemporaryFolder()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+}
+
+Layout::Layout(const Options& options, std::string folder, uint16_t port, uint16_t discovery_port)
+    : options_(options), folder_(std::move(folder)), port_(port), discovery_port_(discovery_port)
+{
+    uint32_t next = options.real;
+    if (options.trouble == Trouble::killed) {
+        const uint32_t killed = options.members / 20;
+        groups_.push_back({next, killed});
+        next += killed;
+    }
+    while (next < options.members) {
+        const uint32_t count = std::min(options.hollow_per_process, options.members - next);
+        groups_.push_back({next, count});
+        next += count;
+    }
+}
+
+std::string Layout::fleet_address(uint32_t member) const { return address_of(member_network, member, port_); }
+
+std::string Layout::serve_address(uint32_t member) const
+{
+    return address_of(member_network, member, port_ + serve_offset);
+}
+
+sockaddr_in Layout::door(uint32_t member) const
+{
+    return socket_address(host_of(member_network, member), static_cast<uint16_t>(port_ + door_offset));
+}
+
+std::string Layout::upstream_address(uint32_t upstream) const
+{
+    return address_of(upstream_network, upstream, port_ + upstream_offset);
+}
+
+std::string Layout::data_folder(uint32_t member) const { return folder_ + "/data-" + id_of(member); }
+std::string Layout::config_path(uint32_t member) const { return folder_ + "/" + id_of(member) + ".json"; }
+std::string Layout::fleet_path(uint32_t member) const { return folder_ + "/" + id_of(member) + ".toml"; }
+
+std::string Layout::spec_path(size_t group) const
+{
+    return folder_ + "/hollow-" + std::to_string(group) + ".json";
+}
+
+std::string Layout::log_path(size_t group) const
+{
+    return folder_ + "/hollow-" + std::to_string(group) + ".log";
+}
+
+std::string Layout::fleet_file(uint32_t member) const
+{
+    std::string text = "[fleet]\nname = \"scale\"\nid = \"" + id_of(member) + "\"\nlisten = \"" +
+                       fleet_address(member) + "\"\ndata = \"" + data_folder(member) + "\"\n";
+    for (uint32_t other = 0; other < options_.members; ++other) {
+        text += "[[member]]\nid = \"" + id_of(other) + "\"\naddress = \"" + fleet_address(other) +
+                "\"\nzone = \"z" + std::to_string(other % options_.zones) + "\"\n";
+        if (votes(other)) text += "voter = true\n";
+    }
+    for (uint32_t duty = 0; duty < options_.duties; ++duty)
+        text += "[[duty]]\nname = \"d" + std::to_string(duty + 1) + "\"\n";
+    text += "[list]\n";
+    if (options_.lists == ListMechanism::deltas) text += "[deltas]\n";
+    return text;
+}
+
+std::string Layout::config_file(uint32_t member) const
+{
+    using nlohmann::ordered_json;
+    const ordered_json limits{{"max_forwards", 3},
+                              {"cancel", true},
+                              {"conn_idle_us", 400'000},
+                              {"connect_timeout_us", 100'000},
+                              {"may_probe", false}};
+    const ordered_json operation{{"name", "safe"}, {"repeat", "free"}, {"client_timeout_us", 1'000'000}};
+    const ordered_json settings{{"operations", ordered_json::array({operation})}, {"policy_limits", limits}};
+    const auto door = host_of(member_network, member) + ":" + std::to_string(port_ + door_offset);
+    return ordered_json{{"name", id_of(member)},
+                        {"listen", serve_address(member)},
+                        {"discovery", "127.0.0.1:" + std::to_string(discovery_port_)},
+                        {"mgmt", door},
+                        {"seed", std::to_string(options_.seed % 1000 + member)},
+                        {"settings", settings}}
+        .dump();
+}
+
+void Layout::write_files() const
+{
+    const auto write_member = [this](uint32_t member) {
+        std::ofstream(fleet_path(member)) << fleet_file(member);
+        std::ofstream(config_path(member)) << config_file(member);
+    };
+    for (uint32_t member = 0; member < options_.real; ++member) write_member(member);
+    for (size_t group = 0; group < groups_.size(); ++group) {
+        write_member(groups_[group].first);
+        HollowSpec spec;
+        spec.fleet_path = fleet_path(groups_[group].first);
+        spec.config_path = config_path(groups_[group].first);
+        spec.first = groups_[group].first;
+        for (uint32_t place = 0; place < groups_[group].count; ++place)
+            spec.data_folders.push_back(data_folder(groups_[group].first + place));
+        std::ofstream(spec_path(group)) << encode_spec(spec);
+    }
+}
+
+}  // namespace firtide::scale
--- /dev/null
+++ b/scale/main.cpp
@@ -0,0 +1,100 @@
+// firtide-scale: starts a fleet of many members on this machine, measures what each spends, and ends it.
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "hollow_process.h"
+#include "options.h"
+#include "run.h"
+
+using namespace firtide;
+
+namespace
+{
+
+constexpr int status_refused = 2;
+
+int refuse(const std::string& why)
+{
+    std::fprintf(stderr, "firtide-scale: %s\n", why.c_str());
+    return status_refused;
+}
+
+std::string command_of(int argc, char** argv)
+{
+    std::string command;
+    for (int i = 0; i < argc; ++i) command += (i ? " " : "") + std::string(argv[i]);
+    return command;
+}
+
+std::string text_of(const Fault& fault, const std::string& experiment_path)
+{
+    if (fault.at.line == 0) return "--" + fault.at.key + ": " + fault.what;
+    return experiment_path + ":" + std::to_string(fault.at.line) + ": " + fault.at.key + ": " + fault.what;
+}
+
+int write_result(const scale::Result& result)
+{
+    const auto text = scale::encode_result(result);
+    if (result.options.json.empty()) return std::fputs(text.c_str(), stdout) < 0;
+    std::ofstream file(result.options.json);
+    if (file << text && file.flush()) return 0;
+    std::fprintf(stderr, "firtide-scale: --json: '%s' cannot be written\n", result.options.json.c_str());
+    return 1;
+}
+
+int run(const std::string& experiment_path, const std::vector<scale::Word>& words, const std::string& command)
+{
+    std::stringstream experiment;
+    if (!experiment_path.empty()) {
+        std::ifstream file(experiment_path);
+        if (!file || !(experiment << file.rdbuf())) return refuse(experiment_path + ": cannot be read");
+    }
+    const auto decoded = scale::decode_options(experiment.str(), words);
+    if (const auto* fault = std::get_if<Fault>(&decoded)) return refuse(text_of(*fault, experiment_path));
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto own_program = std::filesystem::read_symlink("/proc/self/exe").string();
+    const auto outcome = scale::run_scale(std::get<scale::Options>(decoded), command, own_program);
+    if (const auto* failed = std::get_if<scale::RunFailure>(&outcome)) {
+        std::fprintf(stderr, "firtide-scale: %s\n", failed->what.c_str());
+        return failed->exit_status;
+    }
+    return write_result(std::get<scale::Result>(outcome));
+}
+
+}  // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("firtide-scale, fleets of many members on one machine");
+    app.require_subcommand(1);
+    auto* run_command = app.add_subcommand("run", "start a fleet, measure it, end it");
+    std::string experiment_path;
+    std::vector<scale::Word> words;
+    run_command->add_option("--experiment", experiment_path, "a TOML file with these options as its keys");
+    for (const auto& option : scale::option_names())
+        run_command->add_option_function<std::string>(
+            "--" + option.name,
+            [&words, name = option.name](const std::string& value) { words.emplace_back(name, value); },
+            option.description);
+    // Started by the controller alone.
+    auto* hollow_command = app.add_subcommand("hollow", "")->group("");
+    std::string spec_path;
+    hollow_command->add_option("spec", spec_path)->required();
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        if (error.get_exit_code() == static_cast<int>(CLI::ExitCodes::Success)) return app.exit(error);
+        return refuse(error.what());
+    }
+    try {
+        if (hollow_command->parsed()) return scale::run_hollow_process(spec_path);
+        return run(experiment_path, words, command_of(argc, argv));
+    } catch (const std::exception& e) {
+        std::fprintf(stderr, "firtide-scale: %s\n", e.what());
+        return 1;
+    }
+}
