--- a/scale/cluster.cpp
+++ b/scale/cluster.cpp
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 
 #include "rig/client_call.h"
 #include "src/fleet/host.h"
@@ -29,6 +30,14 @@
                        Point{std::strtoll(at.c_str(), nullptr, 10)}};
 }
 
+std::string last_line(const std::string& path)
+{
+    std::ifstream file(path);
+    std::string last = "it has logged nothing";
+    for (std::string line; std::getline(file, line);) last = line;
+    return last;
+}
+
 }  // namespace
 
 Cluster::Cluster(event_base* base, const Options& options, const Layout& layout, ChangeTracker& tracker,
@@ -237,7 +246,7 @@
             return "the process of " + Layout::id_of(member) + " has ended by itself";
     for (size_t group = 0; group < hollow_.size(); ++group)
         if (hollow_[group].process && !hollow_[group].killed && hollow_[group].process->ended())
-            return "a process of hollow members has ended by itself";
+            return "a process of hollow members has ended by itself: " + last_line(layout_.log_path(group));
     return {};
 }
 
--- a/scale/estimate.cpp
+++ b/scale/estimate.cpp
@@ -23,8 +23,8 @@
 constexpr double sockets_kb = 120;        // of the system, for each member's connections
 constexpr double controller_list_copies = 10;
 
-constexpr uint64_t descriptors_a_member = 25;      // connections both ways, listener, lock; at hollow members
-constexpr uint64_t descriptors_a_member_real = 3;  // at a leader: one way each, and helpers' questions
+constexpr uint64_t descriptors_a_member = 100;  // of a hollow process, while neighbours change in the warm-up
+constexpr uint64_t descriptors_a_member_real = 3;  // at a leader: one way each, and questions
 constexpr uint64_t descriptors_process = 100;
 
 constexpr double kb_in_mb = 1024;
--- a/scale/hollow_process.cpp
+++ b/scale/hollow_process.cpp
@@ -21,6 +21,8 @@
 namespace
 {
 
+constexpr Span start_every = seconds(0.02);
+constexpr size_t started_at_a_time = 4;
 constexpr Span leaves_within = seconds(0.3);  // for its last messages to go out
 
 class HollowMember
@@ -139,12 +141,32 @@
 
     void run()
     {
-        for (const auto& member : members_) member->join();
-        controller_.write(encode(Started{}));
+        starting_.reset(event_new(
+            base_.get(), -1, EV_PERSIST,
+            [](evutil_socket_t, short, void* self) { static_cast<HollowProcess*>(self)->start_some(); },
+            this));
+        const auto every = net::to_timeval(start_every);
+        start_due_ = net::monotonic_now() + start_every;
+        event_add(starting_.get(), &every);
         event_base_dispatch(base_.get());
     }
 
   private:
+    // Each start is news to all members. Guards against more of it than this process can pass on: whoever
+    // falls behind is suspected, which is news to all again.
+    void start_some()
+    {
+        const Point now = net::monotonic_now();
+        const bool late = now - start_due_ > start_every;
+        start_due_ = now + start_every;
+        if (late) return;
+        for (size_t place = 0; place < started_at_a_time && started_ < members_.size(); ++place)
+            members_[started_++]->join();
+        if (started_ < members_.size()) return;
+        event_del(starting_.get());
+        controller_.write(encode(Started{}));
+    }
+
     HollowMember* member(uint32_t place) const
     {
         const bool own = place >= first_ && place - first_ < members_.size();
@@ -182,6 +204,9 @@
     net::Base base_;
     LineStream controller_;
     std::vector<std::unique_ptr<HollowMember>> members_;
+    net::Timer starting_;
+    Point start_due_;
+    size_t started_ = 0;  // of the members
 };
 
 }  // namespace
--- a/scale/options.cpp
+++ b/scale/options.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr uint32_t most_members = 2000, most_upstreams = 40'000, most_duties = 400, most_zones = 64;
-constexpr uint32_t most_hollow_per_process = 700;
+constexpr uint32_t most_hollow_per_process = 190;
 constexpr double most_changes_per_second = 100, most_restarts_per_second = 50, most_seconds = 3600;
 constexpr uint32_t upstreams_per_service = 18;  // as planned: 37,000 upstreams in 2,000 services
 constexpr double killed_part = 0.05;
--- a/scale/run.cpp
+++ b/scale/run.cpp
@@ -102,7 +102,7 @@
     std::optional<RunFailure> read(Reading& reading);
     void read_usage();
 
-    bool is_whole();
+    std::optional<std::string> lacks() const;
     uint32_t list_member() const;
     std::optional<uint32_t> holder_of(const std::string& duty) const;
     std::optional<uint32_t> leader() const;
@@ -113,6 +113,7 @@
     void restart_all(Point began, Point now);
     void restart_one();
 
+    bool is_killed(uint32_t member) const;
     std::vector<MemberFigures> figures_of_members() const;
     void fill_roles(Result& result) const;
     void fill_machine(Result& result) const;
@@ -206,22 +207,32 @@
     return {};
 }
 
-// Every member knows a leader and sees all others alive, all duties are held, and all have a list.
-bool Run::is_whole()
+// Every member knows a leader and sees all others alive, all duties are held, and all have a list. What it
+// lacks; nothing: it is whole.
+std::optional<std::string> Run::lacks() const
 {
+    const auto alive = [this](uint32_t seen) {
+        return std::to_string(seen) + " of " + std::to_string(options_.members) + " members alive";
+    };
     for (uint32_t member = 0; member < options_.real; ++member) {
+        const auto id = Layout::id_of(member);
         const auto& view = cluster_.real_view(member);
-        if (!view || view->leader.empty() || view->alive != options_.members) return false;
-        if (view->duties_held != view->duties) return false;
+        if (!view) return id + " has given no whole answer";
+        if (view->leader.empty()) return id + " knows no leader";
+        if (view->alive != options_.members) return id + " sees " + alive(view->alive);
+        if (view->duties_held != view->duties) return id + " sees a duty that nobody holds";
     }
     for (size_t group = 0; group < layout_.groups().size(); ++group) {
         const auto& view = cluster_.hollow_view(group);
-        if (!view || view->members != layout_.groups()[group].count) return false;
-        if (view->with_leader != view->members || view->least_alive != options_.members) return false;
+        const auto count = layout_.groups()[group].count;
+        if (!view || view->members != count) return "a hollow process has given no whole answer";
+        if (view->with_leader != count)
+            return std::to_string(count - view->with_leader) + " of a hollow process know no leader";
+        if (view->least_alive != options_.members) return "a hollow member sees " + alive(view->least_alive);
     }
     for (uint32_t member = 0; member < options_.members; ++member)
-        if (!tracker_.has_list(member)) return false;
-    return true;
+        if (!tracker_.has_list(member)) return Layout::id_of(member) + " has no list";
+    return {};
 }
 
 std::optional<RunFailure> Run::warm_up(Result& result)
@@ -233,13 +244,15 @@
     failed = until(
         [&] {
             if (!cluster_.answered() || monotonic_now() - looked_ < look_every) return false;
-            if (is_whole()) return true;
+            if (!lacks()) return true;
             looked_ = monotonic_now();
             cluster_.ask_views();
             return false;
         },
         whole_within, "the fleet has not become whole in time");
     result.warm_up_seconds = (monotonic_now() - began).seconds();
+    if (failed && !signal_)
+        if (const auto what = lacks()) failed->what += ": " + *what;
     return failed;
 }
 
@@ -281,7 +294,7 @@
     return until(
         [&] {
             if (!cluster_.answered() || monotonic_now() - looked_ < look_every) return false;
-            if (holder_of("list") == wanted && is_whole()) return true;
+            if (holder_of("list") == wanted && !lacks()) return true;
             if (holder_of("list") != wanted && monotonic_now() - ordered > answers_within * 0.2) {
                 ordered = monotonic_now();
                 cluster_.order(wanted, order);
@@ -487,6 +500,13 @@
     return all;
 }
 
+bool Run::is_killed(uint32_t member) const
+{
+    const auto& groups = layout_.groups();
+    if (groups.empty() || !cluster_.killed(0)) return false;
+    return member >= groups[0].first && member < groups[0].first + groups[0].count;
+}
+
 void Run::fill_roles(Result& result) const
 {
     std::vector<MemberFigures> real, leads, votes, lists, others, hollow;
@@ -494,7 +514,7 @@
     for (uint32_t member = 0; member < options_.members; ++member) {
         const auto id = Layout::id_of(member);
         if (member >= options_.real) {
-            hollow.push_back(all[member]);
+            if (!is_killed(member)) hollow.push_back(all[member]);
             continue;
         }
         real.push_back(all[member]);
@@ -506,7 +526,6 @@
         if (id != leader_id_ && id != list_holder_id_ && !layout_.votes(member))
             others.push_back(all[member]);
     }
-    std::erase_if(hollow, [](const MemberFigures& one) { return one.messages_in_per_second <= 0; });
     result.balancer = figures_of(real);
     result.leader = figures_of(leads);
     result.voter = figures_of(votes);
