The list of upstreams goes round as deltas with revisions and anti-entropy

The holder of list published the whole list at each change: 5.5 MB for 37,000 upstreams, over the largest message and far over the budget of each member.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -19,6 +19,9 @@
     uint64_t first = 1, last = 20;
 };
 
+// So that walks of a minute meet snapshots of several chunks, and versions of several deltas.
+constexpr DeltasRule small_deltas{8, seconds(0.5), 256};
+
 struct Rules {
     std::string without;
 
@@ -192,7 +195,7 @@
     Seeds seeds;
     Rules rules;
     double lasts = 60, faults = 1, lease = 3;
-    bool traced = false;
+    bool traced = false, deltas = false;
     World::Options options;
     const auto common = [&](CLI::App* of) {
         of->add_option("--members", options.members);
@@ -202,6 +205,8 @@
         of->add_option("--without", rules.without, "a safety rule taken out")
             ->check(CLI::IsMember({"office", "majority", "expiry", "gate", "fence"}));
         of->add_flag("--list", options.list, "one member asks discovery");
+        of->add_flag("--deltas", deltas,
+                     "and its list goes round as deltas, of a short history and small chunks");
         return of;
     };
     auto* walking = common(app.add_subcommand("walk", "faults drawn from seeds"));
@@ -244,6 +249,7 @@
     if (subsetting->parsed()) return subsets(members, upstreams, static_cast<uint32_t>(size), seeds.last);
     options.lease.length = seconds(lease);
     rules.take_out_of(options);
+    if (deltas) options.list = true, options.deltas = small_deltas;
     if (walking->parsed()) {
         w.options = options, w.lasts = seconds(lasts), w.faults = faults;
         return walks(w, seeds, traced);
--- a/lab/walk.cpp
+++ b/lab/walk.cpp
@@ -2,6 +2,25 @@
 
 namespace firtide::lab
 {
+namespace
+{
+
+// Long after all has healed every member has what the holder of `list` has.
+std::string list_apart(World& w)
+{
+    const auto holders = w.holders("list");
+    if (holders.size() != 1) return "list is held by nobody long after all has healed";
+    const ListReplica& published = *w.fleet(holders[0]).replica();
+    for (size_t i = 0; i < w.size(); ++i) {
+        const ListReplica& replica = *w.fleet(i).replica();
+        if (replica.revision() != published.revision() || replica.digest() != published.digest() ||
+            w.shown_list(i) != published.lines())
+            return "m" + std::to_string(i + 1) + " has not the holder's list long after all has healed";
+    }
+    return "";
+}
+
+}  // namespace
 
 Walked walk(const Walk& walk, uint64_t seed, bool traced)
 {
@@ -68,6 +87,8 @@
                 out.broken.push_back(
                     {"d" + std::to_string(d + 1) + " is held by nobody long after all has healed", w.now()});
     }
+    if (walk.quiet_end && walk.options.deltas && w.broken().empty() && out.broken.empty())
+        if (const auto apart = list_apart(w); !apart.empty()) out.broken.push_back({apart, w.now()});
     for (const Broken& b : w.broken()) out.broken.push_back(b);
     out.count = w.count;
     out.trace = w.trace();
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -2,8 +2,20 @@
 
 #include <algorithm>
 
+#include "src/net/discovery.h"
+
 namespace firtide::lab
 {
+namespace
+{
+
+bool is_of_replicas(const Message& message)
+{
+    return std::get_if<ListDelta>(&message) || std::get_if<WantListDeltas>(&message) ||
+           std::get_if<ListSnapshotChunk>(&message);
+}
+
+}  // namespace
 
 std::error_code Disk::read(const std::string& name, std::optional<std::string>& into)
 {
@@ -68,6 +80,11 @@
     bool asking = false;
     std::optional<Memory> memory;
     uint64_t list = 0, ticks = 0;
+    // With deltas: what its balancer uses, what discovery told last, and the version of its agent.
+    ListLines shown;
+    std::shared_ptr<const ListLines> seen;
+    std::optional<uint64_t> discovery;
+    bool list_corrupted = false;
 };
 
 World::World(Options options, uint64_t seed)
@@ -88,6 +105,7 @@
         file.duties.push_back({"d" + std::to_string(i + 1), DutyKind::other, "receiver", seconds(0.1), 0});
     if (options_.list) {
         file.list = ListDuty{};
+        file.deltas = options_.deltas;
         file.duties.push_back({"list", DutyKind::list, "", {}, 0});
     }
     if (options_.probe_parts) {
@@ -193,6 +211,9 @@
     n.frozen_until = n.voter_agent_free = now_;
     n.asking = false;
     n.list = 0;
+    n.shown.clear();
+    n.seen.reset();
+    n.list_corrupted = false;
     n.freeze_at_effect.reset();
     const Life life = uint64_t{chance_()} << 24 | chance_();
     n.fleet = std::make_unique<Fleet>(n.file, life, ++n.incarnation, uint64_t{chance_()} << 24 | chance_());
@@ -343,6 +364,7 @@
     const auto frame = encode_frame(s.message, 0);
     ++count.messages, ++sent[from];
     count.bytes += frame.size();
+    if (is_of_replicas(s.message)) count.list_bytes += frame.size();
     if (l.cut || !nodes_[to]->up || roll() < l.loss) return;
     Span takes = l.least + (l.most - l.least) * roll();
     if (options_.fork && urgency_of(s.message) == Urgency::leases) {
@@ -406,10 +428,60 @@
     Node& n = *nodes_[node];
     if (!n.asking) return;
     ++count.list_calls;
-    tell(node, ListSeen{"", discovery_, "list " + std::to_string(discovery_)});
+    tell(node, discovery_answer(node));
     later(seconds(0.5), node, [this, node] { ask_discovery(node); });
 }
 
+void World::discovery_of(size_t node, std::optional<uint64_t> version) { nodes_[node]->discovery = version; }
+const ListLines& World::shown_list(size_t node) const { return nodes_[node]->shown; }
+
+void World::corrupt_list(size_t node, const std::string& uid, const std::string& text)
+{
+    nodes_[node]->list_corrupted = true;
+    nodes_[node]->fleet->replica_to_corrupt()->corrupt(uid, text);
+}
+
+ListLines World::discovery_lines(uint64_t version) const
+{
+    ListLines lines;
+    const uint64_t entries = options_.list_entries;
+    for (uint64_t entry = 0; entry < entries; ++entry) {
+        const uint64_t changes = version < entry ? 0 : (version - entry) / entries + 1;
+        if (changes % 4 == 3) continue;  // gone
+        const auto uid = "u" + std::to_string(entry);
+        lines[uid] = R"({"changes":)" + std::to_string(changes) + R"(,"state":"ready","uid":")" + uid + "\"}";
+    }
+    return lines;
+}
+
+ListSeen World::discovery_answer(size_t node)
+{
+    Node& n = *nodes_[node];
+    const uint64_t version = n.discovery.value_or(discovery_);
+    if (!options_.deltas) return {"", version, "list " + std::to_string(version), nullptr, {}};
+    const auto before = std::exchange(n.seen, std::make_shared<const ListLines>(discovery_lines(version)));
+    if (!before) return {"", version, "", n.seen, {}};
+    std::vector<std::string> uids;
+    for (size_t entry = 0; entry < options_.list_entries; ++entry) {
+        const auto uid = "u" + std::to_string(entry);
+        const auto was = before->find(uid), is = n.seen->find(uid);
+        const bool known = was != before->end(), there = is != n.seen->end();
+        if (known != there || (known && was->second != is->second)) uids.push_back(uid);
+    }
+    return {"", version, "", n.seen, std::move(uids)};
+}
+
+void World::use_list(size_t node, const UseList& use)
+{
+    Node& n = *nodes_[node];
+    if (use.version < n.list) breaks("an older list was taken");
+    n.list = use.version;
+    if (!options_.deltas) return;
+    net::take_in(n.shown, use.text);
+    if (n.shown != discovery_lines(use.version))
+        breaks(n.file.id + " uses a list that is not that of version " + std::to_string(use.version));
+}
+
 void World::carry_out(size_t node, std::vector<FleetEffect> effects)
 {
     Node& n = *nodes_[node];
@@ -441,12 +513,12 @@
             }
         } else if (auto* q = std::get_if<AskDiscovery>(&e)) {
             const bool was = std::exchange(n.asking, q->on);
+            n.seen.reset();
             if (q->on && !was) later(seconds(0.005), node, [this, node] { ask_discovery(node); });
         } else if (auto* keep = std::get_if<Keep>(&e)) {
             n.memory = std::move(keep->memory);
         } else if (auto* u = std::get_if<UseList>(&e)) {
-            if (u->version < n.list) breaks("an older list was taken");
-            n.list = u->version;
+            use_list(node, *u);
         } else if (auto* r = std::get_if<Reply>(&e)) {
             last_reply = r->text;
             note(n.file.id + " answers " + r->text.substr(0, r->text.find('\n')));
@@ -457,9 +529,26 @@
     }
 }
 
+// Replicas at one revision have one state.
+void World::check_replicas()
+{
+    for (const auto& node : nodes_) {
+        if (!node->up || !node->fleet->replica()) continue;
+        const ListReplica& replica = *node->fleet->replica();
+        const auto at = digests_.emplace(replica.revision(), replica.digest()).first;
+        if (at->second == replica.digest())
+            node->list_corrupted = false;
+        else if (!node->list_corrupted)
+            breaks(node->file.id + " has another list than others have at revision " +
+                   std::to_string(replica.revision().epoch) + "." +
+                   std::to_string(replica.revision().number));
+    }
+}
+
 // At every moment, by each one's own clock.
 void World::check()
 {
+    if (options_.deltas) check_replicas();
     for (auto& [duty, since] : without_) {
         const auto by = holders(duty);
         if (by.size() > 1) {
--- a/lab/world.h
+++ b/lab/world.h
@@ -63,6 +63,8 @@
         size_t members = 5, voters = 3, duties = 4;
         Lease lease;
         bool list = false;
+        std::optional<DeltasRule> deltas;
+        size_t list_entries = 12;  // that discovery may know, with deltas
         std::optional<uint32_t> probe_parts, drain_most;
         std::optional<SubsetRule> subset;
         std::optional<SignalRule> signals;
@@ -113,12 +115,19 @@
     void ask(size_t node, const std::string& what, const std::string& first = "",
              const std::string& second = "");
     void discovery_is(uint64_t version) { discovery_ = version; }
+    // The agent of one member is behind the others; nothing: it is not.
+    void discovery_of(size_t node, std::optional<uint64_t> version);
+    // The list as discovery has it at a version: each version changes one entry, some are gone.
+    ListLines discovery_lines(uint64_t version) const;
 
     // Who may act for it now, by its own clock.
     std::vector<size_t> holders(const std::string& duty) const;
     std::optional<size_t> leader() const;
     Fleet& fleet(size_t node);
     uint64_t list_of(size_t node) const;
+    // An entry of its replica changes as no delta did. It may differ from others until that is repaired.
+    void corrupt_list(size_t node, const std::string& uid, const std::string& text);
+    const ListLines& shown_list(size_t node) const;  // as its balancer uses it, with deltas
     std::string show(size_t node);
 
     const std::vector<Broken>& broken() const { return broken_; }
@@ -127,7 +136,7 @@
     std::string last_reply;
     struct Count {
         uint64_t messages = 0, bytes = 0, effects = 0, stopped_at_gate = 0, refused = 0, list_calls = 0,
-                 probes = 0;
+                 probes = 0, list_bytes = 0;  // list_bytes: of deltas, snapshots and what asks for them
     };
     Count count;
     std::vector<uint64_t> sent;  // messages of each member
@@ -154,6 +163,9 @@
     void call_voter_agent(size_t node, const std::function<std::vector<VoterAgentEffect>(Point)>& call);
     void tick(size_t node);
     void ask_discovery(size_t node);
+    ListSeen discovery_answer(size_t node);
+    void use_list(size_t node, const UseList& use);
+    void check_replicas();
     size_t fork(Fork at) { return options_.fork ? options_.fork(at) : 0; }
     bool forked_turn(size_t node);
     void check();
@@ -173,6 +185,7 @@
     std::set<std::tuple<std::string, Epoch, uint64_t>> effects_;
     std::map<std::string, Point> without_;
     uint64_t discovery_ = 1;
+    std::map<ListRevision, uint64_t> digests_;  // of the states that replicas have had
 };
 
 }  // namespace firtide::lab
--- a/src/fleet/config.cpp
+++ b/src/fleet/config.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr size_t most_members = 2000, most_duties = 500;
+constexpr uint32_t least_chunk = 1024, most_chunk = most_message / 4;
 
 // Names stand in commands and in lines of words.
 std::string word(const TomlTable& table, std::string_view key)
@@ -80,6 +81,15 @@
         file.list = list;
         file.duties.push_back({"list", DutyKind::list, "", {}, table.place().line});
     }
+    if (const auto* t = top.table("deltas")) {
+        const TomlTable table(*t, "deltas", {"history", "repair", "chunk"});
+        if (!file.list) wrong("deltas", table.place().line, "says nothing without [list]");
+        DeltasRule deltas;
+        deltas.history = table.count("history", deltas.history, 1, 1'000'000);
+        deltas.repair = table.span("repair", deltas.repair, seconds(0.05), seconds(60));
+        deltas.chunk = table.bytes("chunk", deltas.chunk, least_chunk, most_chunk);
+        file.deltas = deltas;
+    }
     if (const auto* t = top.table("probe")) {
         const TomlTable table(*t, "probe", {"every", "parts"});
         ProbeDuty probe;
@@ -171,7 +181,7 @@
     FleetFile file;
     const TomlTable top(from, "",
                         {"fleet", "member", "lease", "duty", "list", "probe", "drain", "subset", "signals",
-                         "turns", "recovery"});
+                         "turns", "recovery", "deltas"});
     const auto* own = top.table("fleet");
     if (!own) wrong("fleet", 1, "is missing");
     const TomlTable fleet(*own, "fleet", {"name", "id", "listen", "data"});
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -54,6 +54,12 @@
 struct ListDuty {
     Span stale = seconds(4);  // older than that, and each asks discovery itself
 };
+// The list goes round as deltas, and members repair each other's replicas.
+struct DeltasRule {
+    uint32_t history = 1000;     // changes that a member keeps to repair others
+    Span repair = seconds(1);    // a member that finds itself behind asks again after so long
+    uint32_t chunk = 64 * 1024;  // bytes of entries in one message
+};
 struct ProbeDuty {
     Span every = seconds(1);
     uint32_t parts = 4;
@@ -69,6 +75,7 @@
     Lease lease;
     std::vector<Duty> duties;
     std::optional<ListDuty> list;
+    std::optional<DeltasRule> deltas;
     std::optional<ProbeDuty> probe;
     std::optional<DrainDuty> drain;
     std::optional<SubsetRule> subset;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -9,7 +9,6 @@
 {
 
 constexpr Span order_waits = seconds(10);  // for the leader, beyond three leases
-constexpr Span want_again = seconds(0.2);
 constexpr Span first_list = seconds(1.5);  // after the start, before discovery is asked all the same
 constexpr Member nobody = UINT32_MAX;
 constexpr Span weigh_every = seconds(10), sharers_every = seconds(0.2);
@@ -24,13 +23,6 @@
     return std::clamp(file.lease.length * 0.125, seconds(0.1), seconds(2));
 }
 
-struct ListNews {
-    std::string source;
-    uint64_t version = 0;
-    std::string whole;
-    MSGPACK_DEFINE(source, version, whole)
-};
-
 template <class... F>
 struct Cases : F... {
     using F::operator()...;
@@ -47,6 +39,7 @@
       granter_(file, seed + 3)
 {
     granter_.table_is(table_);
+    if (file_.deltas) distribution_.emplace(*file_.deltas);
     if (file_.signals) signals_.emplace(*file_.signals, file_.members[self_].key, life);
     if (file_.turns) {
         shares_.emplace(*file_.turns, file_.members.size(), life);
@@ -123,16 +116,7 @@
                    [&](const Ping& p) {
                        members_.on(now_, from, p);
                        holder_.leader_is(p.leader, p.term);
-                       // Guards against news that was lost on its way.
-                       const auto own = newest_.find("list");
-                       const auto have = own == newest_.end()
-                                             ? std::pair<Epoch, uint64_t>{}
-                                             : std::pair{own->second.epoch, own->second.base};
-                       if (file_.list && std::pair{p.list_epoch, p.list} > have &&
-                           now_ - wanted_news_ > want_again) {
-                           wanted_news_ = now_;
-                           effects_.push_back(Send{from, WantNews{"list"}});
-                       }
+                       hear_list(from, p);
                    },
                    [&](const Ask& a) { members_.on(now_, from, a); },
                    [&](const Reached& r) { members_.on(now_, from, r); },
@@ -172,6 +156,9 @@
                    [&](const GivenParts& g) {
                        if (shares_) shares_->given_to(now_, g);
                    },
+                   [&](ListDelta& d) { hear(from, d); },
+                   [&](const WantListDeltas& w) { hear(from, w); },
+                   [&](const ListSnapshotChunk& c) { hear(from, c); },
                },
                heard.message);
 }
@@ -238,6 +225,11 @@
         members_.carried.list = own->second.base;
         members_.carried.list_epoch = own->second.epoch;
     }
+    if (distribution_) {
+        members_.carried.list = distribution_->replica().revision().number;
+        members_.carried.list_epoch = distribution_->replica().revision().epoch;
+        members_.carried.list_digest = distribution_->replica().digest();
+    }
     members_.tick(now_);
     holder_.tick(now_);
     granter_.tick(now_);
@@ -295,6 +287,7 @@
     if (kind == DutyKind::list) {
         list_published_.clear();
         numbers_[c.duty] = 0;
+        list_gained_ = now_;
         if (asking_ != c.gained) effects_.push_back(AskDiscovery{asking_ = c.gained});
         list_fresh_ = std::max(list_fresh_, now_ - file_.list->stale * 0.5);
     } else if (kind == DutyKind::parts) {
@@ -348,66 +341,7 @@
     const Span age{std::max<int64_t>(0, news.age_us)};
     if (file_.duties[*d].kind == DutyKind::probe)
         return effects_.push_back(UseReports{news.duty, std::move(news.bytes), age});
-    if (file_.duties[*d].kind != DutyKind::list) return;
-    const auto own = newest_.find(news.duty);
-    const bool have = !news.bytes.empty() || (own != newest_.end() && own->second.epoch == news.epoch &&
-                                              own->second.base == news.base);
-    if (!have) {
-        if (now_ - wanted_news_ > want_again) {
-            wanted_news_ = now_;
-            effects_.push_back(Send{from, WantNews{news.duty}});
-        }
-        return;
-    }
-    if (!news.bytes.empty()) {
-        auto list = unpack<ListNews>(news.bytes);
-        if (!list) return;
-        // Guards against a holder whose discovery has fallen behind: an older list would bring back what
-        // drains.
-        if (list->version < list_version_) return;
-        newest_[news.duty] = news;
-        if (file_.recovery) last_list_ = list->whole;
-        if (list->version > list_version_) effects_.push_back(UseList{list->version, std::move(list->whole)});
-        list_version_ = list->version;
-    }
-    list_fresh_ = std::max(list_fresh_, now_ - age);
-    if (asking_ && !holder_.mine(now_, news.duty)) effects_.push_back(AskDiscovery{asking_ = false});
-}
-
-// Guards against a discovery that has fallen behind: an older list would bring back what drains or has gone.
-bool Fleet::use_list(const std::string& source, uint64_t version, const std::string& whole)
-{
-    const bool same = source == list_source_;
-    if (same && version < list_version_) return false;
-    // Guards against a discovery that has lost its own past: what is remembered is better for a while.
-    if (version < hint_version_ && file_.recovery && now_ - begun_ < file_.recovery->wait * 4) return false;
-    hint_version_ = 0;
-    if (file_.recovery) last_list_ = whole;
-    if (!same || version > list_version_) effects_.push_back(UseList{version, whole});
-    list_source_ = source;
-    list_version_ = version;
-    return true;
-}
-
-void Fleet::on(ListSeen& seen)
-{
-    if (!file_.list || !use_list(seen.source, seen.version, seen.whole)) return;
-    list_fresh_ = now_;
-    const auto epoch = holder_.mine(now_, "list");
-    if (!epoch) return;
-    auto bytes = pack(ListNews{seen.source, seen.version, std::move(seen.whole)});
-    if (bytes == list_published_) return publish("list", *epoch, {});
-    list_published_ = bytes;
-    publish("list", *epoch, std::move(bytes));
-}
-
-void Fleet::list_tick()
-{
-    if (!file_.list || asking_ || stopping_ || holder_.mine(now_, "list")) return;
-    if (now_ - list_fresh_ <= file_.list->stale + list_spread_) return;
-    effects_.push_back(AskDiscovery{asking_ = true});
-    effects_.push_back(
-        Noted{"list", "", "it is older than stated: discovery is asked by this member itself", 0, "", {}});
+    if (file_.duties[*d].kind == DutyKind::list) hear_list(from, news);
 }
 
 void Fleet::on(ProbesSeen& seen)
@@ -689,7 +623,7 @@
     Memory m;
     m.fleet = file_.name, m.member = file_.id, m.incarnation = members_.incarnation();
     m.boot_us = now_.us;
-    m.list_version = std::max(list_version_, hint_version_), m.list = last_list_;
+    m.list_version = std::max(list_version_, hint_version_), m.list = list_to_remember();
     m.rate = observed_.accepted, m.size = observed_.size,
     m.sharers = observed_.sharers ? observed_.sharers : static_cast<uint32_t>(members_.alive());
     m.reductions = observed_.reductions, m.open = observed_.open;
@@ -744,7 +678,7 @@
                " epoch " + std::to_string(epoch) + " left_ms " +
                std::to_string(own ? holder_.left(now_).us / 1000 : 0) + (own ? " mine" : "") + "\n";
     }
-    return out + show_choices() + "EOT\n";
+    return out + show_list() + show_choices() + "EOT\n";
 }
 
 }  // namespace firtide::fleet
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "leases.h"
+#include "list_distribution.h"
 #include "members.h"
 #include "recovery.h"
 #include "view.h"
@@ -42,7 +43,10 @@
 struct ListSeen {        // own discovery has answered
     std::string source;  // its address: versions of another say nothing of this one's
     uint64_t version = 0;
-    std::string whole;
+    std::string whole;                                 // without [deltas]
+    std::shared_ptr<const ListLines> lines = nullptr;  // with [deltas]
+    // With [deltas]: all uids that can differ from the last answer; nothing: any.
+    std::optional<std::vector<std::string>> changed = std::nullopt;
 };
 struct ProbesSeen {
     std::string duty;
@@ -98,10 +102,6 @@
 struct AskDiscovery {
     bool on = false;
 };
-struct UseList {
-    uint64_t version = 0;
-    std::string whole;
-};
 struct UseReports {
     std::string duty;
     std::string bytes;
@@ -164,6 +164,9 @@
     Incarnation incarnation() const { return members_.incarnation(); }
     const Holder& holder() const { return holder_; }
     const Members& members() const { return members_; }
+    // Of the list; nothing without [deltas].
+    const ListReplica* replica() const { return distribution_ ? &distribution_->replica() : nullptr; }
+    ListReplica* replica_to_corrupt() { return distribution_ ? &distribution_->replica() : nullptr; }
     Granter& granter() { return granter_; }
     uint64_t refused() const { return refused_; }  // effects of others, for their epoch
 
@@ -200,14 +203,28 @@
     void settle();
     void changed(const Change& change);
     void publish(const std::string& duty, Epoch epoch, std::string bytes);
-    void list_tick();
     void choices_tick();
     void tell_sharers();
     void hear(Member from, const WantParts& want);
     std::string show_choices() const;
-    bool use_list(const std::string& source, uint64_t version, const std::string& whole);
     void beat();
     void pass_on(const News& news, Member not_to);
+    // Of the duty `list`: fleet_list.cpp.
+    void hear_list(Member from, News& news);
+    void hear_list(Member from, const Ping& ping);
+    void hear(Member from, ListDelta& delta);
+    void hear(Member from, const WantListDeltas& want);
+    void hear(Member from, const ListSnapshotChunk& chunk);
+    bool accepts(const ListVersion& version) const;
+    bool use_list(const std::string& source, uint64_t version, const std::string& whole);
+    void replicate(const ListSeen& seen);
+    void push(Epoch epoch, const std::vector<ListDelta>& deltas);
+    void use_replica();
+    void list_confirmed(Span age);
+    void list_tick();
+    const std::string& list_to_remember();
+    std::string show_list() const;
+
     void reply(uint64_t caller, std::string text) { effects_.push_back(Reply{caller, std::move(text)}); }
     void order(uint64_t caller, const std::string& what, const std::string& first, const std::string& second);
     std::string show() const;
@@ -237,6 +254,9 @@
     std::string list_published_, list_source_;
     bool asking_ = false;
     Point wanted_news_;
+    std::optional<ListDistribution> distribution_;  // where the fleet file has [deltas]
+    Point list_gained_;
+    bool list_changed_ = false;  // since it was last written down to be remembered
 
     // Choices that add up, where the fleet file has them.
     std::optional<Signals> signals_;
--- /dev/null
+++ b/src/fleet/list_distribution.cpp
@@ -0,0 +1,341 @@
+#include "list_distribution.h"
+
+#include <utility>
+
+namespace firtide::fleet
+{
+namespace
+{
+
+constexpr size_t most_snapshot_bytes = 32 << 20;
+constexpr uint32_t most_attempts = 3;    // at one chunk, before another member is asked for all of them
+constexpr Span keep_offer = seconds(5);  // after it was last asked for
+constexpr double wait_to_publish = 3;    // times `repair`
+constexpr double wait_while_empty = 1;   // the same, where nobody is known to have a list
+
+}  // namespace
+
+// ---- from discovery ----
+
+std::vector<ListDelta> ListDistribution::publish(Epoch epoch, const ListVersion& version,
+                                                 const ListLines& lines,
+                                                 const std::optional<std::vector<std::string>>& uids)
+{
+    const bool follows = uids && followed_ == replica_.revision() && !wants_whole_;
+    ListChanges changes = follows ? replica_.difference(lines, *uids) : replica_.difference(lines);
+    drop_own();
+    const bool first = replica_.revision().epoch != epoch;
+    const bool unchanged = changes.empty() && version == replica_.version() && !replica_.partial();
+    std::vector<ListDelta> deltas;
+    if (first || !unchanged) {
+        touch(changes);
+        deltas = replica_.publish(epoch, version, std::move(changes));
+        untold_ = true;
+    }
+    passed_on_ = replica_.revision();
+    followed_ = replica_.revision();
+    wants_whole_ = false;
+    forget_reached();
+    return deltas;
+}
+
+void ListDistribution::use_own(const ListVersion& version, const ListLines& lines)
+{
+    drop_own();
+    followed_.reset();
+    untold_ = true;
+    if (version == replica_.version() && !replica_.partial() && replica_.lines() == lines) return;
+    OwnList own{version, {}};
+    const ListChanges changes = replica_.difference(lines);
+    touch(changes);
+    for (const ListEntry& entry : changes.changed) own.differences[entry.uid] = entry.text;
+    for (const std::string& uid : changes.removed) own.differences[uid] = std::nullopt;
+    own_ = std::move(own);
+}
+
+void ListDistribution::drop_own()
+{
+    if (!own_) return;
+    for (const auto& [uid, text] : own_->differences) touched_.insert(uid);
+    own_.reset();
+    untold_ = true;
+}
+
+bool ListDistribution::must_wait_to_publish(Point now, Epoch epoch, Point gained) const
+{
+    if (replica_.revision().epoch == epoch) return false;
+    const bool progresses = assembly_ && asked_ && now - asked_->at < rule_.repair;
+    if (progresses) return true;
+    if (behind()) return now - gained < rule_.repair * wait_to_publish;
+    return replica_.revision() == ListRevision{} && now - gained < rule_.repair * wait_while_empty;
+}
+
+// ---- deltas ----
+
+ListDistribution::Heard ListDistribution::hear(Point now, Member from, const ListDelta& delta)
+{
+    if (delta.answer) {
+        if (!asked_ || asked_->member != from) return {};
+        asked_->answered = true;
+    }
+    // Once for each revision, also where it came too early: others may lack nothing but this one.
+    const bool pass_on = !delta.answer && delta.to > passed_on_;
+    if (pass_on) passed_on_ = delta.to;
+    const ListChanges changes{delta.changed, delta.removed};
+    keep_own_of(changes);
+    switch (replica_.apply(delta)) {
+        case ListReplica::Result::applied:
+        case ListReplica::Result::adopted: break;
+        case ListReplica::Result::diverged: wants_whole_ = true; [[fallthrough]];
+        case ListReplica::Result::behind:
+            newer_[from] = delta.to;
+            ask_if_due(now, from);
+            return {pass_on, false};
+        case ListReplica::Result::stale:
+        case ListReplica::Result::older: return {pass_on, false};
+    }
+    touch(changes);
+    forget_reached();
+    drop_own_if_reached(!delta.answer);
+    if (delta.more) ask(now, from);
+    return {pass_on, !own_ && !delta.partial && !delta.more};
+}
+
+// The balancer goes on with its own, newer list while the fleet's changes below it.
+void ListDistribution::keep_own_of(const ListChanges& changes)
+{
+    if (!own_) return;
+    const auto keep = [&](const std::string& uid) {
+        const auto* line = line_of(uid);
+        own_->differences.emplace(uid, line ? std::optional(*line) : std::nullopt);
+    };
+    for (const ListEntry& entry : changes.changed) keep(entry.uid);
+    for (const std::string& uid : changes.removed) keep(uid);
+}
+
+// A repair may come from a member that is itself behind: there numbers decide, whatever their source.
+void ListDistribution::drop_own_if_reached(bool by_holder)
+{
+    if (!own_ || replica_.partial()) return;
+    const bool older = by_holder ? replica_.version().older_than(own_->version)
+                                 : replica_.version().number < own_->version.number;
+    if (!older) drop_own();
+}
+
+void ListDistribution::touch(const ListChanges& changes)
+{
+    for (const ListEntry& entry : changes.changed) touched_.insert(entry.uid);
+    for (const std::string& uid : changes.removed) touched_.insert(uid);
+    untold_ = true;
+}
+
+bool ListDistribution::hear_unchanged(Point now, Member from, const ListRevision& revision)
+{
+    if (revision > replica_.revision()) {
+        newer_[from] = revision;
+        ask_if_due(now, from);
+    }
+    if (revision != replica_.revision() || wants_whole_) return false;
+    drop_own_if_reached(true);
+    // Guards against a holder whose discovery is behind this member's own.
+    return !own_;
+}
+
+void ListDistribution::hear_revision(Point now, Member from, const ListRevision& revision, uint64_t digest)
+{
+    if (revision < replica_.revision()) return (void)newer_.erase(from);
+    if (revision > replica_.revision()) {
+        newer_[from] = revision;
+        return ask_if_due(now, from);
+    }
+    // Of two that differ at one revision, the one that has not what its publisher stated is wrong.
+    if (digest != replica_.digest() && (!verified_ || now - *verified_ >= rule_.repair)) {
+        verified_ = now;
+        wants_whole_ = wants_whole_ || !replica_.intact();
+    }
+    if (!wants_whole_ || digest == replica_.digest()) return;
+    newer_[from] = revision;
+    ask_if_due(now, from);
+}
+
+// ---- repair of this replica ----
+
+void ListDistribution::forget_reached()
+{
+    std::erase_if(newer_, [&](const auto& known) { return known.second <= replica_.revision(); });
+}
+
+void ListDistribution::ask(Point now, Member member)
+{
+    asked_ = Asked{member, now, false};
+    WantListDeltas want;
+    want.from = replica_.revision();
+    want.version = replica_.version();
+    want.digest = replica_.digest();
+    want.whole = wants_whole_;
+    if (assembly_ && assembly_->from == member) {
+        want.snapshot = assembly_->snapshot.revision;
+        want.chunk = assembly_->next;
+    }
+    sends_.push_back({member, std::move(want)});
+}
+
+void ListDistribution::ask_if_due(Point now, Member member)
+{
+    if (!asked_ || now - asked_->at >= rule_.repair) ask(now, member);
+}
+
+// Another one than the last time, where there is another.
+std::optional<Member> ListDistribution::next_source() const
+{
+    if (newer_.empty()) return {};
+    if (!asked_) return newer_.begin()->first;
+    const auto next = newer_.upper_bound(asked_->member);
+    return next == newer_.end() ? newer_.begin()->first : next->first;
+}
+
+void ListDistribution::tick(Point now)
+{
+    if (offer_ && now - offer_->asked > keep_offer) offer_.reset();
+    if (!behind() || (asked_ && now - asked_->at < rule_.repair)) return;
+    if (asked_ && !asked_->answered && assembly_ && assembly_->from == asked_->member &&
+        ++assembly_->attempts < most_attempts)
+        return ask(now, asked_->member);
+    assembly_.reset();
+    const auto source = next_source();
+    // Whoever has not answered tells of itself again with its next ping.
+    if (asked_ && !asked_->answered) newer_.erase(asked_->member);
+    if (source) ask(now, *source);
+}
+
+ListDistribution::Heard ListDistribution::hear(Point now, Member from, const ListSnapshotChunk& chunk)
+{
+    if (!asked_ || asked_->member != from) return {};
+    asked_->answered = true;
+    if (chunk.version.older_than(replica_.version())) return {};
+    const bool known = assembly_ && assembly_->from == from && assembly_->snapshot.revision == chunk.revision;
+    if (chunk.index == 0 && !known) {
+        assembly_.emplace();
+        assembly_->from = from;
+        assembly_->count = chunk.count;
+        assembly_->snapshot = {chunk.revision, chunk.version, chunk.digest, chunk.partial, {}};
+    } else if (!known || chunk.index != assembly_->next) {
+        return {};  // repeated, or of a snapshot that its sender has given up
+    }
+    Assembly& assembly = *assembly_;
+    for (const ListEntry& entry : chunk.entries) {
+        assembly.bytes += entry.uid.size() + entry.text.size();
+        assembly.snapshot.lines[entry.uid] = entry.text;
+    }
+    assembly.attempts = 0;
+    if (assembly.bytes > most_snapshot_bytes) {
+        assembly_.reset();
+        newer_.erase(from);
+        return {};
+    }
+    if (++assembly.next < assembly.count) {
+        ask(now, from);
+        return {};
+    }
+    return {false, finish(now) && !own_};
+}
+
+bool ListDistribution::finish(Point now)
+{
+    const Assembly assembly = std::move(*std::exchange(assembly_, std::nullopt));
+    if (own_) keep_own_of(replica_.difference(assembly.snapshot.lines));
+    const auto changes = replica_.replace(assembly.snapshot);
+    if (!changes) {
+        newer_.erase(assembly.from);
+        return false;
+    }
+    wants_whole_ = false;
+    touch(*changes);
+    forget_reached();
+    drop_own_if_reached(false);
+    if (newer_.count(assembly.from)) ask(now, assembly.from);  // for what has come since
+    return !replica_.partial();
+}
+
+// ---- repair of others ----
+
+void ListDistribution::hear(Point now, Member from, const WantListDeltas& want, Span age)
+{
+    // What is wrong, or older than what its receiver has, repairs nobody.
+    if (wants_whole_ || replica_.version().older_than(want.version)) return;
+    if (want.chunk > 0) return answer_with_snapshot(now, from, want, age);
+    if (want.whole ? want.from > replica_.revision() : want.from >= replica_.revision()) return;
+    if (want.whole) return answer_with_snapshot(now, from, want, age);
+    if (want.digest == replica_.digest()) {
+        ListDelta same;
+        same.from = want.from;
+        same.to = replica_.revision();
+        same.version = replica_.version();
+        same.digest = replica_.digest();
+        same.partial = replica_.partial();
+        same.answer = true;
+        same.age_us = age.us;
+        return sends_.push_back({from, std::move(same)});
+    }
+    auto deltas = replica_.since(want.from);
+    if (deltas.empty()) return answer_with_snapshot(now, from, want, age);
+    deltas.back().more = deltas.back().to < replica_.revision();
+    for (ListDelta& delta : deltas) {
+        delta.answer = true;
+        delta.age_us = age.us;
+        sends_.push_back({from, std::move(delta)});
+    }
+}
+
+// One chunk at a time, each asked for: a slow road is never filled with what its receiver can't take.
+void ListDistribution::answer_with_snapshot(Point now, Member to, const WantListDeltas& want, Span age)
+{
+    const auto offered = offer_ ? offer_->chunks.front().revision : ListRevision{};
+    const bool goes_on =
+        offer_ && want.chunk > 0 && want.snapshot == offered && want.chunk < offer_->chunks.size();
+    const bool usable = offer_ && offered >= want.from && replica_.reaches(offered);
+    if (!goes_on && !usable) offer_ = Offer{replica_.snapshot(), now};
+    offer_->asked = now;
+    ListSnapshotChunk chunk = offer_->chunks[goes_on ? want.chunk : 0];
+    chunk.age_us = age.us;
+    sends_.push_back({to, std::move(chunk)});
+}
+
+// ---- what the balancer uses ----
+
+const std::string* ListDistribution::line_of(const std::string& uid) const
+{
+    if (own_)
+        if (const auto at = own_->differences.find(uid); at != own_->differences.end())
+            return at->second ? &*at->second : nullptr;
+    const auto at = replica_.lines().find(uid);
+    return at == replica_.lines().end() ? nullptr : &at->second;
+}
+
+ListLines ListDistribution::lines() const
+{
+    ListLines all = replica_.lines();
+    if (!own_) return all;
+    for (const auto& [uid, text] : own_->differences)
+        if (text)
+            all[uid] = *text;
+        else
+            all.erase(uid);
+    return all;
+}
+
+std::optional<UseList> ListDistribution::take_use()
+{
+    // A version that has come in part is not a list yet.
+    if (!untold_ || (replica_.partial() && !own_)) return {};
+    untold_ = false;
+    const uint64_t number = version().number;
+    const auto uids = std::exchange(touched_, {});
+    if (!std::exchange(told_, true)) return UseList{number, whole_list_text(number, lines()), true};
+    ListLines changed;
+    for (const std::string& uid : uids)
+        if (const auto* line = line_of(uid)) changed[uid] = *line;
+    return UseList{number, list_changes_text(number, uids, changed), false};
+}
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/list_replica.h
@@ -0,0 +1,95 @@
+// A member's replica of the list of upstreams: entries at a revision, a log of the last deltas to repair
+// others with, and a digest of the state that is kept incrementally. No I/O, no clock.
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config.h"
+#include "list_text.h"
+#include "messages.h"
+
+namespace firtide::fleet
+{
+
+struct ListChanges {
+    std::vector<ListEntry> changed;
+    std::vector<std::string> removed;  // uids
+    bool empty() const { return changed.empty() && removed.empty(); }
+};
+
+// A whole state, as received in chunks.
+struct ListSnapshot {
+    ListRevision revision;
+    ListVersion version;
+    uint64_t digest = 0;
+    bool partial = false;
+    ListLines lines;
+};
+
+// Of one entry. The digest of a state is the sum over its entries, whatever their order.
+uint64_t digest_of(const std::string& uid, const std::string& text);
+uint64_t digest_of(const ListLines& lines);
+
+class ListReplica
+{
+  public:
+    enum class Result : uint8_t {
+        applied,
+        adopted,   // its state is what this replica holds already, at another revision
+        behind,    // it does not follow this replica's revision
+        stale,     // this replica is at that revision, or at a later one
+        older,     // its list is older than this one, of the same source
+        diverged,  // the state after it would not be what its publisher has
+    };
+
+    explicit ListReplica(const DeltasRule& rule) : rule_(rule) {}
+
+    const ListRevision& revision() const { return state_.revision; }
+    const ListVersion& version() const { return state_.version; }
+    uint64_t digest() const { return digest_; }
+    bool partial() const { return state_.partial; }
+    const ListLines& lines() const { return state_.lines; }
+
+    // What has to change here to arrive at `whole`.
+    ListChanges difference(const ListLines& whole) const;
+    // The same where nothing but the entries of `uids` can differ.
+    ListChanges difference(const ListLines& whole, const std::vector<std::string>& uids) const;
+
+    // As holder at `epoch`: makes one delta of the changes, or several where they exceed a chunk, applies
+    // them and returns them. The first of an epoch may be empty.
+    std::vector<ListDelta> publish(Epoch epoch, const ListVersion& version, ListChanges changes);
+    Result apply(const ListDelta& delta);
+
+    // Whether the log leads from there to the present revision.
+    bool reaches(const ListRevision& from) const;
+    // The next deltas after `from`, about a chunk of them; empty where the log does not have them.
+    std::vector<ListDelta> since(const ListRevision& from) const;
+
+    std::vector<ListSnapshotChunk> snapshot() const;
+    // Takes a snapshot's place of the whole state and returns what it changed; nothing where it is not what
+    // its digest says, or older than this state.
+    std::optional<ListChanges> replace(ListSnapshot snapshot);
+
+    // Whether the entries are still those that the publisher of this revision had. Goes through all of them.
+    bool intact() const { return digest_of(state_.lines) == state_.digest; }
+
+    // For tests of divergence: changes an entry as no delta did.
+    void corrupt(const std::string& uid, const std::string& text);
+
+  private:
+    uint64_t digest_after(const ListDelta& delta) const;
+    void advance(const ListDelta& delta);
+    void keep(ListDelta delta);
+    std::deque<ListDelta>::const_iterator logged_after(const ListRevision& from) const;
+
+    const DeltasRule rule_;
+    ListSnapshot state_;  // its digest: as the publisher has it
+    uint64_t digest_ = 0;
+    std::deque<ListDelta> log_;  // contiguous, up to the present revision
+    size_t log_bytes_ = 0;
+};
+
+}  // namespace firtide::fleet
--- /dev/null
+++ b/src/fleet/list_text.cpp
@@ -0,0 +1,58 @@
+#include "list_text.h"
+
+#include <cstdio>
+
+namespace firtide::fleet
+{
+namespace
+{
+
+std::string quoted(const std::string& text)
+{
+    std::string out = "\"";
+    for (const char c : text) {
+        if (c == '"' || c == '\\') {
+            out += {'\\', c};
+        } else if (static_cast<unsigned char>(c) < 0x20) {
+            char code[8];
+            std::snprintf(code, sizeof code, "\\u%04x", c);
+            out += code;
+        } else {
+            out += c;
+        }
+    }
+    return out + '"';
+}
+
+std::string begin_list(uint64_t version, bool all)
+{
+    return R"({"rev":)" + std::to_string(version) + R"(,"all":)" + (all ? "true" : "false") +
+           R"(,"targets":[)";
+}
+
+void add_target(std::string& list, const std::string& target)
+{
+    if (list.back() != '[') list += ',';
+    list += target;
+}
+
+}  // namespace
+
+std::string whole_list_text(uint64_t version, const ListLines& lines)
+{
+    std::string out = begin_list(version, true);
+    for (const auto& [uid, line] : lines) add_target(out, line);
+    return out + "]}";
+}
+
+std::string list_changes_text(uint64_t version, const std::set<std::string>& uids, const ListLines& lines)
+{
+    std::string out = begin_list(version, false);
+    for (const std::string& uid : uids) {
+        const auto at = lines.find(uid);
+        add_target(out, at != lines.end() ? at->second : R"({"state":"gone","uid":)" + quoted(uid) + "}");
+    }
+    return out + "]}";
+}
+
+}  // namespace firtide::fleet
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -109,7 +109,7 @@
     p.view = view();
     p.held = static_cast<uint8_t>(o.health), p.held_at = o.incarnation;
     p.leader = carried.leader, p.term = carried.term;
-    p.list = carried.list, p.list_epoch = carried.list_epoch;
+    p.list = carried.list, p.list_epoch = carried.list_epoch, p.list_digest = carried.list_digest;
     p.weight = all_[self_].weight;
     if (!answers) watch_[to].pinged = now;
     send(to, p);
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -29,6 +29,7 @@
     Term term = 0;
     uint64_t list = 0;
     Epoch list_epoch = 0;
+    uint64_t list_digest = 0;
 };
 
 class Members
--- a/src/fleet/messages.cpp
+++ b/src/fleet/messages.cpp
@@ -67,10 +67,13 @@
 
 Urgency urgency_of(const Message& message)
 {
-    if (std::get_if<News>(&message) || std::get_if<Digest>(&message)) return Urgency::news;
+    if (std::get_if<News>(&message) || std::get_if<Digest>(&message) || std::get_if<ListDelta>(&message) ||
+        std::get_if<ListSnapshotChunk>(&message))
+        return Urgency::news;
     if (std::get_if<Ping>(&message) || std::get_if<Ask>(&message) || std::get_if<Reached>(&message) ||
         std::get_if<MembershipUpdates>(&message) || std::get_if<WantNews>(&message) ||
-        std::get_if<WantParts>(&message) || std::get_if<GivenParts>(&message))
+        std::get_if<WantParts>(&message) || std::get_if<GivenParts>(&message) ||
+        std::get_if<WantListDeltas>(&message))
         return Urgency::members;
     return Urgency::leases;
 }
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -55,8 +55,9 @@
     uint64_t list = 0;  // newest list that its sender has
     Epoch list_epoch = 0;
     uint8_t weight = 0;
+    uint64_t list_digest = 0;  // of the state at that revision, where lists go round as deltas
     MSGPACK_DEFINE(number, answers, incarnation, life, view, held, held_at, leader, term, list, list_epoch,
-                   weight)
+                   weight, list_digest)
 };
 struct Ask {  // whether the receiver reaches this member
     Key member = 0;
@@ -217,9 +218,65 @@
     MSGPACK_DEFINE(epoch, life, number, all)
 };
 
-using Message =
-    std::variant<Hello, Ping, Ask, Reached, MembershipUpdates, RaftSent, DiskReport, Founded, Renew, Renewed,
-                 Refer, Revoke, Released, Order, Obeyed, News, WantNews, Digest, WantParts, GivenParts>;
+// A state of the replicated list: ordered, and never used for two states. Zero: the empty list at the start.
+struct ListRevision {
+    Epoch epoch = 0;      // of the holder that published it
+    uint64_t number = 0;  // within the epoch, from 1
+    auto operator<=>(const ListRevision&) const = default;
+    MSGPACK_DEFINE(epoch, number)
+};
+// Of a list as discovery numbers it. Numbers of two sources say nothing of each other.
+struct ListVersion {
+    std::string source;  // discovery's address
+    uint64_t number = 0;
+    bool operator==(const ListVersion&) const = default;
+    bool older_than(const ListVersion& other) const
+    {
+        return source == other.source && number < other.number;
+    }
+    MSGPACK_DEFINE(source, number)
+};
+struct ListEntry {
+    std::string uid, text;  // text: its target in discovery's form
+    MSGPACK_DEFINE(uid, text)
+};
+// One step of the replicated list. Pushed along the rings, or sent in answer to WantListDeltas.
+struct ListDelta {
+    ListRevision from, to;
+    ListVersion version;  // after it
+    std::vector<ListEntry> changed;
+    std::vector<std::string> removed;  // uids
+    uint64_t digest = 0;               // of the state after it
+    bool partial = false;              // the rest of this version follows in the next delta
+    bool answer = false;               // to WantListDeltas
+    bool more = false;                 // the last of an answer whose sender holds further ones
+    int64_t age_us = 0;                // since its sender's list was last confirmed
+    MSGPACK_DEFINE(from, to, version, changed, removed, digest, partial, answer, more, age_us)
+};
+// Asks for what follows `from`: deltas, or the first chunk of a snapshot.
+struct WantListDeltas {
+    ListRevision from;
+    ListVersion version;    // at `from`
+    uint64_t digest = 0;    // at `from`
+    bool whole = false;     // its sender's replica is wrong: deltas do not help
+    ListRevision snapshot;  // that is being received, and its next chunk
+    uint32_t chunk = 0;
+    MSGPACK_DEFINE(from, version, digest, whole, snapshot, chunk)
+};
+struct ListSnapshotChunk {
+    ListRevision revision;
+    ListVersion version;
+    uint64_t digest = 0;
+    bool partial = false;
+    uint32_t index = 0, count = 0;
+    int64_t age_us = 0;
+    std::vector<ListEntry> entries;
+    MSGPACK_DEFINE(revision, version, digest, partial, index, count, age_us, entries)
+};
+
+using Message = std::variant<Hello, Ping, Ask, Reached, MembershipUpdates, RaftSent, DiskReport, Founded,
+                             Renew, Renewed, Refer, Revoke, Released, Order, Obeyed, News, WantNews, Digest,
+                             WantParts, GivenParts, ListDelta, WantListDeltas, ListSnapshotChunk>;
 
 inline constexpr uint32_t wire_version = 1;
 inline constexpr size_t most_message = 4 << 20;  // bytes
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -260,9 +260,22 @@
     if (first) spdlog::info("list {} of {} upstreams", list->version, list->told.entries.size());
     // The next call goes out before anything else, so that the watch has no gap.
     call_in(Span{});
-    if (!whole_) return tell_(std::move(list->told));
-    take_in(lines_, text);
-    whole_(list->version, whole_list(list->version, lines_));
+    if (!told_elsewhere()) return tell_(std::move(list->told));
+    tell_fleet(*list, text);
+}
+
+void Discovery::tell_fleet(const List& list, const std::string& text)
+{
+    // Whoever was told of the last lines may hold them still.
+    if (lines_.use_count() > 1) lines_ = std::make_shared<Lines>(*lines_);
+    take_in(*lines_, text);
+    if (!tell_lines_) return whole_(list.version, whole_list(list.version, *lines_));
+    std::optional<std::vector<std::string>> uids;
+    if (!list.told.all) {
+        uids.emplace();
+        for (const Entry& e : list.told.entries) uids->push_back(e.uid);
+    }
+    tell_lines_(list.version, lines_, std::move(uids));
 }
 
 void Discovery::failed(Call& call, const char* why)
@@ -273,9 +286,9 @@
     dropped_.splice(dropped_.end(), calls_, at);
     if (well_) spdlog::warn("discovery: {}; the last list stays in use", why);
     well_ = false;
-    version_.reset();                              // a new watch begins with the whole list
-    if (!calls_.empty()) return;                   // another is out beside it
-    if (!is_pushed() && !whole_) asking_ = false;  // the module says when to ask again
+    version_.reset();                                        // a new watch begins with the whole list
+    if (!calls_.empty()) return;                             // another is out beside it
+    if (!is_pushed() && !told_elsewhere()) asking_ = false;  // the module says when to ask again
     tell_(ListFailed{});
     if (!asking_) return;
     call_in(pause_);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -6,6 +6,10 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
 
 #include "config.h"
 #include "event.h"
@@ -39,6 +43,12 @@
     using Whole = std::function<void(uint64_t version, std::string text)>;
     void tell_whole(Whole whole) { whole_ = std::move(whole); }
 
+    // The same as entries. `uids`: all that can differ from the last one told; nothing: any.
+    using Lines = std::map<std::string, std::string>;  // by uid
+    using TellLines = std::function<void(uint64_t version, std::shared_ptr<const Lines> lines,
+                                         std::optional<std::vector<std::string>> uids)>;
+    void tell_lines(TellLines tell) { tell_lines_ = std::move(tell); }
+
     void rest();            // asks nothing until ask()
     void move(Address to);  // asks there from now on, for the whole list first
     void ask();  // the whole list, and then watches it; asks anew after failures, where that is its own job
@@ -60,6 +70,8 @@
     void failed(Call& call, const char* why);
     void call_in(Span pause);
     void drop_all();
+    bool told_elsewhere() const { return whole_ || tell_lines_; }
+    void tell_fleet(const List& list, const std::string& text);
     template <auto then>
     Timer timer(Call& call, Span wait);
 
@@ -69,7 +81,8 @@
     Point epoch_;
     std::function<void(Event)> tell_;
     Whole whole_;
-    std::map<std::string, std::string> lines_;  // by uid: what a whole list is made of
+    TellLines tell_lines_;
+    std::shared_ptr<Lines> lines_ = std::make_shared<Lines>();  // what a whole list is made of
     std::list<Call> calls_;
     std::list<Call> dropped_;  // to be freed outside of their own callbacks
     Timer again_;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -120,10 +120,7 @@
         if (file.subset || file.signals || file.turns || file.recovery)
             reducer_.join({file.subset, file.signals, file.turns, file.members[file.self].key, 0, {}, 0.1});
         fleet_.emplace(base_.get(), std::move(fleet->first), fleet->second, hooks());
-        if (shares_list())
-            discovery_.tell_whole([this](uint64_t version, std::string text) {
-                fleet_->tell(fleet::ListSeen{text_of(config_.discovery), version, std::move(text)});
-            });
+        if (shares_list()) tell_lists_to_fleet();
         if (management_)
             management_->fleet_orders(
                 [this](OperatorId caller, const auto& words) { return ordered(caller, words); },
@@ -149,6 +146,18 @@
 
 Service::~Service() = default;
 
+void Service::tell_lists_to_fleet()
+{
+    if (fleet_->file().deltas)
+        return discovery_.tell_lines([this](uint64_t version, auto lines, auto uids) {
+            fleet_->tell(
+                fleet::ListSeen{text_of(config_.discovery), version, "", std::move(lines), std::move(uids)});
+        });
+    discovery_.tell_whole([this](uint64_t version, std::string text) {
+        fleet_->tell(fleet::ListSeen{text_of(config_.discovery), version, std::move(text), nullptr, {}});
+    });
+}
+
 // What the fleet asks of this balancer.
 fleet::Host::Hooks Service::hooks()
 {
@@ -160,7 +169,7 @@
     h.resume = [this] { post(Ordered{0, Order::resume}); };
     h.ask_discovery = [this](bool on) { on ? discovery_.ask() : discovery_.rest(); };
     h.use_list = [this](const fleet::UseList& list) {
-        if (auto decoded = decode_list(config_.setup, list.whole, epoch_)) post(std::move(decoded->told));
+        if (auto decoded = decode_list(config_.setup, list.text, epoch_)) post(std::move(decoded->told));
     };
     h.probe = [this](const fleet::ProbeNow& now, const std::string& duty, fleet::Epoch epoch) {
         stamps_[next_stamp_] = {duty, epoch};
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -40,6 +40,7 @@
     void look();
     void count_processes();
     fleet::Host::Hooks hooks();
+    void tell_lists_to_fleet();
     bool shares_list() const { return fleet_ && fleet_->file().list; }
     void carry_out(const Write& write);
     void carry_out(Probed& probed);
--- a/src/toml_table.h
+++ b/src/toml_table.h
@@ -90,6 +90,29 @@
     {
         return Span{int64_t{1000} * count(key, static_cast<uint32_t>(absent.us / 1000), 1, 3'600'000)};
     }
+    // A whole number of bytes, or as "64KB" or "1MB".
+    uint32_t bytes(std::string_view key, uint32_t absent, uint32_t least, uint32_t most) const
+    {
+        const auto* node = from_.get(key);
+        if (!node) return absent;
+        int64_t value = 0, unit = 1;
+        if (const auto* number = node->as_integer()) {
+            value = number->get();
+        } else {
+            const auto said = text(key);
+            const char* end = said.data() + said.size();
+            const auto read = std::from_chars(said.data(), end, value);
+            const std::string_view name_of_unit(read.ptr, static_cast<size_t>(end - read.ptr));
+            unit = name_of_unit == "KB" ? 1024 : name_of_unit == "MB" ? 1024 * 1024 : 0;
+            if (read.ec != std::errc{} || unit == 0)
+                wrong(name(key), line(key),
+                      "a size as 65536, \"64KB\" or \"1MB\" is expected, not '" + said + "'");
+        }
+        if (value < least / unit || value > most / unit || value * unit < least)
+            wrong(name(key), line(key),
+                  "must be from " + std::to_string(least) + " to " + std::to_string(most) + " bytes");
+        return static_cast<uint32_t>(value * unit);
+    }
     // As "250ms", "3s" or "2m".
     Span span(std::string_view key, Span absent, Span least, Span most) const
     {
