Names of the field for the management address and callers' callbacks

'The door' becomes the management address, Callers::brought and came become body_piece_received and request_received. Two test headlines follow (operation, rig_checker: one word each).

--- a/src/fleet/commands.cpp
+++ b/src/fleet/commands.cpp
@@ -55,12 +55,12 @@
     return 0;
 }
 
-int ask_management(const std::string& door, const std::string& line)
+int ask_management(const std::string& address, const std::string& line)
 {
     sockaddr_storage at{};
     int length = sizeof at;
-    if (evutil_parse_sockaddr_port(door.c_str(), reinterpret_cast<sockaddr*>(&at), &length) != 0)
-        throw CannotStart("'" + door + "' is no numeric address with a port");
+    if (evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&at), &length) != 0)
+        throw CannotStart("'" + address + "' is no numeric address with a port");
     const net::Descriptor socket(::socket(at.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0));
     const timeval wait{5, 0};
     setsockopt(socket.fd(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
@@ -68,13 +68,13 @@
     const std::string asked = line + "\n";
     if (connect(socket.fd(), reinterpret_cast<sockaddr*>(&at), static_cast<socklen_t>(length)) != 0 ||
         send(socket.fd(), asked.data(), asked.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(asked.size()))
-        throw CannotStart(door + ": " + evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+        throw CannotStart(address + ": " + evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
     std::string answer;
     char bytes[4096];
     for (ssize_t n; (n = recv(socket.fd(), bytes, sizeof bytes, 0)) > 0;)
         answer.append(bytes, static_cast<size_t>(n));
     std::fputs(answer.c_str(), stdout);
-    if (answer.empty()) throw CannotStart(door + ": no answer came");
+    if (answer.empty()) throw CannotStart(address + ": no answer came");
     return answer.starts_with("FAILURE") ? 1 : 0;
 }
 
--- a/src/fleet/commands.h
+++ b/src/fleet/commands.h
@@ -15,6 +15,6 @@
 int check_file(const std::string& path);
 // A snapshot's file: whether it is whole, and what it holds.
 int check_snapshot(const std::string& path, bool dump);
-int ask_management(const std::string& door, const std::string& line);
+int ask_management(const std::string& address, const std::string& line);
 
 }  // namespace firtide::fleet
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -1,4 +1,4 @@
-// What members and voters tell each other. A message is decoded once, at the door, to one of these.
+// What members and voters tell each other. A message is decoded once, on arrival, to one of these.
 #pragma once
 
 #include <cstdint>
@@ -143,7 +143,7 @@
     Life life = 0;
     MSGPACK_DEFINE(duty, epoch, life)
 };
-// Asked of the leader for an operator at the sender's door.
+// Asked of the leader for an operator at the sender's management address.
 struct Order {
     uint64_t number = 0;
     std::string what, first, second;
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -24,7 +24,7 @@
     double rate = 0;  // invocations a second
     std::vector<Evidence> evidence;
     std::map<BudgetName, uint32_t> asked;  // since the last one
-    // For the door.
+    // For the management address.
     size_t shown = 0, listed = 0;
     uint32_t wider = 0;
     std::map<uint64_t, std::string> names;  // of upstreams
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,7 +11,7 @@
 {
     CLI::App app("firtide, a load balancer for services that call services");
     app.require_subcommand(1);
-    std::string path, level = "info", fleet_path, door;
+    std::string path, level = "info", fleet_path, management;
     const auto with_config = [&path](CLI::App* command) {
         command->add_option("-c,--config,config", path, "the configuration file (JSON)")
             ->envname("NODE_CONFIG")
@@ -25,11 +25,14 @@
     fleet->require_subcommand(1);
     auto* fleet_check = fleet->add_subcommand("check", "read a fleet file and say what is wrong with it");
     fleet_check->add_option("file", fleet_path, "the fleet file (TOML)")->required();
-    auto* fleet_status = fleet->add_subcommand("status", "ask a balancer's door about its fleet");
-    fleet_status->add_option("door", door, "address:port of the operators' door (mgmt)")->required();
+    auto* fleet_status =
+        fleet->add_subcommand("status", "ask a balancer's management address about its fleet");
+    fleet_status->add_option("management", management, "address:port of the management address (mgmt)")
+        ->required();
     auto* fleet_recovery =
-        fleet->add_subcommand("recovery", "ask a balancer's door about its return to service");
-    fleet_recovery->add_option("door", door, "address:port of the operators' door (mgmt)")->required();
+        fleet->add_subcommand("recovery", "ask a balancer's management address about its return to service");
+    fleet_recovery->add_option("management", management, "address:port of the management address (mgmt)")
+        ->required();
     auto* snapshot = app.add_subcommand("snapshot", "of what a member remembers over its own end");
     snapshot->require_subcommand(1);
     auto* snapshot_check = snapshot->add_subcommand("check", "say whether a snapshot is whole");
@@ -43,8 +46,8 @@
     try {
         if (version->parsed()) return std::puts("firtide " FIRTIDE_VERSION) < 0;
         if (fleet_check->parsed()) return firtide::fleet::check_file(fleet_path);
-        if (fleet_status->parsed()) return firtide::fleet::ask_management(door, "show-fleet");
-        if (fleet_recovery->parsed()) return firtide::fleet::ask_management(door, "show-recovery");
+        if (fleet_status->parsed()) return firtide::fleet::ask_management(management, "show-fleet");
+        if (fleet_recovery->parsed()) return firtide::fleet::ask_management(management, "show-recovery");
         if (snapshot->parsed()) return firtide::fleet::check_snapshot(path, snapshot_dump->parsed());
         auto config = firtide::net::read_config(path);
         if (check->parsed()) {
--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -225,7 +225,7 @@
         }
         return refuse(at, status, why);
     }
-    if (at->phase == bringing) return brought(at, state == RequestReader::State::whole);
+    if (at->phase == bringing) return body_piece_received(at, state == RequestReader::State::whole);
     // Guards against running out of memory: where the bodies would not fit, that is said before they come.
     const auto& request = at->reader.request();
     const size_t most = at->reader.large() ? 2 * window : request.body.size() + at->reader.still_to_come();
@@ -237,17 +237,17 @@
         }
         hold(*at, most);
     }
-    if (state == RequestReader::State::whole) return came(at, false);
+    if (state == RequestReader::State::whole) return request_received(at, false);
     if (at->reader.large()) {
         bufferevent_setwatermark(at->stream.get(), EV_READ, 0, read_at_once);
-        if (request.body.size() >= most_body) return came(at, true);
+        if (request.body.size() >= most_body) return request_received(at, true);
     }
     if (at->reader.expects_word() && request.body.empty())
         bufferevent_write(at->stream.get(), "HTTP/1.1 100 Continue\r\n\r\n", 25), at->reader.word_given();
 }
 
 // More of a request that is passed on while it comes.
-void Callers::brought(Place at, bool last)
+void Callers::body_piece_received(Place at, bool last)
 {
     enter(at, last ? waiting : bringing);
     tell_(RequestData{at->caller, at->reader.take_piece(), last, last ? unread(at) : Span{}});
@@ -256,7 +256,7 @@
 // How long the last byte has waited here.
 Span Callers::unread(Place at) const { return unread_for(bufferevent_getfd(at->stream.get())); }
 
-void Callers::came(Place at, bool more)
+void Callers::request_received(Place at, bool more)
 {
     const auto input = evbuffer_get_length(bufferevent_get_input(at->stream.get()));
     at->in_a_row = input > 0 ? at->in_a_row + 1 : 0;
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -59,8 +59,8 @@
     void accept(int fd);
     void enter(Place at, Phase phase);
     void readable(Place at);
-    void came(Place at, bool more);
-    void brought(Place at, bool last);
+    void request_received(Place at, bool more);
+    void body_piece_received(Place at, bool last);
     Span unread(Place at) const;
     void refuse(Place at, int status, const char* why);
     void reply(Place at, const Response& response, bool last);
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -140,8 +140,8 @@
     if (const auto name = text_at(in, "name", "NODE_NAME"); !name.empty()) out.name = name;
     out.listen = decode_address(text_at(in, "listen", "NODE_LISTEN"), "listen");
     out.discovery = decode_address(text_at(in, "discovery", "NODE_DISCOVERY"), "discovery");
-    if (const auto door = text_at(in, "mgmt", "NODE_MGMT"); !door.empty())
-        out.door = decode_address(door, "mgmt");
+    if (const auto address = text_at(in, "mgmt", "NODE_MGMT"); !address.empty())
+        out.management = decode_address(address, "mgmt");
     out.passed_socket = passed_socket();
     if (const char* folder = std::getenv("TMPDIR"); folder && out.passed_socket) out.shared_folder = folder;
     out.seed = decode_seed(text_at(in, "seed", nullptr));
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -21,9 +21,9 @@
 struct Config {
     std::string name = "firtide";
     Address listen, discovery;
-    std::optional<Address> door;       // for operators
-    std::optional<int> passed_socket;  // the callers' listening socket, where the platform holds it
-    std::string shared_folder;         // with the other process of an upgrade, on that socket
+    std::optional<Address> management;  // for operators
+    std::optional<int> passed_socket;   // the callers' listening socket, where the platform holds it
+    std::string shared_folder;          // with the other process of an upgrade, on that socket
     uint64_t seed = 0;
     size_t descriptors = 1024;
     size_t bodies = 0;  // bytes that callers may have here together, out of limits.memory_mb
--- a/src/net/management.h
+++ b/src/net/management.h
@@ -1,6 +1,6 @@
-// The door for operators: one line in, one answer, and the end. Lines are decoded here once and answers
-// encoded once; what they tell and change is the reducer's. On plain events of the first priority: whatever
-// the callers' side has to do comes after it.
+// The management address for operators: one line in, one answer, and the end. Lines are decoded here once and
+// answers encoded once; what they tell and change is the reducer's. On plain events of the first priority:
+// whatever the callers' side has to do comes after it.
 #pragma once
 
 #include <functional>
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -210,7 +210,7 @@
     if (view_) view_->parts_are(now_, parts.parts);
 }
 
-// At the door of the fleet's own limits, before the module hears of it.
+// Against the fleet's own limits, before the module hears of it.
 bool Reducer::turned_away(Arrived& arrived)
 {
     Outcomes& outcomes = outcomes_of(arrived.request.operation);
@@ -371,24 +371,24 @@
 }
 
 // More of a request that goes on while it comes. Until its last byte nothing has run; its time begins there.
-void Reducer::on(RequestData& brought)
+void Reducer::on(RequestData& piece)
 {
-    const auto at = invocation_of_.find(brought.caller);
+    const auto at = invocation_of_.find(piece.caller);
     if (at == invocation_of_.end() || invocations_[at->second].over) return;
     Invocation& i = invocations_[at->second];
     if (!i.request.more) return;
     i.request.body = {}, i.spent = true;
     if (!i.goes_to) return;
-    i.on_way += brought.bytes.size();
-    i.request.more = !brought.last;
-    sending_ -= brought.last;
-    effects_.push_back(Write{
-        *i.goes_to, encode_piece(std::move(brought.bytes), !i.request.length, brought.last), i.request.more});
+    i.on_way += piece.bytes.size();
+    i.request.more = !piece.last;
+    sending_ -= piece.last;
+    effects_.push_back(Write{*i.goes_to, encode_piece(std::move(piece.bytes), !i.request.length, piece.last),
+                             i.request.more});
     if (i.request.more) {
         if (i.on_way > most_on_way()) effects_.push_back(Hear{i.caller, false});
         return;
     }
-    i.request.time_left = std::max(Span{}, i.request.time_left - brought.waited);
+    i.request.time_left = std::max(Span{}, i.request.time_left - piece.waited);
     bound_by_stop(i.request);
     balancer_.sent(now_, at->second, i.request.time_left);
 }
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -19,7 +19,7 @@
 
 using CallerId = uint64_t;    // one request of a caller
 using AttemptId = uint64_t;   // one forward or probe
-using OperatorId = uint64_t;  // one call at the operators' door
+using OperatorId = uint64_t;  // one call at the management address
 
 // One lifecycle, which all that tells or asks of it reads.
 enum class Life { starting, ready, draining, stopping };
@@ -101,7 +101,7 @@
 struct Written {  // all that was handed over for it has left
     AttemptId attempt;
 };
-struct TurnedAway {  // at the door, with its head read: there was no room for it
+struct TurnedAway {  // before its body, with its head read: there was no room for it
     uint32_t operation = 0, edition = 0;
 };
 struct Ordered {
@@ -306,7 +306,7 @@
     void on(Arrived& arrived);
     void on(CallerLeft left);
     void on(HalfClosed closed);
-    void on(RequestData& brought);
+    void on(RequestData& piece);
     void on(WriteDrained taken);
     void on(Connected connected);
     void on(Answered& answered);
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -25,7 +25,7 @@
 constexpr Span pass_on_every = seconds(0.2);  // what probes of the fleet found
 constexpr size_t most_stamps = 256;
 constexpr Span tick_every = seconds(0.1);  // of what the balancer tells its fleet
-constexpr size_t kept_back = 48;  // descriptors for the loop, the log, discovery, the listener and the door
+constexpr size_t kept_back = 48;  // descriptors for the loop, the log, discovery, the listener and management
 // Of the others, at most; together more than all, for either may need the room that the other leaves.
 constexpr double part_of_upstreams = 0.4, part_of_callers = 0.85;
 
@@ -107,8 +107,8 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     if (!config_.shared_folder.empty()) handover_.emplace(config_.shared_folder);
-    if (config_.door)
-        management_.emplace(base_.get(), *config_.door, [this](Event e) {
+    if (config_.management)
+        management_.emplace(base_.get(), *config_.management, [this](Event e) {
             const auto* ordered = std::get_if<Ordered>(&e);
             if (fleet_ && ordered && ordered->order == Order::resume)
                 fleet_->tell(fleet::AdminRequest{0, "turn-over", "", ""});
--- a/tests/endings.cpp
+++ b/tests/endings.cpp
@@ -409,8 +409,8 @@
     Agent agent;
     agent.does(Agent::Does::is_silent);
     agent.list_is(target("a", held.upstream.endpoint()));
-    const uint16_t door = free_port();
-    Running f(agent.endpoint(), "128", R"(,"mgmt":"127.0.0.1:)" + std::to_string(door) + "\"");
+    const uint16_t management = free_port();
+    Running f(agent.endpoint(), "128", R"(,"mgmt":"127.0.0.1:)" + std::to_string(management) + "\"");
     std::vector<Wire> idle;
     for (int i = 0; i < 200; ++i) idle.emplace_back(f.port);
     const auto before = agent.called();
@@ -418,7 +418,7 @@
     agent.does(Agent::Does::answers);
     const auto since = Clock::now();
     until([&] {
-        Wire w(door);
+        Wire w(management);
         w.send("ready\n");
         return w.rest() == "SUCCESS ready\n";
     });
--- a/tests/operation.cpp
+++ b/tests/operation.cpp
@@ -1,4 +1,4 @@
-// Daily operation, on loopback: the operators' door, drain, an upgrade under load, large messages.
+// Daily operation, on loopback: the management address, drain, an upgrade under load, large messages.
 #include <fcntl.h>
 #include <sys/stat.h>
 
@@ -75,10 +75,10 @@
     }
 }
 
-// One line at the door, and all that comes back.
-std::string order(uint16_t door, const std::string& line)
+// One line to the management address, and all that comes back.
+std::string order(uint16_t management, const std::string& line)
 {
-    Wire wire(door);
+    Wire wire(management);
     wire.send(line);
     return wire.rest();
 }
@@ -98,30 +98,33 @@
 
 void say(const char* what, const std::string& came) { std::printf("%s: %s\n", what, one_line(came).c_str()); }
 
-std::string door_key(uint16_t door) { return R"(,"mgmt":"127.0.0.1:)" + std::to_string(door) + "\""; }
+std::string management_key(uint16_t management)
+{
+    return R"(,"mgmt":"127.0.0.1:)" + std::to_string(management) + "\"";
+}
 
-void at_the_door(const std::string& discovery)
+void at_the_management_address(const std::string& discovery)
 {
-    const uint16_t door = free_port();
-    Running firtide(discovery, "64", door_key(door));
-    say("ready", order(door, "ready\n"));
-    say("with a carriage return", order(door, "ready\r\n"));
+    const uint16_t management = free_port();
+    Running firtide(discovery, "64", management_key(management));
+    say("ready", order(management, "ready\n"));
+    say("with a carriage return", order(management, "ready\r\n"));
     Wire caller(firtide.port);
     for (int i = 0; i < 3; ++i) caller.ask(get("x"));
     caller.ask("POST /once/x HTTP/1.1\r\n" + an_id() + "Content-Length: 1\r\n\r\nx");
-    say("show-stat", order(door, "show-stat\n"));
-    say("unknown", order(door, "hello\n"));
-    say("empty", order(door, "\n"));
-    say("noise", order(door, std::string("\0\xff\x01", 3) + "\n"));
-    say("too long", order(door, std::string(400, 'x')));
-    say("two lines: the first counts", order(door, "ready\nresume\n"));
+    say("show-stat", order(management, "show-stat\n"));
+    say("unknown", order(management, "hello\n"));
+    say("empty", order(management, "\n"));
+    say("noise", order(management, std::string("\0\xff\x01", 3) + "\n"));
+    say("too long", order(management, std::string(400, 'x')));
+    say("two lines: the first counts", order(management, "ready\nresume\n"));
     // Guards against operators who wait behind callers: with all descriptors of their side in use, hundreds
-    // at the door that finish no line, and requests all the time.
+    // at the management address that finish no line, and requests all the time.
     std::vector<Wire> silent, crowd;
     for (int i = 0; i < 200; ++i) crowd.emplace_back(firtide.port), crowd.back().send("GET /safe");
-    for (int i = 0; i < 100; ++i) silent.emplace_back(door), silent.back().send("rea");
+    for (int i = 0; i < 100; ++i) silent.emplace_back(management), silent.back().send("rea");
     const auto since = std::chrono::steady_clock::now();
-    const auto answer = order(door, "ready\n");
+    const auto answer = order(management, "ready\n");
     const bool soon = std::chrono::steady_clock::now() - since < std::chrono::seconds(1);
     std::printf("in a crowd: %s%s\n", soon ? "within 1 s, " : "late, ", one_line(answer).c_str());
     silent.clear(), crowd.clear();
@@ -130,14 +133,14 @@
 
 void draining(const std::string& discovery)
 {
-    const uint16_t door = free_port();
-    Running firtide(discovery, "1024", door_key(door));
-    say("resume without drain", order(door, "resume\n"));
+    const uint16_t management = free_port();
+    Running firtide(discovery, "1024", management_key(management));
+    say("resume without drain", order(management, "resume\n"));
     Wire rests(firtide.port), busy(firtide.port), silent(firtide.port);
     rests.ask(get("x"));
     busy.send(get("slow"));
-    say("drain", order(door, "drain\n"));
-    say("drain again", order(door, "drain\n"));
+    say("drain", order(management, "drain\n"));
+    say("drain again", order(management, "drain\n"));
     const std::string is_ready = "GET /-/ready HTTP/1.1\r\n\r\n";
     std::printf("/-/ready: %s\n", first_line(Wire(firtide.port).ask(is_ready)).c_str());
     std::printf("what was in flight: %s\n", first_line(busy.message()).c_str());
@@ -148,14 +151,14 @@
                 late.find("Connection: close") != std::string::npos ? "the last on its connection" : "kept");
     std::printf("who rests is %s, who said nothing is %s\n", rests.ended() ? "closed" : "still there",
                 silent.ended() ? "closed" : "still there");
-    say("resume", order(door, "resume\n"));
+    say("resume", order(management, "resume\n"));
     Wire back(firtide.port);
     std::printf("/-/ready: %s\n", first_line(back.ask(is_ready)).c_str());
     std::printf("and then %s\n", back.ended(600) ? "closed" : "kept");
-    order(door, "drain\n");
+    order(management, "drain\n");
     kill(firtide.process, SIGTERM);
     pause(50);
-    say("stopping, drained: resume", order(door, "resume\n"));
+    say("stopping, drained: resume", order(management, "resume\n"));
     std::printf("exit status %d\n", firtide.stop().status);
 }
 
@@ -177,13 +180,13 @@
         dup2(listener, 5);
         setenv("NODE_PASSED_SOCKET", "5", 1), setenv("TMPDIR", folder, 1);
     };
-    const uint16_t door = free_port(), new_door = free_port();
+    const uint16_t management = free_port(), new_door = free_port();
     std::atomic<bool> on{true};
     std::atomic<int> served{0}, other{0};
     std::vector<std::thread> callers;
     int status = 0;
     {
-        auto old = std::make_unique<Running>(discovery, "1024", door_key(door), inherits, port);
+        auto old = std::make_unique<Running>(discovery, "1024", management_key(management), inherits, port);
         for (int i = 0; i < 6; ++i)
             callers.emplace_back([&, i] {
                 // Half of them open a new connection for each request, half keep theirs.
@@ -195,10 +198,10 @@
                 }
             });
         pause(200);
-        Running next(discovery, "1024", door_key(new_door), inherits, port);
+        Running next(discovery, "1024", management_key(new_door), inherits, port);
         until([&] { return order(new_door, "ready\n") == "SUCCESS ready\n"; });
         say("the new one", order(new_door, "ready\n"));
-        say("the old one beside it", order(door, "ready\n"));
+        say("the old one beside it", order(management, "ready\n"));
         status = old->stop().status;
         std::printf("the old one ends with %d\n", status);
         pause(200);
@@ -225,8 +228,8 @@
 
 void large(const std::string& discovery)
 {
-    const uint16_t door = free_port();
-    Running firtide(discovery, "256,\"memory_mb\":48", door_key(door));
+    const uint16_t management = free_port();
+    Running firtide(discovery, "256,\"memory_mb\":48", management_key(management));
     constexpr size_t much = 32 << 20;
     const auto answer = [&](const char* what, const std::string& path, int slowly = 0) {
         Wire caller(firtide.port);
@@ -279,7 +282,7 @@
         until([] { return met == 1; });
     }
     pause(100);
-    const auto all = order(door, "show-stat\n");
+    const auto all = order(management, "show-stat\n");
     for (const char* name :
          {"success.safe", "failure.safe", "success.once", "failure.once", "backend_calls", "inflight"})
         std::printf("%s\n", figure(all, name).c_str());
@@ -301,7 +304,7 @@
         std::fflush(stdout);
         part(discovery.endpoint());
     };
-    play("the door", at_the_door);
+    play("management", at_the_management_address);
     play("drain", draining);
     play("an upgrade", upgrading);
     play("large messages", large);
--- a/tests/rig_checker.cpp
+++ b/tests/rig_checker.cpp
@@ -85,7 +85,7 @@
         std::printf("%s: %s; its folder is %s\n", fleet ? "with a fleet file" : "without",
                     has(rig.process(0)).c_str(),
                     std::filesystem::exists(rig.folder(0)) ? "there" : "not there");
-        std::printf("  the door: %s", rig.ask(0, "show-fleet").substr(0, 12).c_str());
+        std::printf("  management: %s", rig.ask(0, "show-fleet").substr(0, 12).c_str());
         std::printf("...\n");
     }
 }
