Tests: GoogleTest in the build; margins of clocks as named cases

The host that drives the decision module moves from trace.h to balancer_host.h and records typed effects; trace.h's Stage prints them as before. tests/clocks.cpp is the model: every line of clocks.trace is asserted, and time limits are compared exactly where the trace rounded to 0.01 s.

--- a/tests/clocks.cpp
+++ b/tests/clocks.cpp
@@ -1,62 +1,112 @@
 // Times told by other machines that are off, within the stated margins.
-#include "trace.h"
+#include <gtest/gtest.h>
 
-using namespace firtide;
+#include "balancer_host.h"
 
-static Settings margins(Span left, Span ready, Repeat repeat = Repeat::non_idempotent)
+namespace firtide
 {
-    auto s = Stage::settings(Stage::op(repeat));
-    s.left_margin = left;
-    s.ready_margin = ready;
-    s.cold = seconds(10);
-    return s;
+namespace
+{
+
+Settings margins(Span left, Span ready, Repeat repeat = Repeat::non_idempotent)
+{
+    auto settings = BalancerHost::settings(BalancerHost::op(repeat));
+    settings.left_margin = left;
+    settings.ready_margin = ready;
+    settings.cold = seconds(10);
+    return settings;
+}
+
+// Guards against invocations given up at a time that only another machine's clock says has come.
+TEST(LeftMargin, NothingLeftWithoutMarginIsThrottled)
+{
+    BalancerHost host(margins({}, {}));
+    host.list(2);
+    host.accept(0, {});
+    EXPECT_EQ(host.take_effects(), Effects({Throttled{0, true}, Released{0}}));
+}
+
+TEST(LeftMargin, NonIdempotentIsAnsweredOnceOutOfTime)
+{
+    BalancerHost host(margins(seconds(1.5), {}, Repeat::non_idempotent));
+    host.list(2);
+    // Nothing left by the clock: forwarded within the margin.
+    host.accept(0, {});
+    EXPECT_EQ(host.take_effects(), Effects({Forwarded{0, 1, seconds(1.5)}}));
+    // 1 s left and the margin: never longer than the client timeout.
+    host.accept(1, seconds(1));
+    EXPECT_EQ(host.take_effects(), Effects({Forwarded{1, 0, seconds(2)}}));
+    host.wait(seconds(0.8));
+    // Out of time by the clock: another attempt could have a second effect.
+    host.end(0, Result::reset);
+    EXPECT_EQ(host.take_effects(), Effects({Errored{0}, Released{0}}));
+    // The client was gone already: nothing ran.
+    host.end(1, Result::not_sent);
+    EXPECT_EQ(host.take_effects(), Effects({Throttled{1, true}, Released{1}}));
+}
+
+TEST(LeftMargin, IdempotentIsSentAgainOnceOutOfTime)
+{
+    BalancerHost host(margins(seconds(1.5), {}, Repeat::idempotent));
+    host.list(2);
+    // Nothing left by the clock: forwarded within the margin.
+    host.accept(0, {});
+    EXPECT_EQ(host.take_effects(), Effects({Forwarded{0, 1, seconds(1)}}));
+    // 1 s left and the margin: never longer than the client timeout.
+    host.accept(1, seconds(1));
+    EXPECT_EQ(host.take_effects(), Effects({Forwarded{1, 0, seconds(1)}}));
+    host.wait(seconds(0.8));
+    // Out of time by the clock: another attempt is harmless.
+    host.end(0, Result::reset);
+    EXPECT_EQ(host.take_effects(), Effects({Forwarded{0, 0, seconds(0.2)}}));
+    // The client was gone already: nothing ran.
+    host.end(1, Result::not_sent);
+    EXPECT_EQ(host.take_effects(), Effects({Throttled{1, true}, Released{1}}));
+    host.leave(0);
+    host.end(0, Result::cancelled);
+    EXPECT_EQ(host.take_effects(), Effects({Cancelled{0, 1}, Released{0}}));
+}
+
+TEST(LeftMargin, ComesAndGoesWithNewSettings)
+{
+    BalancerHost host(margins({}, {}));
+    host.list(2);
+    host.balancer.settings_are(host.now, margins(seconds(1.5), {}), {0}, {});
+    host.accept(0, {});
+    host.end(0, Result::succeeded);
+    EXPECT_EQ(host.take_effects(), Effects({Forwarded{0, 1, seconds(1.5)}, Released{0}}));
+    host.balancer.settings_are(host.now, margins({}, {}), {0}, {});
+    host.accept(0, {});
+    EXPECT_EQ(host.take_effects(), Effects({Throttled{0, true}, Released{0}}));
 }
 
 // Of 200 invocations, 0.01 s apart, those that went to an upstream just listed as started.
-static void restarted(const char* what, Span margin, Span told_ago)
-{
-    Stage s(margins({}, margin, Repeat::idempotent));
-    s.list(4);
-    s.many(200);
-    s.change(0, Presence::ready, s.now - told_ago);
-    std::printf("%s: %d of 200 to u0\n", what, s.many(200)[0]);
-}
-
-int main()
-{
-    {
-        // Guards against invocations given up at a time that only another machine's clock says has come.
-        Stage s(margins({}, {}));
-        s.list(2);
-        s.say("no margin: nothing left by the clock, nothing is forwarded");
-        s.accept(0, {});
-    }
-    for (const auto repeat : {Repeat::non_idempotent, Repeat::idempotent}) {
-        Stage s(margins(seconds(1.5), {}, repeat));
-        s.list(2);
-        s.say("1.5 s either way: nothing left by the clock, forwarded");
-        s.accept(0, {});
-        s.say("1 s left: never longer than the client timeout");
-        s.accept(1, seconds(1));
-        s.wait(seconds(0.8));
-        s.say("out of time by the clock: sent again where that is harmless, answered at once otherwise");
-        s.end(0, Result::reset);
-        s.say("the client was gone already: nothing ran");
-        s.end(1, Result::not_sent);
-        if (repeat == Repeat::idempotent) s.leave(0), s.end(0, Result::cancelled);
-    }
-    {
-        Stage s(margins({}, {}));
-        s.list(2);
-        s.say("the margin comes with new settings, and goes");
-        s.balancer.settings_are(s.now, margins(seconds(1.5), {}), {0}, {});
-        s.accept(0, {}), s.end(0, Result::succeeded);
-        s.balancer.settings_are(s.now, margins({}, {}), {0}, {});
-        s.accept(0, {});
-    }
-    // Guards against pushing over an upstream that started later than it is told.
-    restarted("started 10 s ago, no margin", {}, seconds(10));
-    restarted("started 10 s ago, 5 s either way", seconds(5), seconds(10));
-    restarted("started 15 s ago, 5 s either way", seconds(5), seconds(15));
-    restarted("starts in 5 s, no margin", {}, seconds(-5));
+int sent_to_restarted(Span margin, Span started_ago)
+{
+    BalancerHost host(margins({}, margin, Repeat::idempotent));
+    host.list(4);
+    host.many(200);
+    host.change(0, Presence::ready, host.now - started_ago);
+    return host.many(200)[0];
 }
+
+// These guard against pushing over an upstream that started later than it is told.
+TEST(ReadyMargin, WarmUpstreamGetsItsPartWithoutMargin) { EXPECT_EQ(sent_to_restarted({}, seconds(10)), 45); }
+
+TEST(ReadyMargin, UpstreamThatMayBeColdGetsLess)
+{
+    EXPECT_EQ(sent_to_restarted(seconds(5), seconds(10)), 22);
+}
+
+TEST(ReadyMargin, UpstreamWarmBeyondTheMarginGetsItsPart)
+{
+    EXPECT_EQ(sent_to_restarted(seconds(5), seconds(15)), 45);
+}
+
+TEST(ReadyMargin, UpstreamThatStartsInTheFutureGetsAlmostNothing)
+{
+    EXPECT_EQ(sent_to_restarted({}, seconds(-5)), 3);
+}
+
+}  // namespace
+}  // namespace firtide
