--- a/scale/hollow_process.cpp
+++ b/scale/hollow_process.cpp
@@ -91,18 +91,26 @@
     // The member that holds the list asks discovery, as a balancer would.
     void ask_discovery(bool on)
     {
-        if (!discovery_) {
-            discovery_.emplace(base_, config_, Point{}, [](const net::Event&) {});
-            discovery_->tell_whole([this](uint64_t version, std::string text) {
-                host_->tell(fleet::ListSeen{net::text_of(config_.discovery), version, std::move(text)});
-            });
-        }
+        if (!discovery_) make_discovery();
         if (on)
             discovery_->ask();
         else
             discovery_->rest();
     }
 
+    void make_discovery()
+    {
+        discovery_.emplace(base_, config_, Point{}, [](const net::Event&) {});
+        const auto source = net::text_of(config_.discovery);
+        if (file_.deltas)
+            return discovery_->tell_lines([this, source](uint64_t version, auto lines, auto uids) {
+                host_->tell(fleet::ListSeen{source, version, "", std::move(lines), std::move(uids)});
+            });
+        discovery_->tell_whole([this, source](uint64_t version, std::string text) {
+            host_->tell(fleet::ListSeen{source, version, std::move(text), nullptr, {}});
+        });
+    }
+
     event_base* base_;
     const net::Config& config_;
     const fleet::FleetFile file_;
--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -1,4 +1,6 @@
 // firtide-scale: starts a fleet of many members on this machine, measures what each spends, and ends it.
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
@@ -36,6 +38,14 @@
     return experiment_path + ":" + std::to_string(fault.at.line) + ": " + fault.at.key + ": " + fault.what;
 }
 
+// Told before anything starts: a run takes minutes.
+bool can_write(const std::string& path)
+{
+    if (path.empty()) return true;
+    const auto folder = std::filesystem::absolute(path).parent_path().string();
+    return access(folder.c_str(), W_OK) == 0 && !std::filesystem::is_directory(path);
+}
+
 int write_result(const scale::Result& result)
 {
     const auto text = scale::encode_result(result);
@@ -55,9 +65,11 @@
     }
     const auto decoded = scale::decode_options(experiment.str(), words);
     if (const auto* fault = std::get_if<Fault>(&decoded)) return refuse(text_of(*fault, experiment_path));
+    const auto& options = std::get<scale::Options>(decoded);
+    if (!can_write(options.json)) return refuse("--json: '" + options.json + "' cannot be written");
     std::signal(SIGPIPE, SIG_IGN);
     const auto own_program = std::filesystem::read_symlink("/proc/self/exe").string();
-    const auto outcome = scale::run_scale(std::get<scale::Options>(decoded), command, own_program);
+    const auto outcome = scale::run_scale(options, command, own_program);
     if (const auto* failed = std::get_if<scale::RunFailure>(&outcome)) {
         std::fprintf(stderr, "firtide-scale: %s\n", failed->what.c_str());
         return failed->exit_status;
