Tests: recorded decisions in a namespace of their own

Effect named both what the decision module asks of its host and what the reducer asks of the loop, so tests/reducer.cpp didn't build. The recorded values are decision::Forwarded and so on, a Decision each.

--- a/tests/balancer_host.h
+++ b/tests/balancer_host.h
@@ -1,5 +1,5 @@
 // A host for the decision module in tests: it drives a Balancer by hand, with a clock of its own, and records
-// the effects that the Balancer asks for.
+// what it decides.
 #pragma once
 
 #include <algorithm>
@@ -18,7 +18,10 @@
 namespace firtide
 {
 
-// What a Balancer asked its host to do.
+// What a Balancer decided, one type for each call of its outlet.
+namespace decision
+{
+
 struct Forwarded {
     Inv invocation;
     Tgt upstream;
@@ -61,10 +64,6 @@
     bool operator==(const ListWatched&) const = default;
 };
 
-using Effect = std::variant<Forwarded, Throttled, Errored, LimitChanged, Cancelled, Released, Probed,
-                            IdleConnectionsClosed, ListWatched>;
-using Effects = std::vector<Effect>;
-
 inline std::string two_decimals(Span span)
 {
     char text[32];
@@ -72,44 +71,51 @@
     return text;
 }
 
-// One line of text for each kind of effect, for traces and failed assertions.
-inline std::ostream& operator<<(std::ostream& out, const Forwarded& effect)
+// One line of text for each, for traces and failed assertions.
+inline std::ostream& operator<<(std::ostream& out, const Forwarded& each)
 {
-    return out << "inv " << effect.invocation << " forward u" << effect.upstream << " limit "
-               << two_decimals(effect.limit);
+    return out << "inv " << each.invocation << " forward u" << each.upstream << " limit "
+               << two_decimals(each.limit);
 }
-inline std::ostream& operator<<(std::ostream& out, const Throttled& effect)
+inline std::ostream& operator<<(std::ostream& out, const Throttled& each)
 {
-    return out << "inv " << effect.invocation << " throttled, come back in "
-               << (effect.with_retry_time ? "a while" : "no stated time");
+    return out << "inv " << each.invocation << " throttled, come back in "
+               << (each.with_retry_time ? "a while" : "no stated time");
 }
-inline std::ostream& operator<<(std::ostream& out, const Errored& effect)
+inline std::ostream& operator<<(std::ostream& out, const Errored& each)
 {
-    return out << "inv " << effect.invocation << " errored";
+    return out << "inv " << each.invocation << " errored";
 }
-inline std::ostream& operator<<(std::ostream& out, const LimitChanged& effect)
+inline std::ostream& operator<<(std::ostream& out, const LimitChanged& each)
 {
-    return out << "inv " << effect.invocation << " forward " << effect.forward << " limit "
-               << two_decimals(effect.limit);
+    return out << "inv " << each.invocation << " forward " << each.forward << " limit "
+               << two_decimals(each.limit);
 }
-inline std::ostream& operator<<(std::ostream& out, const Cancelled& effect)
+inline std::ostream& operator<<(std::ostream& out, const Cancelled& each)
 {
-    return out << "inv " << effect.invocation << " cancel forward " << effect.forward;
+    return out << "inv " << each.invocation << " cancel forward " << each.forward;
 }
-inline std::ostream& operator<<(std::ostream& out, const Released& effect)
+inline std::ostream& operator<<(std::ostream& out, const Released& each)
 {
-    return out << "inv " << effect.invocation << " released";
+    return out << "inv " << each.invocation << " released";
 }
-inline std::ostream& operator<<(std::ostream& out, const Probed& effect)
+inline std::ostream& operator<<(std::ostream& out, const Probed& each)
 {
-    return out << "probe u" << effect.upstream;
+    return out << "probe u" << each.upstream;
 }
-inline std::ostream& operator<<(std::ostream& out, const IdleConnectionsClosed& effect)
+inline std::ostream& operator<<(std::ostream& out, const IdleConnectionsClosed& each)
 {
-    return out << "close idle connections of u" << effect.upstream;
+    return out << "close idle connections of u" << each.upstream;
 }
 inline std::ostream& operator<<(std::ostream& out, const ListWatched&) { return out << "watch the list"; }
 
+}  // namespace decision
+
+using Decision = std::variant<decision::Forwarded, decision::Throttled, decision::Errored,
+                              decision::LimitChanged, decision::Cancelled, decision::Released,
+                              decision::Probed, decision::IdleConnectionsClosed, decision::ListWatched>;
+using Decisions = std::vector<Decision>;
+
 class BalancerHost : private Outlet
 {
   public:
@@ -182,7 +188,7 @@
         return got;
     }
     // What was recorded since the last call.
-    Effects take_effects() { return std::exchange(recorded, {}); }
+    Decisions take_decisions() { return std::exchange(recorded, {}); }
 
     Point now{1'000'000'000};
     Tgt last_tgt = 0;
@@ -192,43 +198,46 @@
     Balancer balancer;
 
   protected:
-    virtual void record(const Effect& effect) { recorded.push_back(effect); }
+    virtual void record(const Decision& decision) { recorded.push_back(decision); }
 
   private:
-    void asked(const Effect& effect)
+    void decided(const Decision& decision)
     {
-        if (!quiet) record(effect);
+        if (!quiet) record(decision);
     }
     void forward(Inv inv, Tgt tgt, Span limit) override
     {
         sent.try_emplace(inv, 0);
         last_tgt = tgt;
-        asked(Forwarded{inv, tgt, limit});
+        decided(decision::Forwarded{inv, tgt, limit});
     }
     void throttle(Inv inv, Span back) override
     {
         ++throttled;
-        asked(Throttled{inv, back > Span{}});
+        decided(decision::Throttled{inv, back > Span{}});
+    }
+    void error(Inv inv) override { decided(decision::Errored{inv}); }
+    void limit(Inv inv, uint32_t forward, Span limit) override
+    {
+        decided(decision::LimitChanged{inv, forward, limit});
     }
-    void error(Inv inv) override { asked(Errored{inv}); }
-    void limit(Inv inv, uint32_t forward, Span limit) override { asked(LimitChanged{inv, forward, limit}); }
-    void cancel(Inv inv, uint32_t forward) override { asked(Cancelled{inv, forward}); }
+    void cancel(Inv inv, uint32_t forward) override { decided(decision::Cancelled{inv, forward}); }
     void released(Inv inv) override
     {
         sent.erase(inv);
-        asked(Released{inv});
+        decided(decision::Released{inv});
     }
     void wake(Point at, uint64_t name) override { timers[name] = at; }
-    void probe(Tgt tgt) override { asked(Probed{tgt}); }
+    void probe(Tgt tgt) override { decided(decision::Probed{tgt}); }
     void close_idle(Tgt tgt) override
     {
         ++closed;
-        asked(IdleConnectionsClosed{tgt});
+        decided(decision::IdleConnectionsClosed{tgt});
     }
-    void watch_list() override { asked(ListWatched{}); }
+    void watch_list() override { decided(decision::ListWatched{}); }
     void tell(const std::string& message) override { told.push_back(message); }
 
-    Effects recorded;
+    Decisions recorded;
     std::map<Inv, uint32_t> sent;
     std::map<uint64_t, Point> timers;
 };
--- a/tests/clocks.cpp
+++ b/tests/clocks.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+using namespace decision;
+
 Settings margins(Span left, Span ready, Repeat repeat = Repeat::non_idempotent)
 {
     auto settings = BalancerHost::settings(BalancerHost::op(repeat));
@@ -23,7 +25,7 @@
     BalancerHost host(margins({}, {}));
     host.list(2);
     host.accept(0, {});
-    EXPECT_EQ(host.take_effects(), Effects({Throttled{0, true}, Released{0}}));
+    EXPECT_EQ(host.take_decisions(), Decisions({Throttled{0, true}, Released{0}}));
 }
 
 TEST(LeftMargin, NonIdempotentIsAnsweredOnceOutOfTime)
@@ -32,17 +34,17 @@
     host.list(2);
     // Nothing left by the clock: forwarded within the margin.
     host.accept(0, {});
-    EXPECT_EQ(host.take_effects(), Effects({Forwarded{0, 1, seconds(1.5)}}));
+    EXPECT_EQ(host.take_decisions(), Decisions({Forwarded{0, 1, seconds(1.5)}}));
     // 1 s left and the margin: never longer than the client timeout.
     host.accept(1, seconds(1));
-    EXPECT_EQ(host.take_effects(), Effects({Forwarded{1, 0, seconds(2)}}));
+    EXPECT_EQ(host.take_decisions(), Decisions({Forwarded{1, 0, seconds(2)}}));
     host.wait(seconds(0.8));
     // Out of time by the clock: another attempt could have a second effect.
     host.end(0, Result::reset);
-    EXPECT_EQ(host.take_effects(), Effects({Errored{0}, Released{0}}));
+    EXPECT_EQ(host.take_decisions(), Decisions({Errored{0}, Released{0}}));
     // The client was gone already: nothing ran.
     host.end(1, Result::not_sent);
-    EXPECT_EQ(host.take_effects(), Effects({Throttled{1, true}, Released{1}}));
+    EXPECT_EQ(host.take_decisions(), Decisions({Throttled{1, true}, Released{1}}));
 }
 
 TEST(LeftMargin, IdempotentIsSentAgainOnceOutOfTime)
@@ -51,20 +53,20 @@
     host.list(2);
     // Nothing left by the clock: forwarded within the margin.
     host.accept(0, {});
-    EXPECT_EQ(host.take_effects(), Effects({Forwarded{0, 1, seconds(1)}}));
+    EXPECT_EQ(host.take_decisions(), Decisions({Forwarded{0, 1, seconds(1)}}));
     // 1 s left and the margin: never longer than the client timeout.
     host.accept(1, seconds(1));
-    EXPECT_EQ(host.take_effects(), Effects({Forwarded{1, 0, seconds(1)}}));
+    EXPECT_EQ(host.take_decisions(), Decisions({Forwarded{1, 0, seconds(1)}}));
     host.wait(seconds(0.8));
     // Out of time by the clock: another attempt is harmless.
     host.end(0, Result::reset);
-    EXPECT_EQ(host.take_effects(), Effects({Forwarded{0, 0, seconds(0.2)}}));
+    EXPECT_EQ(host.take_decisions(), Decisions({Forwarded{0, 0, seconds(0.2)}}));
     // The client was gone already: nothing ran.
     host.end(1, Result::not_sent);
-    EXPECT_EQ(host.take_effects(), Effects({Throttled{1, true}, Released{1}}));
+    EXPECT_EQ(host.take_decisions(), Decisions({Throttled{1, true}, Released{1}}));
     host.leave(0);
     host.end(0, Result::cancelled);
-    EXPECT_EQ(host.take_effects(), Effects({Cancelled{0, 1}, Released{0}}));
+    EXPECT_EQ(host.take_decisions(), Decisions({Cancelled{0, 1}, Released{0}}));
 }
 
 TEST(LeftMargin, ComesAndGoesWithNewSettings)
@@ -74,10 +76,10 @@
     host.balancer.settings_are(host.now, margins(seconds(1.5), {}), {0}, {});
     host.accept(0, {});
     host.end(0, Result::succeeded);
-    EXPECT_EQ(host.take_effects(), Effects({Forwarded{0, 1, seconds(1.5)}, Released{0}}));
+    EXPECT_EQ(host.take_decisions(), Decisions({Forwarded{0, 1, seconds(1.5)}, Released{0}}));
     host.balancer.settings_are(host.now, margins({}, {}), {0}, {});
     host.accept(0, {});
-    EXPECT_EQ(host.take_effects(), Effects({Throttled{0, true}, Released{0}}));
+    EXPECT_EQ(host.take_decisions(), Decisions({Throttled{0, true}, Released{0}}));
 }
 
 // Of 200 invocations, 0.01 s apart, those that went to an upstream just listed as started.
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -28,7 +28,7 @@
 namespace firtide
 {
 
-// Prints each effect as a line.
+// Prints each decision as a line.
 class Stage : public BalancerHost
 {
   public:
@@ -43,10 +43,10 @@
     }
 
   private:
-    void record(const Effect& effect) override
+    void record(const Decision& decision) override
     {
         std::ostringstream line;
-        std::visit([&line](const auto& each) { line << each; }, effect);
+        std::visit([&line](const auto& each) { line << each; }, decision);
         std::printf("%s\n", line.str().c_str());
     }
 };
