One roster a process, an incremental digest of the view, a lab that follows only holders

The members of a fleet file are a Roster now: copies share lines, an index by key and the rings. The digest of the view is a sum of a hash for each member, kept as records change, so ping and tick no longer go through all members; suspects and those that are gone are kept in small sets; watch state exists for members that were heard or pinged.

The digest in pings has another value than before.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -98,9 +98,10 @@
 }
 
 // What a fleet at rest says, and how long a duty is held by nobody.
-int rest(World::Options options, uint64_t seed)
+int rest(World::Options options, uint64_t seed, bool acquainted)
 {
     World w(options, seed);
+    if (acquainted) w.start_all_acquainted();
     for (size_t i = 0; i < w.size(); ++i) w.start(i);
     w.run(seconds(10));
     const auto before = w.count;
@@ -219,6 +220,8 @@
     checking->add_option("--lasts", lasts, "seconds in which they can");
     auto* resting = common(app.add_subcommand("rest", "what a fleet at rest says"));
     resting->add_option("--seed", seeds.first);
+    bool acquainted = false;
+    resting->add_flag("--acquainted", acquainted, "all know each other from the start");
     auto* subsetting = app.add_subcommand("subsets", "ways to choose subsets of the upstreams, compared");
     size_t members = 300, upstreams = 60, size = 18;
     subsetting->add_option("--members", members)->check(CLI::Range(2, 5000));
@@ -248,7 +251,7 @@
         w.options = options, w.lasts = seconds(lasts), w.faults = faults;
         return walks(w, seeds, traced);
     }
-    if (resting->parsed()) return rest(options, seeds.first);
+    if (resting->parsed()) return rest(options, seeds.first, acquainted);
     options.voters_times = {seconds(0.2), seconds(0.1)};
     c.options = options;
     c.lasts = seconds(lasts);
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -64,7 +64,10 @@
     double rate = 1;
     Point clock_from, clock_was;  // true time, and its own at that
     std::optional<Span> freeze_at_effect;
-    std::vector<Point> arrives;  // of the last message from each: links keep their order
+    std::unordered_map<size_t, Point> arrives;  // of the last message from each: links keep their order
+    uint32_t region = 0;
+    Life life = 0;
+    size_t candidate_of = 0;  // duties
     bool asking = false;
     std::optional<Memory> memory;
     uint64_t list = 0, ticks = 0;
@@ -103,20 +106,19 @@
     file.recovery = options_.recovery;
     file.subset = options_.subset, file.signals = options_.signals, file.turns = options_.turns;
     if (file.turns) file.duties.push_back({"parts", DutyKind::parts, "", {}, 0});
-    links_.resize(options_.members * options_.members);
     sent.resize(options_.members);
+    traffic.resize(options_.members);
     for (size_t i = 0; i < options_.members; ++i) {
         auto node = std::make_unique<Node>();
         node->file = file;
         node->file.self = static_cast<Member>(i);
         node->file.id = file.members[i].id;
-        node->arrives.resize(options_.members);
         node->clock_from = now_;
         node->clock_was = Point{5'000'000} + seconds(100 * roll());
         nodes_.push_back(std::move(node));
     }
     for (const Duty& d : file.duties)
-        if (d.kind != DutyKind::drain) without_[d.name] = now_;
+        if (d.kind != DutyKind::drain) watched_[d.name].without = now_;
 }
 
 World::~World() = default;
@@ -133,6 +135,7 @@
     n.clock_was = clock_of(node);
     n.clock_from = now_;
     n.rate = rate;
+    check_due_ = true;
 }
 
 void World::note(const std::string& text)
@@ -173,6 +176,7 @@
         return true;
     }
     e.what();
+    check_due_ |= n.candidate_of > 0;  // a renewal may have come after the lease had ended
     if (e.checked) check();
     return true;
 }
@@ -194,8 +198,8 @@
     n.asking = false;
     n.list = 0;
     n.freeze_at_effect.reset();
-    const Life life = uint64_t{chance_()} << 24 | chance_();
-    n.fleet = std::make_unique<Fleet>(n.file, life, ++n.incarnation, uint64_t{chance_()} << 24 | chance_());
+    n.life = uint64_t{chance_()} << 24 | chance_();
+    n.fleet = std::make_unique<Fleet>(n.file, n.life, ++n.incarnation, uint64_t{chance_()} << 24 | chance_());
     if (options_.granter) options_.granter(n.fleet->granter());
     note(n.file.id + " starts");
     if (n.file.members[node].voter) {
@@ -213,6 +217,16 @@
     later(options_.tick * roll(), node, [this, node] { tick(node); });
 }
 
+void World::start_all_acquainted()
+{
+    auto members = std::make_shared<std::vector<Members::One>>();
+    for (size_t i = 0; i < size(); ++i) {
+        start(i);
+        members->push_back({nodes_[i]->incarnation, nodes_[i]->life, Health::alive, 0});
+    }
+    for (size_t i = 0; i < size(); ++i) later({}, i, [this, i, members] { tell(i, Acquainted{members}); });
+}
+
 // Another way for a process to go on than to go on.
 bool World::forked_turn(size_t node)
 {
@@ -249,6 +263,9 @@
     n.up = false;
     n.fleet.reset();
     n.voter_agent.reset();
+    for (auto& [duty, watched] : watched_) std::erase(watched.candidates, node);
+    n.candidate_of = 0;
+    check_due_ = true;
     if (power) n.disk.lose_power();
 }
 
@@ -279,7 +296,18 @@
 void World::heal()
 {
     note("all links are whole");
-    for (Link& l : links_) l = {};
+    links_.clear();
+    for (auto& node : nodes_) node->region = 0;
+}
+
+void World::set_region(size_t node, uint32_t region) { nodes_[node]->region = region; }
+
+const Link& World::link_between(size_t from, size_t to) const
+{
+    static const Link whole, between_regions{true, 0, {}, {}, 0};
+    if (nodes_[from]->region != nodes_[to]->region) return between_regions;
+    const auto at = links_.find(from * nodes_.size() + to);
+    return at == links_.end() ? whole : at->second;
 }
 
 Disk& World::disk(size_t node) { return nodes_[node]->disk; }
@@ -339,10 +367,12 @@
 void World::send(size_t from, const Send& s)
 {
     const size_t to = s.to;
-    Link& l = link(from, to);
-    const auto frame = encode_frame(s.message, 0);
+    const Link l = link_between(from, to);
+    const auto frame = std::make_shared<const std::string>(encode_frame(s.message, 0));
     ++count.messages, ++sent[from];
-    count.bytes += frame.size();
+    count.bytes += frame->size();
+    ++traffic[from].messages_out;
+    traffic[from].bytes_out += frame->size();
     if (l.cut || !nodes_[to]->up || roll() < l.loss) return;
     Span takes = l.least + (l.most - l.least) * roll();
     if (options_.fork && urgency_of(s.message) == Urgency::leases) {
@@ -357,8 +387,10 @@
     const Point at = std::max(before, now_ + takes);
     before = at;
     const auto deliver = [this, to, from, frame] {
+        ++traffic[to].messages_in;
+        traffic[to].bytes_in += frame->size();
         FrameReader reader;
-        reader.take(frame);
+        reader.take(*frame);
         if (reader.next() == FrameReader::State::message)
             tell(to, Heard{static_cast<Member>(from), std::move(reader.message())});
     };
@@ -406,7 +438,7 @@
     Node& n = *nodes_[node];
     if (!n.asking) return;
     ++count.list_calls;
-    tell(node, ListSeen{"", discovery_, "list " + std::to_string(discovery_)});
+    if (!discovery_answers || discovery_answers(node)) tell(node, ListSeen{"", discovery_, discovery_list_});
     later(seconds(0.5), node, [this, node] { ask_discovery(node); });
 }
 
@@ -451,27 +483,59 @@
             last_reply = r->text;
             note(n.file.id + " answers " + r->text.substr(0, r->text.find('\n')));
         } else if (auto* m = std::get_if<Noted>(&e)) {
+            holders_changed(node, *m);
             note(n.file.id + " " + m->event + " " + m->subject + " " + m->health +
                  (m->epoch ? " " + std::to_string(m->epoch) : "") + (m->why.empty() ? "" : ": " + m->why));
         }
     }
 }
 
-// At every moment, by each one's own clock.
+void World::holders_changed(size_t node, const Noted& noted)
+{
+    if (noted.event != "gained" && noted.event != "lost") return;
+    check_due_ = true;
+    const auto at = watched_.find(noted.subject);
+    if (at == watched_.end()) return;
+    auto& candidates = at->second.candidates;
+    size_t& candidate_of = nodes_[node]->candidate_of;
+    candidate_of -= std::erase(candidates, node);
+    if (noted.event == "lost") return;
+    candidates.insert(std::upper_bound(candidates.begin(), candidates.end(), node), node);
+    ++candidate_of;
+}
+
+// No later than its lease ends, in true time.
+Point World::lease_ends(size_t node) const
+{
+    const Node& n = *nodes_[node];
+    const Span left = n.fleet->holder().left(clock_of(node));
+    return now_ + left * (1 / n.rate) - Span{2};
+}
+
+// At every moment, by each one's own clock. Between events of those that were granted something and the end
+// of a lease nothing can be other than it was.
 void World::check()
 {
-    for (auto& [duty, since] : without_) {
-        const auto by = holders(duty);
+    if (!check_due_ && now_ < check_at_) return;
+    check_due_ = false;
+    check_at_ = Point{INT64_MAX};
+    for (auto& [duty, watched] : watched_) {
+        std::vector<size_t> by;
+        for (const size_t i : watched.candidates) {
+            if (!nodes_[i]->fleet->mine(clock_of(i), duty)) continue;
+            by.push_back(i);
+            check_at_ = std::min(check_at_, lease_ends(i));
+        }
         if (by.size() > 1) {
             std::string all;
             for (const size_t i : by) all += " " + nodes_[i]->file.id;
             breaks("two hold " + duty + " at once:" + all);
         }
-        if (!by.empty() && since.us) {
-            gaps.push_back(now_ - since);
-            since = {};
-        } else if (by.empty() && !since.us) {
-            since = now_;
+        if (!by.empty() && watched.without.us) {
+            gaps.push_back(now_ - watched.without);
+            watched.without = {};
+        } else if (by.empty() && !watched.without.us) {
+            watched.without = now_;
         }
     }
 }
@@ -479,7 +543,8 @@
 std::map<std::string, Span> World::longest_gap() const
 {
     std::map<std::string, Span> out;
-    for (const auto& [duty, since] : without_) out[duty] = since.us ? now_ - since : Span{};
+    for (const auto& [duty, watched] : watched_)
+        out[duty] = watched.without.us ? now_ - watched.without : Span{};
     return out;
 }
 
--- a/lab/world.h
+++ b/lab/world.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "src/fleet/fleet.h"
@@ -99,20 +100,32 @@
     bool step(Point until);
 
     void start(size_t node);
+    // All members, each of which already knows all others to be alive: a fleet that has long been up.
+    void start_all_acquainted();
     void crash(size_t node, bool power = false);  // power: what was not synced is lost
     void stop(size_t node);                       // as by SIGTERM
     void freeze(size_t node, Span span);
     void freeze_in_effect(size_t node,
                           Span span);      // at its next effect, between the check's cause and the effect
     void clock(size_t node, double rate);  // true seconds become so many of its own
+    // To be changed. A link that was never asked for has the values of a default Link and takes no room.
     Link& link(size_t from, size_t to) { return links_[from * nodes_.size() + to]; }
     void isolate(size_t node, bool cut);
-    void heal();
+    // Members of different regions do not reach each other; all are of region 0 at first.
+    void set_region(size_t node, uint32_t region);
+    void heal();  // all links and regions
     Disk& disk(size_t node);
     bool up(size_t node) const;
     void ask(size_t node, const std::string& what, const std::string& first = "",
              const std::string& second = "");
-    void discovery_is(uint64_t version) { discovery_ = version; }
+    void discovery_is(uint64_t version) { discovery_is(version, "list " + std::to_string(version)); }
+    void discovery_is(uint64_t version, std::string list)
+    {
+        discovery_ = version;
+        discovery_list_ = std::move(list);
+    }
+    // Members that discovery answers; absent: all.
+    std::function<bool(size_t node)> discovery_answers;
 
     // Who may act for it now, by its own clock.
     std::vector<size_t> holders(const std::string& duty) const;
@@ -131,6 +144,10 @@
     };
     Count count;
     std::vector<uint64_t> sent;  // messages of each member
+    struct Traffic {
+        uint64_t messages_out = 0, bytes_out = 0, messages_in = 0, bytes_in = 0;
+    };
+    std::vector<Traffic> traffic;  // of each member
     // Duty, true time: since when nobody holds it.
     std::map<std::string, Span> longest_gap() const;
     std::vector<Span> gaps;  // each time without a holder, ended
@@ -156,7 +173,10 @@
     void ask_discovery(size_t node);
     size_t fork(Fork at) { return options_.fork ? options_.fork(at) : 0; }
     bool forked_turn(size_t node);
+    const Link& link_between(size_t from, size_t to) const;
+    void holders_changed(size_t node, const Noted& noted);
     void check();
+    Point lease_ends(size_t node) const;
     void breaks(const std::string& rule);
     void note(const std::string& text);
 
@@ -165,14 +185,23 @@
     Point now_{1'000'000'000};
     uint64_t order_ = 0;
     std::vector<std::unique_ptr<Node>> nodes_;
-    std::vector<Link> links_;
+    std::unordered_map<size_t, Link> links_;  // that were asked for
     std::priority_queue<Event> events_;
     std::vector<Broken> broken_;
     std::vector<std::string> trace_;
     std::map<std::string, std::pair<Epoch, uint64_t>> taken_;  // by the receiver of each duty
     std::set<std::tuple<std::string, Epoch, uint64_t>> effects_;
-    std::map<std::string, Point> without_;
+    // Duties that are checked, and who may hold them: members that have gained one and not lost it. Their
+    // leases may have ended since.
+    struct Watched {
+        Point without;  // since when nobody holds it; zero: somebody does
+        std::vector<size_t> candidates;
+    };
+    std::map<std::string, Watched> watched_;
+    bool check_due_ = true;  // something other than time has changed who holds a duty
+    Point check_at_;         // the first time at which a lease may end
     uint64_t discovery_ = 1;
+    std::string discovery_list_ = "list 1";
 };
 
 }  // namespace firtide::lab
--- a/src/fleet/config.cpp
+++ b/src/fleet/config.cpp
@@ -197,27 +197,6 @@
 
 }  // namespace
 
-size_t FleetFile::voters() const
-{
-    size_t n = 0;
-    for (const MemberLine& m : members) n += m.voter;
-    return n;
-}
-
-std::optional<Member> FleetFile::member_of(Key key) const
-{
-    for (Member m = 0; m < members.size(); ++m)
-        if (members[m].key == key) return m;
-    return {};
-}
-
-std::optional<Member> FleetFile::member_of(std::string_view named) const
-{
-    for (Member m = 0; m < members.size(); ++m)
-        if (members[m].id == named) return m;
-    return {};
-}
-
 std::optional<DutyIndex> FleetFile::duty_of(std::string_view named) const
 {
     for (DutyIndex d = 0; d < duties.size(); ++d)
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -7,7 +7,7 @@
 #include <variant>
 #include <vector>
 
-#include "messages.h"
+#include "roster.h"
 #include "rules.h"
 #include "src/fault.h"
 #include "src/time.h"
@@ -15,18 +15,8 @@
 namespace firtide::fleet
 {
 
-using Member = uint32_t;     // place in the fleet file
 using DutyIndex = uint32_t;  // place among the duties
 
-struct MemberLine {
-    std::string id;
-    Key key = 0;
-    std::string address;  // as this member reaches it
-    std::string zone;
-    bool voter = false;
-    uint32_t line = 0;
-};
-
 struct Lease {
     Span length = seconds(3);
     double drift = 0.02;  // clocks' rates differ by this part at the most
@@ -64,7 +54,7 @@
 
 struct FleetFile {
     std::string name, id, listen, data;
-    std::vector<MemberLine> members;
+    Roster members;  // held once by all copies
     Member self = 0;
     Lease lease;
     std::vector<Duty> duties;
@@ -76,9 +66,9 @@
     std::optional<TurnsRule> turns;
     std::optional<RecoveryRule> recovery;
 
-    size_t voters() const;
-    std::optional<Member> member_of(Key key) const;
-    std::optional<Member> member_of(std::string_view id) const;
+    size_t voters() const { return members.voters(); }
+    std::optional<Member> member_of(Key key) const { return members.member_of(key); }
+    std::optional<Member> member_of(std::string_view named) const { return members.member_of(named); }
     std::optional<DutyIndex> duty_of(std::string_view name) const;
 };
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -531,6 +531,8 @@
 {
     if (!file_.subset || now_ - sharers_at_ < sharers_every) return;
     sharers_at_ = now_;
+    if (sharers_version_ == members_.version()) return;
+    sharers_version_ = members_.version();
     std::vector<Sharer> now;
     double sum = 0, known = 0;
     for (Member m = 0; m < file_.members.size(); ++m) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -60,8 +60,12 @@
     std::variant<std::monostate, Memory, std::string> memory;
     std::optional<Span> ago;  // by a clock that is trusted: the machine has not been started anew
 };
+// The members as a fleet at rest holds them, of a simulation that does not begin with all unknown.
+struct Acquainted {
+    std::shared_ptr<const std::vector<Members::One>> members;
+};
 using FleetEvent = std::variant<Begun, Heard, Ticked, VoterAgentReported, AdminRequest, AdminDisconnected,
-                                ListSeen, ProbesSeen, Refused, Stops, Observed, Recalled>;
+                                ListSeen, ProbesSeen, Refused, Stops, Observed, Recalled, Acquainted>;
 
 // Effects. Send is one of them.
 struct Seating {  // of a member among the voters
@@ -191,6 +195,7 @@
     void on(const Stops&);
     void on(Observed& observed);
     void on(Recalled& recalled);
+    void on(const Acquainted& acquainted) { members_.acquaint(*acquainted.members); }
     void recovery_tick();
     std::string show_recovery() const;
 
@@ -244,6 +249,7 @@
     std::optional<Allocator> allocator_;
     Observed observed_;
     std::vector<Sharer> sharers_;
+    std::optional<uint64_t> sharers_version_;  // of the members, as they were told last
     Point weighed_, sharers_at_, wanted_parts_;
     bool signalled_ = false;
 
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-constexpr size_t ring_count = 3, helpers = 3;
+constexpr size_t helpers = 3;
+constexpr size_t draws = 16;  // for one helper, before all members are gone through
 constexpr double silent_after = 3, suspect_after = 1.5, gone_after = 4;  // periods: each from the one before
 constexpr Span first_exchange = seconds(1), longest_exchange = seconds(60);
 constexpr Member nobody = UINT32_MAX;
@@ -21,39 +22,69 @@
       self_(file.self),
       period_(period),
       chance_(static_cast<uint32_t>(seed ^ seed >> 32)),
-      all_(file.members.size()),
-      watch_(file.members.size())
+      all_(file.members.size())
 {
-    all_[self_] = {Health::alive, incarnation, life, {}, 0};
-    for (Member m = 0; m < all_.size(); ++m) by_key_.push_back(m);
-    std::sort(by_key_.begin(), by_key_.end(),
-              [&](Member a, Member b) { return file_.members[a].key < file_.members[b].key; });
-    // The same rings at every member, whatever the order of its file.
-    for (uint64_t ring = 0; ring < ring_count; ++ring) {
-        std::vector<std::pair<uint64_t, Member>> order;
-        for (Member m = 0; m < all_.size(); ++m)
-            order.emplace_back(
-                XXH3_64bits_withSeed(file_.members[m].id.data(), file_.members[m].id.size(), ring + 1), m);
-        std::sort(order.begin(), order.end());
-        rings_.emplace_back();
-        for (const auto& [hash, m] : order) rings_.back().push_back(m);
-    }
+    set(self_, {incarnation, life, Health::alive, 0});
 }
 
 void Members::start(Point now)
 {
-    woken_ = now;
+    started_ = woken_ = heard_at_least_ = now;
+    watch_.clear();
+    find_neighbours();
+}
+
+void Members::acquaint(const std::vector<One>& all)
+{
+    const One own = all_[self_];
+    all_ = all;
+    all_[self_] = own;
+    alive_ = 0;
+    digest_ = 0;
+    ++version_;
+    suspect_since_.clear();
+    gone_.clear();
     for (Member m = 0; m < all_.size(); ++m) {
-        all_[m].since = now;
-        watch_[m] = {now, now - period_, now, false, now, first_exchange, now};
+        const One& one = all_[m];
+        alive_ += one.health == Health::alive;
+        if (one.incarnation) digest_ += digest_of(m);
+        if (one.health == Health::gone) gone_.push_back(m);
+        if (one.health == Health::suspect && one.incarnation) suspect_since_[m] = started_;
     }
     find_neighbours();
 }
 
-size_t Members::alive() const
+// Of one member's part in the digest, which is the sum of these: so it can be kept as single ones change.
+uint64_t Members::digest_of(Member m) const
+{
+    const One& one = all_[m];
+    const uint64_t said[] = {file_.members[m].key, one.incarnation * 4 + static_cast<uint64_t>(one.health)};
+    return XXH3_64bits(said, sizeof said);
+}
+
+void Members::set(Member m, const One& next)
+{
+    One& one = all_[m];
+    if (one.incarnation) digest_ -= digest_of(m);
+    alive_ -= one.health == Health::alive;
+    one = next;
+    alive_ += one.health == Health::alive;
+    if (one.incarnation) digest_ += digest_of(m);
+    ++version_;
+}
+
+// Keeps the sets of those that are suspect and gone in step with the records.
+void Members::note_health(Point now, Member m, Health before)
 {
-    return static_cast<size_t>(
-        std::count_if(all_.begin(), all_.end(), [](const One& o) { return o.health == Health::alive; }));
+    const One& one = all_[m];
+    const auto at = std::lower_bound(gone_.begin(), gone_.end(), m);
+    const bool listed = at != gone_.end() && *at == m;
+    if (one.health == Health::gone && !listed) gone_.insert(at, m);
+    if (one.health != Health::gone && listed) gone_.erase(at);
+    if (one.health != Health::suspect)
+        suspect_since_.erase(m);
+    else if (one.incarnation)
+        suspect_since_.try_emplace(m, before == Health::suspect ? started_ : now);
 }
 
 // The next and the last on each ring that are not gone.
@@ -61,8 +92,8 @@
 {
     neighbours_.clear();
     successors_.clear();
-    for (const auto& ring : rings_) {
-        const auto own = static_cast<size_t>(std::find(ring.begin(), ring.end(), self_) - ring.begin());
+    for (const auto& [ring, place] : file_.members.rings()) {
+        const size_t own = place[self_];
         for (const size_t step : {size_t{1}, ring.size() - 1}) {
             size_t at = (own + step) % ring.size();
             while (ring[at] != self_ && all_[ring[at]].health == Health::gone) at = (at + step) % ring.size();
@@ -77,21 +108,17 @@
     }
 }
 
-bool Members::looked_after(Member m) const
+bool Members::is_neighbour(Member m) const
 {
     return std::binary_search(neighbours_.begin(), neighbours_.end(), m);
 }
 
-// Of what it holds of all members, in an order that all share.
-uint64_t Members::view() const
+Members::Watch& Members::watch(Member m)
 {
-    std::vector<uint64_t> said;
-    for (const Member m : by_key_) {
-        if (all_[m].incarnation == 0) continue;
-        said.push_back(file_.members[m].key);
-        said.push_back(all_[m].incarnation * 4 + static_cast<uint64_t>(all_[m].health));
-    }
-    return XXH3_64bits(said.data(), said.size() * sizeof(uint64_t));
+    const auto at = watch_.find(m);
+    if (at != watch_.end()) return at->second;
+    const Watch first{started_, started_ - period_, started_, false, started_, first_exchange, started_};
+    return watch_.emplace(m, first).first->second;
 }
 
 MembershipUpdate Members::update_of(Member m) const
@@ -100,18 +127,26 @@
     return {file_.members[m].key, static_cast<uint8_t>(o.health), o.incarnation, o.life, o.weight};
 }
 
+MembershipUpdates Members::all_known(bool answer) const
+{
+    MembershipUpdates known{{}, answer};
+    for (Member m = 0; m < all_.size(); ++m)
+        if (all_[m].incarnation) known.all.push_back(update_of(m));
+    return known;
+}
+
 void Members::ping(Point now, Member to, uint64_t answers)
 {
     const One& o = all_[to];
     Ping p;
     p.number = ++pings_, p.answers = answers;
     p.incarnation = incarnation(), p.life = all_[self_].life;
-    p.view = view();
+    p.view = digest_;
     p.held = static_cast<uint8_t>(o.health), p.held_at = o.incarnation;
     p.leader = carried.leader, p.term = carried.term;
     p.list = carried.list, p.list_epoch = carried.list_epoch;
     p.weight = all_[self_].weight;
-    if (!answers) watch_[to].pinged = now;
+    if (!answers) watch(to).pinged = now;
     send(to, p);
 }
 
@@ -124,7 +159,7 @@
 
 bool Members::accept(Point now, Member m, Health health, Incarnation incarnation, Life life, uint8_t weight)
 {
-    One& o = all_[m];
+    const One o = all_[m];
     if (m == self_) {
         // Guards against being taken for gone, and against a past of this id that its disk has forgotten.
         twin_ =
@@ -132,23 +167,26 @@
         if (left_ || incarnation < o.incarnation ||
             (health == Health::alive && (incarnation == o.incarnation || life == o.life)))
             return false;
-        o.incarnation = incarnation + 1;
+        set(self_, {incarnation + 1, o.life, o.health, o.weight});
         spread({update_of(self_)}, nobody);
         return false;
     }
     if (incarnation < o.incarnation || (incarnation == o.incarnation && health <= o.health)) return false;
-    const bool gone_before = o.health == Health::gone;
     const bool other = o.health != health;
-    o = {health, incarnation, life ? life : o.life, other ? now : o.since, weight};
-    if (health == Health::alive) watch_[m].asking = false;
-    if (gone_before != (health == Health::gone)) find_neighbours();
+    set(m, {incarnation, life ? life : o.life, health, weight});
+    note_health(now, m, o.health);
+    if (health == Health::alive)
+        if (const auto at = watch_.find(m); at != watch_.end()) at->second.asking = false;
+    // Of those that are gone, only a neighbour leaves a place to be filled.
+    const bool gone_now = health == Health::gone;
+    if ((o.health == Health::gone) != gone_now && (!gone_now || is_neighbour(m))) find_neighbours();
     if (other) changes_.push_back({m, health, incarnation});
     return true;
 }
 
 void Members::heard(Point now, Member from)
 {
-    Watch& w = watch_[from];
+    Watch& w = watch(from);
     w.heard = now;
     w.asking = false;
     std::erase_if(asked_for_, [&](const auto& asked) {
@@ -170,17 +208,14 @@
     if (!p.answers) ping(now, from, p.number);
     // Repairs what gossip has lost. Guards against telling all, again and again, where files name other
     // members.
-    Watch& w = watch_[from];
-    if (p.view == view()) {
+    Watch& w = watch(from);
+    if (p.view == digest_) {
         w.differs_since = now + period_;
         w.exchange_after = first_exchange;
     } else if (now - w.differs_since > period_ && now - w.exchanged > w.exchange_after) {
         w.exchanged = now;
         w.exchange_after = std::min(longest_exchange, w.exchange_after * 2);
-        MembershipUpdates all{{}, true};
-        for (Member m = 0; m < all_.size(); ++m)
-            if (all_[m].incarnation) all.all.push_back(update_of(m));
-        send(from, std::move(all));
+        send(from, all_known(true));
     }
 }
 
@@ -188,7 +223,7 @@
 {
     const auto m = file_.member_of(ask.member);
     if (!m || *m == self_) return;
-    if (now - watch_[*m].heard < period_ * 2) return send(from, Reached{ask.member, all_[*m].incarnation});
+    if (now - heard_at(watch(*m)) < period_ * 2) return send(from, Reached{ask.member, all_[*m].incarnation});
     asked_for_.push_back({*m, {from, now}});
     ping(now, *m);
 }
@@ -197,8 +232,9 @@
 {
     const auto m = file_.member_of(reached.member);
     if (!m || *m == self_) return;
-    watch_[*m].asking = false;
-    watch_[*m].heard = now;
+    Watch& w = watch(*m);
+    w.asking = false;
+    w.heard = now;
 }
 
 void Members::on(Point now, Member from, const MembershipUpdates& updates)
@@ -211,18 +247,13 @@
             news.push_back(update_of(*m));
     }
     spread(news, from);
-    if (!updates.answer) return;
-    MembershipUpdates back{{}, false};
-    for (Member m = 0; m < all_.size(); ++m)
-        if (all_[m].incarnation) back.all.push_back(update_of(m));
-    send(from, std::move(back));
+    if (updates.answer) send(from, all_known(false));
 }
 
 void Members::weigh(uint8_t weight)
 {
-    One& o = all_[self_];
-    o.weight = weight;
-    ++o.incarnation;
+    const One& o = all_[self_];
+    set(self_, {o.incarnation + 1, o.life, o.health, weight});
     spread({update_of(self_)}, nobody);
 }
 
@@ -234,46 +265,82 @@
     spread({r}, nobody);
 }
 
+// Up to three others that are alive, drawn alike from all.
+std::vector<Member> Members::draw_helpers(Member subject)
+{
+    std::vector<Member> drawn;
+    const auto suits = [&](Member m) {
+        return m != subject && m != self_ && all_[m].health == Health::alive &&
+               std::find(drawn.begin(), drawn.end(), m) == drawn.end();
+    };
+    std::uniform_int_distribution<Member> any(0, static_cast<Member>(all_.size() - 1));
+    for (size_t i = 0; i < helpers * draws && drawn.size() < helpers; ++i)
+        if (const Member m = any(chance_); suits(m)) drawn.push_back(m);
+    if (drawn.size() == helpers) return drawn;
+    // Few are alive: those that are left, in a random order.
+    std::vector<Member> left;
+    for (Member m = 0; m < all_.size(); ++m)
+        if (suits(m)) left.push_back(m);
+    std::shuffle(left.begin(), left.end(), chance_);
+    left.resize(std::min(left.size(), helpers - drawn.size()));
+    drawn.insert(drawn.end(), left.begin(), left.end());
+    return drawn;
+}
+
+// In the order of the file.
+std::vector<Member> Members::overdue_suspects(Point now)
+{
+    std::vector<Member> overdue;
+    for (const auto& [m, since] : suspect_since_)
+        if (now - since > period_ * gone_after) overdue.push_back(m);
+    if (!unheard_are_suspect_ || now - started_ <= period_ * gone_after) return overdue;
+    unheard_are_suspect_ = false;
+    for (Member m = 0; m < all_.size(); ++m)
+        if (all_[m].health == Health::suspect && all_[m].incarnation == 0) overdue.push_back(m);
+    std::sort(overdue.begin(), overdue.end());
+    return overdue;
+}
+
+// They are taken in turn.
+std::optional<Member> Members::next_gone() const
+{
+    if (gone_.empty()) return {};
+    return gone_[next_gone_ % gone_.size()];
+}
+
 void Members::tick(Point now)
 {
     // Guards against blaming all others for a stall of this process: whoever stood still has heard nobody.
-    if (now - woken_ > period_ * 2)
-        for (Watch& w : watch_) w.heard = std::max(w.heard, now - period_);
+    if (now - woken_ > period_ * 2) heard_at_least_ = now - period_;
     woken_ = now;
     std::erase_if(asked_for_, [&](const auto& a) { return now - a.second.second > period_ * 3; });
     std::vector<MembershipUpdate> found;
     for (const Member m : std::vector<Member>(neighbours_)) {
-        Watch& w = watch_[m];
+        Watch& w = watch(m);
         if (now - w.pinged >= period_) ping(now, m);
         if (all_[m].health != Health::alive) continue;
-        if (!w.asking && now - w.heard > period_ * silent_after) {
+        if (!w.asking && now - heard_at(w) > period_ * silent_after) {
             w.asking = true;
             w.asked = now;
-            std::vector<Member> others;
-            for (Member o = 0; o < all_.size(); ++o)
-                if (o != m && o != self_ && all_[o].health == Health::alive) others.push_back(o);
-            std::shuffle(others.begin(), others.end(), chance_);
-            others.resize(std::min(others.size(), helpers));
-            for (const Member o : others) send(o, Ask{file_.members[m].key});
+            for (const Member o : draw_helpers(m)) send(o, Ask{file_.members[m].key});
         } else if (w.asking && now - w.asked > period_ * suspect_after) {
             w.asking = false;
             if (accept(now, m, Health::suspect, all_[m].incarnation, 0, all_[m].weight))
                 found.push_back(update_of(m));
         }
     }
-    std::vector<Member> gone;
-    for (Member m = 0; m < all_.size(); ++m) {
-        if (all_[m].health == Health::gone) gone.push_back(m);
-        if (all_[m].health != Health::suspect || now - all_[m].since <= period_ * gone_after) continue;
+    const auto gone_before = next_gone();
+    for (const Member m : overdue_suspects(now)) {
         const bool known = all_[m].incarnation > 0;
         if (accept(now, m, Health::gone, all_[m].incarnation, 0, all_[m].weight) && known)
             found.push_back(update_of(m));
     }
     spread(found, nobody);
     // Those that are gone are tried in turn: two halves that hold each other for gone find together again.
-    if (!gone.empty()) {
-        const Member m = gone[next_gone_ % gone.size()];
-        if (now - gone_pinged_ >= period_) ping(now, m), ++next_gone_, gone_pinged_ = now;
+    if (gone_before && now - gone_pinged_ >= period_) {
+        ping(now, *gone_before);
+        ++next_gone_;
+        gone_pinged_ = now;
     }
 }
 
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -1,10 +1,14 @@
 // Who of the fleet is there: alive, suspect or gone, each at an incarnation. Each member watches a few
 // others, which follow from their ids, whatever the size of the fleet; what it finds is gossiped. No
 // I/O, no clock.
+//
+// Neither a tick nor a ping goes through all members: a digest of the view is kept as the view changes, and
+// beside the one small record of each member there are only those that are suspect, gone or heard directly.
 #pragma once
 
 #include <map>
 #include <random>
+#include <unordered_map>
 #include <vector>
 
 #include "config.h"
@@ -34,11 +38,11 @@
 class Members
 {
   public:
+    // Of each member. Incarnation zero: never heard of.
     struct One {
-        Health health = Health::suspect;
         Incarnation incarnation = 0;
         Life life = 0;
-        Point since;  // of this health
+        Health health = Health::suspect;
         uint8_t weight = 0;
     };
 
@@ -46,6 +50,9 @@
     Members(const FleetFile& file, Life life, Incarnation incarnation, Span period, uint64_t seed);
 
     void start(Point now);
+    // Takes the view of a fleet that has long been up, as one record for each member, in place of finding it
+    // out. Tells nobody. For simulations that begin with a fleet at rest.
+    void acquaint(const std::vector<One>& all);
     void tick(Point now);
     void heard(Point now, Member from);  // anything at all
     void on(Point now, Member from, const Ping& ping);
@@ -65,10 +72,16 @@
     const std::vector<Member>& neighbours() const { return neighbours_; }
     // The next on each ring: what all pass on to these reaches everybody, with one or two to spare.
     const std::vector<Member>& successors() const { return successors_; }
-    size_t alive() const;
+    size_t alive() const { return alive_; }
+    // A digest of the health and incarnation of all members that were ever heard of: equal at two members
+    // exactly if they hold the same of each, but for collisions of 64 bits.
+    uint64_t digest() const { return digest_; }
+    // Grows with every change of a record.
+    uint64_t version() const { return version_; }
     Carried carried;
 
   private:
+    // Of a member that was heard directly, or pinged.
     struct Watch {
         Point heard, pinged, asked;
         bool asking = false;
@@ -83,24 +96,39 @@
     bool accept(Point now, Member m, Health health, Incarnation incarnation, Life life, uint8_t weight);
     void spread(const std::vector<MembershipUpdate>& updates, Member not_to);
     MembershipUpdate update_of(Member m) const;
+    MembershipUpdates all_known(bool answer) const;
+    // The one place where a record changes.
+    void set(Member m, const One& next);
+    uint64_t digest_of(Member m) const;
+    void note_health(Point now, Member m, Health before);
     void find_neighbours();
-    bool looked_after(Member m) const;
-    uint64_t view() const;
+    bool is_neighbour(Member m) const;
+    Watch& watch(Member m);
+    Point heard_at(const Watch& watch) const { return std::max(watch.heard, heard_at_least_); }
+    std::vector<Member> draw_helpers(Member subject);
+    std::vector<Member> overdue_suspects(Point now);
+    std::optional<Member> next_gone() const;
 
     const FleetFile& file_;
     const Member self_;
     const Span period_;
     std::ranlux24_base chance_;
     std::vector<One> all_;
-    std::vector<Watch> watch_;
-    std::vector<std::vector<Member>> rings_;
-    std::vector<Member> neighbours_, successors_, by_key_;
+    size_t alive_ = 0;
+    uint64_t digest_ = 0, version_ = 0;
+    // Those that were never heard of are suspect since the start, all alike, and not among these.
+    std::map<Member, Point> suspect_since_;
+    std::vector<Member> gone_;  // in order
+    bool unheard_are_suspect_ = true;
+    std::unordered_map<Member, Watch> watch_;
+    Point heard_at_least_;  // each is taken to have been heard since then
+    std::vector<Member> neighbours_, successors_;
     std::vector<std::pair<Member, std::pair<Member, Point>>> asked_for_;  // subject, who asked and when
     std::vector<Send> sends_;
     std::vector<HealthChange> changes_;
     uint64_t pings_ = 0;
     size_t next_gone_ = 0;
-    Point woken_, gone_pinged_;
+    Point started_, woken_, gone_pinged_;
     bool twin_ = false, left_ = false;
 };
 
--- /dev/null
+++ b/src/fleet/roster.cpp
@@ -0,0 +1,85 @@
+#include "roster.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+namespace firtide::fleet
+{
+
+struct Roster::Data {
+    std::vector<MemberLine> members;
+    std::unordered_map<Key, Member> by_key;
+    size_t voters = 0;
+    std::once_flag rings_made;
+    Rings rings;
+
+    Data() = default;
+    // Without the rings, which change with every member that is added.
+    Data(const Data& other) : members(other.members), by_key(other.by_key), voters(other.voters) {}
+
+    void make_rings();
+};
+
+void Roster::Data::make_rings()
+{
+    for (size_t ring = 0; ring < ring_count; ++ring) {
+        std::vector<std::pair<uint64_t, Member>> hashed;
+        hashed.reserve(members.size());
+        for (Member m = 0; m < members.size(); ++m)
+            hashed.emplace_back(XXH3_64bits_withSeed(members[m].id.data(), members[m].id.size(), ring + 1),
+                                m);
+        std::sort(hashed.begin(), hashed.end());
+        Ring& made = rings[ring];
+        made.order.reserve(members.size());
+        made.place.resize(members.size());
+        for (const auto& [hash, m] : hashed) {
+            made.place[m] = static_cast<uint32_t>(made.order.size());
+            made.order.push_back(m);
+        }
+    }
+}
+
+Roster::Roster() : data_(std::make_shared<Data>()) {}
+
+void Roster::push_back(MemberLine member)
+{
+    const bool rings_made = !data_->rings[0].order.empty();
+    if (data_.use_count() > 1 || rings_made) data_ = std::make_shared<Data>(*data_);
+    member.key = key_of(member.id);
+    data_->by_key.emplace(member.key, static_cast<Member>(data_->members.size()));
+    data_->voters += member.voter;
+    data_->members.push_back(std::move(member));
+}
+
+size_t Roster::size() const { return data_->members.size(); }
+const MemberLine& Roster::operator[](Member member) const { return data_->members[member]; }
+const MemberLine& Roster::back() const { return data_->members.back(); }
+std::vector<MemberLine>::const_iterator Roster::begin() const { return data_->members.begin(); }
+std::vector<MemberLine>::const_iterator Roster::end() const { return data_->members.end(); }
+size_t Roster::voters() const { return data_->voters; }
+
+std::optional<Member> Roster::member_of(Key key) const
+{
+    const auto at = data_->by_key.find(key);
+    if (at == data_->by_key.end()) return {};
+    return at->second;
+}
+
+std::optional<Member> Roster::member_of(std::string_view id) const
+{
+    const auto m = member_of(key_of(id));
+    if (!m || data_->members[*m].id != id) return {};
+    return m;
+}
+
+const Roster::Rings& Roster::rings() const
+{
+    std::call_once(data_->rings_made, [this] { data_->make_rings(); });
+    return data_->rings;
+}
+
+}  // namespace firtide::fleet
