--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -221,6 +221,8 @@
     auto* resting = common(app.add_subcommand("rest", "what a fleet at rest says"));
     resting->add_option("--seed", seeds.first);
     bool acquainted = false;
+    double tick = options.tick.seconds();
+    resting->add_option("--tick", tick, "seconds")->check(CLI::Range(0.02, 0.05));
     resting->add_flag("--acquainted", acquainted, "all know each other from the start");
     auto* subsetting = app.add_subcommand("subsets", "ways to choose subsets of the upstreams, compared");
     size_t members = 300, upstreams = 60, size = 18;
@@ -246,6 +248,7 @@
     if (simulating->parsed()) return simulate_service(simulated_balancers, simulated_upstreams, seeds, only);
     if (subsetting->parsed()) return subsets(members, upstreams, static_cast<uint32_t>(size), seeds.last);
     options.lease.length = seconds(lease);
+    options.tick = seconds(tick);
     rules.take_out_of(options);
     if (walking->parsed()) {
         w.options = options, w.lasts = seconds(lasts), w.faults = faults;
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -106,6 +106,8 @@
         std::sort(list->begin(), list->end());
         list->erase(std::unique(list->begin(), list->end()), list->end());
     }
+    neighbour_watches_.clear();
+    for (const Member m : neighbours_) neighbour_watches_.push_back(&watch(m));
 }
 
 bool Members::is_neighbour(Member m) const
@@ -315,8 +317,11 @@
     woken_ = now;
     std::erase_if(asked_for_, [&](const auto& a) { return now - a.second.second > period_ * 3; });
     std::vector<MembershipUpdate> found;
-    for (const Member m : std::vector<Member>(neighbours_)) {
-        Watch& w = watch(m);
+    const auto neighbours = neighbours_;  // a finding below may change them
+    const auto watches = neighbour_watches_;
+    for (size_t i = 0; i < neighbours.size(); ++i) {
+        const Member m = neighbours[i];
+        Watch& w = *watches[i];
         if (now - w.pinged >= period_) ping(now, m);
         if (all_[m].health != Health::alive) continue;
         if (!w.asking && now - heard_at(w) > period_ * silent_after) {
