--- a/lab/world.h
+++ b/lab/world.h
@@ -64,6 +64,8 @@
         size_t members = 5, voters = 3, duties = 4;
         Lease lease;
         bool list = false;
+        std::optional<DeltasRule> deltas;
+        size_t list_entries = 12;  // that discovery may know, with deltas
         std::optional<uint32_t> probe_parts, drain_most;
         std::optional<SubsetRule> subset;
         std::optional<SignalRule> signals;
@@ -126,12 +128,19 @@
     }
     // Members that discovery answers; absent: all.
     std::function<bool(size_t node)> discovery_answers;
+    // The agent of one member is behind the others; nothing: it is not.
+    void discovery_of(size_t node, std::optional<uint64_t> version);
+    // The list as discovery has it at a version: each version changes one entry, some are gone.
+    ListLines discovery_lines(uint64_t version) const;
 
     // Who may act for it now, by its own clock.
     std::vector<size_t> holders(const std::string& duty) const;
     std::optional<size_t> leader() const;
     Fleet& fleet(size_t node);
     uint64_t list_of(size_t node) const;
+    // An entry of its replica changes as no delta did. It may differ from others until that is repaired.
+    void corrupt_list(size_t node, const std::string& uid, const std::string& text);
+    const ListLines& shown_list(size_t node) const;  // as its balancer uses it, with deltas
     std::string show(size_t node);
 
     const std::vector<Broken>& broken() const { return broken_; }
@@ -140,7 +149,7 @@
     std::string last_reply;
     struct Count {
         uint64_t messages = 0, bytes = 0, effects = 0, stopped_at_gate = 0, refused = 0, list_calls = 0,
-                 probes = 0;
+                 probes = 0, list_bytes = 0;  // list_bytes: of deltas, snapshots and what asks for them
     };
     Count count;
     std::vector<uint64_t> sent;  // messages of each member
@@ -171,6 +180,9 @@
     void call_voter_agent(size_t node, const std::function<std::vector<VoterAgentEffect>(Point)>& call);
     void tick(size_t node);
     void ask_discovery(size_t node);
+    ListSeen discovery_answer(size_t node);
+    void use_list(size_t node, const UseList& use);
+    void check_replica(size_t at_node);
     size_t fork(Fork at) { return options_.fork ? options_.fork(at) : 0; }
     bool forked_turn(size_t node);
     const Link& link_between(size_t from, size_t to) const;
@@ -202,6 +214,7 @@
     Point check_at_;         // the first time at which a lease may end
     uint64_t discovery_ = 1;
     std::string discovery_list_ = "list 1";
+    std::map<ListRevision, uint64_t> digests_;  // of the states that replicas have had
 };
 
 }  // namespace firtide::lab
