--- a/src/toml_table.h
+++ b/src/toml_table.h
@@ -129,7 +129,8 @@
         const Span got = firtide::seconds(value * times);
         if (got < least || got > most)
             wrong(name(key), line(key),
-                  "must be from " + short_text(least.seconds()) + " to " + short_text(most.seconds()) + " s");
+                  "must be from " + short_text(seconds_of(least)) + " to " + short_text(seconds_of(most)) +
+                      " s");
         return got;
     }
     // An IPv4 address and a port, as it stands; whether it can be had shows when it is used.
@@ -166,6 +167,8 @@
     }
 
   private:
+    // As it was written: a division rounds to the nearest, so 50 ms are 0.05 and no less.
+    static double seconds_of(Span span) { return static_cast<double>(span.us) / 1e6; }
     static std::string short_text(double value)
     {
         char bytes[32];
--- /dev/null
+++ b/tests/list_deltas.cpp
@@ -0,0 +1,316 @@
+// Fleets in virtual time whose list goes round as deltas: messages lost, repeated and late, members and
+// holders killed, splits, old agents of discovery, replicas that diverge. The world checks throughout that no
+// balancer uses an older list after a newer one, or entries of another version, and that replicas at one
+// revision are equal.
+#include <gtest/gtest.h>
+
+#include "lab/walk.h"
+#include "lab/world.h"
+
+namespace firtide::lab
+{
+namespace
+{
+
+constexpr uint64_t seed = 7;
+
+struct Sent {
+    size_t deltas = 0, chunks = 0, wants = 0;
+};
+
+class Lists
+{
+  public:
+    explicit Lists(World::Options options) : world(std::move(options), seed)
+    {
+        world.on_effect = [this](size_t, FleetEffect& effect) { count(effect); };
+        for (size_t i = 0; i < world.size(); ++i) world.start(i);
+        world.run(seconds(12));
+        sent = {};
+    }
+
+    void change(uint64_t times, Span apart = seconds(0.8))
+    {
+        for (uint64_t i = 0; i < times; ++i) {
+            world.discovery_is(++version);
+            world.run(apart);
+        }
+    }
+    size_t holder() const
+    {
+        const auto all = world.holders("list");
+        return all.size() == 1 ? all[0] : SIZE_MAX;
+    }
+    size_t other_than(size_t node) const { return (node + 1) % world.size(); }
+    const ListReplica& replica(size_t node) { return *world.fleet(node).replica(); }
+    std::string shown(size_t node) { return world.show(node); }
+
+    // All that live have what the holder has, which is what discovery has.
+    void expect_all_alike()
+    {
+        ASSERT_NE(holder(), SIZE_MAX) << "list is held by nobody";
+        const ListReplica& published = replica(holder());
+        EXPECT_EQ(published.version().number, version);
+        EXPECT_EQ(published.lines(), world.discovery_lines(version));
+        for (size_t i = 0; i < world.size(); ++i) {
+            if (!world.up(i)) continue;
+            EXPECT_EQ(replica(i).revision(), published.revision()) << "m" << i + 1;
+            EXPECT_EQ(replica(i).digest(), published.digest()) << "m" << i + 1;
+            EXPECT_EQ(world.shown_list(i), published.lines()) << "m" << i + 1;
+            EXPECT_EQ(world.list_of(i), version) << "m" << i + 1;
+        }
+        for (const Broken& broken : world.broken()) ADD_FAILURE() << broken.rule;
+    }
+
+    World world;
+    Sent sent;
+    uint64_t version = 1;
+
+  private:
+    void count(const FleetEffect& effect)
+    {
+        if (const auto* send = std::get_if<Send>(&effect)) return count(send->message);
+        const auto* act = std::get_if<Act>(&effect);
+        const auto* publish = act ? std::get_if<Publish>(&act->what) : nullptr;
+        if (!publish) return;
+        for (const Send& send : publish->sends) count(send.message);
+    }
+    void count(const Message& message)
+    {
+        sent.deltas += std::get_if<ListDelta>(&message) != nullptr;
+        sent.chunks += std::get_if<ListSnapshotChunk>(&message) != nullptr;
+        sent.wants += std::get_if<WantListDeltas>(&message) != nullptr;
+    }
+};
+
+World::Options options(size_t members = 7, DeltasRule deltas = {})
+{
+    World::Options o;
+    o.members = members;
+    o.duties = 1;
+    o.list = true;
+    o.deltas = deltas;
+    return o;
+}
+
+TEST(ListDeltas, ChangesReachAllMembers)
+{
+    Lists lists(options());
+    lists.change(20);
+    lists.expect_all_alike();
+    EXPECT_EQ(lists.sent.chunks, 0u);
+    EXPECT_EQ(lists.sent.wants, 0u) << "nothing was lost, so nothing is repaired";
+}
+
+TEST(ListDeltas, OneMemberAsksDiscovery)
+{
+    Lists lists(options());
+    const auto before = lists.world.count.list_calls;
+    lists.change(10);
+    const double calls = static_cast<double>(lists.world.count.list_calls - before);
+    EXPECT_LE(calls / 8, 2.5) << "a second, of seven members";
+}
+
+uint64_t bytes_of_changes(size_t entries, uint64_t changes)
+{
+    auto o = options();
+    o.list_entries = entries;
+    Lists lists(o);
+    const auto before = lists.world.count.list_bytes;
+    lists.change(changes);
+    lists.expect_all_alike();
+    return (lists.world.count.list_bytes - before) / changes;
+}
+
+TEST(ListDeltas, BytesOfAChangeDoNotGrowWithTheList)
+{
+    const uint64_t small = bytes_of_changes(20, 10), large = bytes_of_changes(4000, 10);
+    RecordProperty("bytes_of_20", std::to_string(small));
+    RecordProperty("bytes_of_4000", std::to_string(large));
+    EXPECT_GT(small, 0u);
+    EXPECT_LT(large, small + small / 10);
+}
+
+TEST(ListDeltas, LargeListComesInChunksAndDeltasOfBoundedSize)
+{
+    auto o = options(5, {1000, seconds(0.5), 2048});
+    o.list_entries = 2000;
+    Lists lists(o);
+    lists.world.run(seconds(20));
+    lists.expect_all_alike();
+    lists.change(3);
+    lists.expect_all_alike();
+}
+
+TEST(ListDeltas, LostRepeatedAndLateMessagesAreRepaired)
+{
+    Lists lists(options());
+    for (size_t a = 0; a < lists.world.size(); ++a)
+        for (size_t b = 0; b < lists.world.size(); ++b) {
+            Link& link = lists.world.link(a, b);
+            link.loss = 0.25, link.repeat = 0.3, link.most = seconds(0.4);
+        }
+    lists.change(60, seconds(0.3));
+    EXPECT_GT(lists.sent.wants, 0u);
+    lists.world.heal();
+    lists.world.run(seconds(10));
+    lists.expect_all_alike();
+}
+
+TEST(ListDeltas, HolderKilledWhileItPublishes)
+{
+    Lists lists(options());
+    const size_t holder = lists.holder();
+    // Nobody but one member hears its last delta.
+    const size_t only = lists.other_than(holder);
+    for (size_t i = 0; i < lists.world.size(); ++i)
+        if (i != holder && i != only) lists.world.link(holder, i).cut = true;
+    lists.world.discovery_is(++lists.version);
+    lists.world.run(seconds(0.6));
+    lists.world.crash(holder);
+    lists.change(1);
+    lists.world.run(seconds(15));
+    EXPECT_NE(lists.holder(), holder);
+    lists.expect_all_alike();
+    lists.world.heal();
+    lists.world.start(holder);
+    lists.world.run(seconds(10));
+    lists.expect_all_alike();
+}
+
+TEST(ListDeltas, NewHolderGoesOnFromItsReplicaWithoutSnapshots)
+{
+    auto o = options();
+    o.list_entries = 500;
+    Lists lists(o);
+    const auto before = lists.world.count.list_bytes;
+    lists.world.crash(lists.holder());
+    lists.world.run(seconds(10));
+    lists.change(2);
+    lists.expect_all_alike();
+    EXPECT_EQ(lists.sent.chunks, 0u);
+    EXPECT_LT(lists.world.count.list_bytes - before, 20'000u) << "the list itself is 20 KB";
+}
+
+TEST(ListDeltas, RestartedMemberGetsASnapshotOfANeighbour)
+{
+    auto o = options(7, {2, seconds(0.5), 1024});
+    o.list_entries = 500;
+    Lists lists(o);
+    lists.change(10);
+    const size_t member = lists.other_than(lists.holder());
+    lists.world.crash(member);
+    lists.change(3);
+    lists.world.start(member);
+    lists.world.run(seconds(5));
+    lists.expect_all_alike();
+    EXPECT_GT(lists.sent.chunks, 10u);
+}
+
+TEST(ListDeltas, MemberBehindIsRepairedByDeltasWithinTheHistory)
+{
+    Lists lists(options());
+    const size_t member = lists.other_than(lists.holder());
+    lists.world.isolate(member, true);
+    lists.change(3, seconds(0.5));
+    lists.world.isolate(member, false);
+    lists.world.run(seconds(6));
+    lists.expect_all_alike();
+    EXPECT_GT(lists.sent.wants, 0u);
+    EXPECT_EQ(lists.sent.chunks, 0u);
+}
+
+TEST(ListDeltas, MemberBehindTheHistoryIsRepairedByASnapshot)
+{
+    Lists lists(options(7, {2, seconds(0.5), 1024}));
+    const size_t member = lists.other_than(lists.holder());
+    lists.world.isolate(member, true);
+    lists.change(10);
+    lists.world.isolate(member, false);
+    lists.world.run(seconds(6));
+    lists.expect_all_alike();
+    EXPECT_GT(lists.sent.chunks, 0u);
+}
+
+TEST(ListDeltas, HalvesThatWereApartAgreeAgain)
+{
+    Lists lists(options(6));
+    const auto cut = [&](bool on) {
+        for (size_t a = 0; a < 2; ++a)
+            for (size_t b = 2; b < lists.world.size(); ++b)
+                lists.world.link(a, b).cut = lists.world.link(b, a).cut = on;
+    };
+    cut(true);
+    lists.change(15);
+    // Those without a majority ask discovery themselves, and use what it says.
+    EXPECT_GE(lists.world.list_of(0) + 2, lists.version);
+    cut(false);
+    lists.world.run(seconds(15));
+    lists.expect_all_alike();
+}
+
+TEST(ListDeltas, OldAgentOfANewHolderBringsNothingBack)
+{
+    Lists lists(options());
+    lists.change(10);
+    const size_t next = lists.other_than(lists.holder());
+    lists.world.discovery_of(next, lists.version - 6);
+    lists.world.ask(lists.holder(), "hand-over", "list", "m" + std::to_string(next + 1));
+    lists.world.run(seconds(3));
+    ASSERT_EQ(lists.holder(), next);
+    for (size_t i = 0; i < lists.world.size(); ++i) EXPECT_EQ(lists.world.list_of(i), lists.version);
+    lists.world.discovery_of(next, std::nullopt);
+    lists.world.run(seconds(5));
+    lists.change(2);
+    lists.world.run(seconds(3));
+    lists.expect_all_alike();
+}
+
+TEST(ListDeltas, DivergedReplicaIsReplaced)
+{
+    Lists lists(options());
+    lists.change(3);
+    const size_t member = lists.other_than(lists.holder());
+    lists.world.corrupt_list(member, "u1", "{}");
+    lists.world.run(seconds(5));
+    EXPECT_GT(lists.sent.chunks, 0u);
+    lists.expect_all_alike();
+}
+
+TEST(ListDeltas, ShowFleetTellsRevisionEntriesAndWhetherItIsBehind)
+{
+    Lists lists(options());
+    lists.change(3);
+    const ListReplica& replica = lists.replica(0);
+    const auto line = "list revision " + std::to_string(replica.revision().epoch) + "." +
+                      std::to_string(replica.revision().number) + " entries " +
+                      std::to_string(replica.lines().size()) + " behind no\n";
+    EXPECT_NE(lists.shown(0).find(line), std::string::npos) << lists.shown(0);
+}
+
+TEST(ListDeltas, NothingOfItIsThereWithoutItsTable)
+{
+    auto o = options();
+    o.deltas.reset();
+    World world(o, seed);
+    for (size_t i = 0; i < world.size(); ++i) world.start(i);
+    world.run(seconds(10));
+    EXPECT_EQ(world.fleet(0).replica(), nullptr);
+    EXPECT_EQ(world.count.list_bytes, 0u);
+    EXPECT_EQ(world.show(0).find("list revision"), std::string::npos);
+    EXPECT_TRUE(world.broken().empty());
+}
+
+TEST(ListDeltas, WalksThroughFaultsEndAlike)
+{
+    Walk walking;
+    walking.options = options(5, {8, seconds(0.5), 256});
+    for (uint64_t walk_seed = 1; walk_seed <= 12; ++walk_seed) {
+        const auto walked = walk(walking, walk_seed);
+        for (const Broken& broken : walked.broken)
+            ADD_FAILURE() << "seed " << walk_seed << ": " << broken.rule;
+    }
+}
+
+}  // namespace
+}  // namespace firtide::lab
--- /dev/null
+++ b/tests/list_replica.cpp
@@ -0,0 +1,650 @@
+// The replicated list, unit by unit: its replica, what a member says of it to others, its texts, messages and
+// its table in the fleet file. Scripted calls, no clock.
+#include "src/fleet/list_replica.h"
+
+#include <gtest/gtest.h>
+
+#include "src/fleet/config.h"
+#include "src/fleet/list_distribution.h"
+#include "src/net/discovery.h"
+
+namespace firtide::fleet
+{
+namespace
+{
+
+using Result = ListReplica::Result;
+
+constexpr Member first = 1, second = 2;
+constexpr Epoch epoch = 3;
+const Point start{1'000'000'000};
+
+ListVersion version(uint64_t number, const std::string& source = "agent") { return {source, number}; }
+
+std::string line(const std::string& uid, int port = 1)
+{
+    return R"({"endpoint":"127.0.0.1:)" + std::to_string(port) + R"(","state":"ready","uid":")" + uid + "\"}";
+}
+
+ListLines lines_of(size_t count, int port = 1)
+{
+    ListLines lines;
+    for (size_t i = 0; i < count; ++i) {
+        const auto uid = "u" + std::to_string(i);
+        lines[uid] = line(uid, port);
+    }
+    return lines;
+}
+
+std::vector<ListDelta> publish(ListReplica& replica, uint64_t number, const ListLines& lines,
+                               Epoch at = epoch)
+{
+    return replica.publish(at, version(number), replica.difference(lines));
+}
+
+void apply_all(ListReplica& replica, const std::vector<ListDelta>& deltas)
+{
+    for (const ListDelta& delta : deltas) ASSERT_EQ(replica.apply(delta), Result::applied);
+}
+
+void expect_same(const ListReplica& replica, const ListReplica& other)
+{
+    EXPECT_EQ(replica.revision(), other.revision());
+    EXPECT_EQ(replica.digest(), other.digest());
+    EXPECT_EQ(replica.version(), other.version());
+    EXPECT_EQ(replica.lines(), other.lines());
+}
+
+// ---- deltas ----
+
+TEST(ListReplica, DifferenceNamesWhatIsNewChangedAndGone)
+{
+    ListReplica replica{DeltasRule{}};
+    publish(replica, 1, {{"a", "1"}, {"b", "1"}, {"d", "1"}});
+    const ListChanges changes = replica.difference({{"a", "1"}, {"b", "2"}, {"c", "1"}});
+    ASSERT_EQ(changes.changed.size(), 2u);
+    EXPECT_EQ(changes.changed[0].uid, "b");
+    EXPECT_EQ(changes.changed[1].uid, "c");
+    EXPECT_EQ(changes.removed, std::vector<std::string>{"d"});
+}
+
+TEST(ListReplica, DifferenceOfNamedUidsIsThatOfTheWhole)
+{
+    ListReplica replica{DeltasRule{}};
+    publish(replica, 1, {{"a", "1"}, {"b", "1"}, {"d", "1"}});
+    const ListChanges changes =
+        replica.difference({{"a", "1"}, {"b", "2"}, {"c", "1"}}, {"a", "b", "c", "d", "unknown"});
+    ASSERT_EQ(changes.changed.size(), 2u);
+    EXPECT_EQ(changes.changed[0].text, "2");
+    EXPECT_EQ(changes.changed[1].uid, "c");
+    EXPECT_EQ(changes.removed, std::vector<std::string>{"d"});
+}
+
+TEST(ListReplica, DigestDoesNotDependOnTheOrderOfChanges)
+{
+    ListReplica one{DeltasRule{}}, other{DeltasRule{}};
+    publish(one, 1, {{"a", "1"}});
+    publish(one, 2, {{"a", "1"}, {"b", "1"}});
+    publish(other, 1, {{"b", "1"}, {"c", "1"}});
+    publish(other, 2, {{"a", "1"}, {"b", "1"}});
+    EXPECT_EQ(one.digest(), other.digest());
+    EXPECT_NE(one.digest(), digest_of({{"a", "1"}, {"b", "2"}}));
+    EXPECT_NE(digest_of("a", "b"), digest_of("b", "a"));
+}
+
+TEST(ListReplica, DeltasInOrderAreApplied)
+{
+    ListReplica holder{DeltasRule{}}, member{DeltasRule{}};
+    apply_all(member, publish(holder, 1, lines_of(5)));
+    apply_all(member, publish(holder, 2, lines_of(4, 2)));
+    apply_all(member, publish(holder, 3, {}));
+    expect_same(member, holder);
+    EXPECT_EQ(member.revision(), (ListRevision{epoch, 3}));
+    EXPECT_TRUE(member.lines().empty());
+    EXPECT_EQ(member.digest(), 0u);
+}
+
+TEST(ListReplica, DeltaAfterAGapIsNotApplied)
+{
+    ListReplica holder{DeltasRule{}}, member{DeltasRule{}};
+    apply_all(member, publish(holder, 1, lines_of(5)));
+    publish(holder, 2, lines_of(6));
+    const auto third = publish(holder, 3, lines_of(7));
+    EXPECT_EQ(member.apply(third[0]), Result::behind);
+    EXPECT_EQ(member.revision(), (ListRevision{epoch, 1}));
+    EXPECT_EQ(member.lines(), lines_of(5));
+}
+
+TEST(ListReplica, RepeatedDeltaIsStale)
+{
+    ListReplica holder{DeltasRule{}}, member{DeltasRule{}};
+    const auto deltas = publish(holder, 1, lines_of(5));
+    apply_all(member, deltas);
+    EXPECT_EQ(member.apply(deltas[0]), Result::stale);
+}
+
+TEST(ListReplica, OlderListOfTheSameSourceIsRefused)
+{
+    ListReplica holder{DeltasRule{}}, member{DeltasRule{}}, behind{DeltasRule{}};
+    apply_all(member, publish(holder, 8, lines_of(5)));
+    const auto older = behind.publish(epoch + 1, version(7), behind.difference(lines_of(6)));
+    EXPECT_EQ(member.apply(older[0]), Result::older);
+    EXPECT_EQ(member.version(), version(8));
+    EXPECT_FALSE(version(7, "another").older_than(version(8)));
+}
+
+TEST(ListReplica, DeltaWithAnotherDigestIsNotApplied)
+{
+    ListReplica holder{DeltasRule{}}, member{DeltasRule{}};
+    apply_all(member, publish(holder, 1, lines_of(5)));
+    member.corrupt("u1", line("u1", 9));
+    EXPECT_FALSE(member.intact());
+    EXPECT_EQ(member.apply(publish(holder, 2, lines_of(6))[0]), Result::diverged);
+    EXPECT_EQ(member.revision(), (ListRevision{epoch, 1}));
+}
+
+TEST(ListReplica, StateThatIsHeldAlreadyIsAdoptedAtItsRevision)
+{
+    ListReplica holder{DeltasRule{}}, member{DeltasRule{}}, next{DeltasRule{}};
+    const auto once = publish(holder, 1, lines_of(5));
+    apply_all(member, once);
+    apply_all(next, once);
+    apply_all(member, publish(holder, 2, lines_of(6)));
+    // The next holder missed version 2, and learns it from discovery.
+    const auto taken_over = publish(next, 2, lines_of(6), epoch + 1);
+    EXPECT_EQ(member.apply(taken_over[0]), Result::adopted);
+    expect_same(member, next);
+    // What leads on from before is still known.
+    EXPECT_TRUE(member.reaches({epoch, 1}));
+}
+
+TEST(ListReplica, NewHolderPublishesAnEmptyDeltaOfItsEpoch)
+{
+    ListReplica holder{DeltasRule{}}, next{DeltasRule{}};
+    apply_all(next, publish(holder, 1, lines_of(500)));
+    const auto taken_over = publish(next, 1, lines_of(500), epoch + 1);
+    ASSERT_EQ(taken_over.size(), 1u);
+    EXPECT_TRUE(taken_over[0].changed.empty() && taken_over[0].removed.empty());
+    EXPECT_EQ(holder.apply(taken_over[0]), Result::applied);
+    expect_same(holder, next);
+}
+
+TEST(ListReplica, LargeChangeIsSplitIntoChunks)
+{
+    const DeltasRule rule{1000, seconds(1), 1024};
+    ListReplica holder{rule}, member{rule};
+    const auto deltas = publish(holder, 1, lines_of(200));
+    ASSERT_GT(deltas.size(), 10u);
+    for (const ListDelta& delta : deltas) {
+        EXPECT_LE(encode_payload(delta).size(), 1024u + 200u);
+        EXPECT_EQ(delta.partial, &delta != &deltas.back());
+        EXPECT_EQ(delta.version.number, delta.partial ? 0u : 1u);
+    }
+    apply_all(member, deltas);
+    expect_same(member, holder);
+}
+
+TEST(ListReplica, NewEntriesComeBeforeRemovals)
+{
+    const DeltasRule rule{1000, seconds(1), 1024};
+    ListReplica holder{rule}, member{rule};
+    apply_all(member, publish(holder, 1, lines_of(100)));
+    ListLines others;
+    for (size_t i = 0; i < 100; ++i) {
+        const auto uid = "v" + std::to_string(i);
+        others[uid] = line(uid);
+    }
+    for (const ListDelta& delta : publish(holder, 2, others)) {
+        ASSERT_EQ(member.apply(delta), Result::applied);
+        EXPECT_GE(member.lines().size(), 100u);
+    }
+    EXPECT_EQ(member.lines(), others);
+}
+
+// ---- the log, and snapshots ----
+
+TEST(ListReplica, LogHasWhatFollowsARevision)
+{
+    ListReplica holder{DeltasRule{}};
+    for (uint64_t number = 1; number <= 5; ++number) publish(holder, number, lines_of(number));
+    const auto missing = holder.since({epoch, 3});
+    ASSERT_EQ(missing.size(), 2u);
+    EXPECT_EQ(missing[0].from, (ListRevision{epoch, 3}));
+    EXPECT_EQ(missing[1].to, holder.revision());
+    EXPECT_TRUE(holder.since(holder.revision()).empty());
+    EXPECT_TRUE(holder.since({epoch - 1, 3}).empty()) << "of another line of revisions";
+}
+
+TEST(ListReplica, LogKeepsNoMoreThanItsHistory)
+{
+    ListReplica holder{DeltasRule{3, seconds(1), 65536}};
+    for (uint64_t number = 1; number <= 5; ++number) publish(holder, number, lines_of(number));
+    EXPECT_TRUE(holder.since({epoch, 1}).empty());
+    EXPECT_FALSE(holder.reaches({epoch, 1}));
+    EXPECT_EQ(holder.since({epoch, 2}).size(), 3u);
+}
+
+TEST(ListReplica, AnswerHoldsAboutOneChunkOfDeltas)
+{
+    ListReplica holder{DeltasRule{1000, seconds(1), 1024}};
+    for (uint64_t number = 1; number <= 100; ++number) publish(holder, number, lines_of(number));
+    const auto missing = holder.since({epoch, 1});
+    EXPECT_GT(missing.size(), 1u);
+    EXPECT_LT(missing.size(), 20u);
+}
+
+ListSnapshot assembled(const std::vector<ListSnapshotChunk>& chunks)
+{
+    ListSnapshot whole{chunks[0].revision, chunks[0].version, chunks[0].digest, chunks[0].partial, {}};
+    for (const ListSnapshotChunk& chunk : chunks)
+        for (const ListEntry& entry : chunk.entries) whole.lines[entry.uid] = entry.text;
+    return whole;
+}
+
+TEST(ListReplica, SnapshotInChunksMakesTheSameReplica)
+{
+    const DeltasRule rule{1000, seconds(1), 1024};
+    ListReplica holder{rule}, member{rule};
+    publish(holder, 1, lines_of(200));
+    const auto chunks = holder.snapshot();
+    ASSERT_GT(chunks.size(), 10u);
+    for (size_t i = 0; i < chunks.size(); ++i) {
+        EXPECT_EQ(chunks[i].index, i);
+        EXPECT_EQ(chunks[i].count, chunks.size());
+        EXPECT_LE(encode_payload(chunks[i]).size(), 1024u + 200u);
+    }
+    const auto changes = member.replace(assembled(chunks));
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(changes->changed.size(), 200u);
+    expect_same(member, holder);
+}
+
+TEST(ListReplica, SnapshotTellsNothingButWhatDiffers)
+{
+    ListReplica holder{DeltasRule{}}, member{DeltasRule{}};
+    apply_all(member, publish(holder, 1, lines_of(200)));
+    auto lines = lines_of(199);
+    lines["u7"] = line("u7", 2);
+    publish(holder, 2, lines);
+    const auto changes = member.replace(assembled(holder.snapshot()));
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->changed.size(), 1u);
+    EXPECT_EQ(changes->changed[0].uid, "u7");
+    EXPECT_EQ(changes->removed, std::vector<std::string>{"u199"});
+}
+
+TEST(ListReplica, SnapshotThatIsWrongOrOlderIsRefused)
+{
+    ListReplica holder{DeltasRule{}}, member{DeltasRule{}};
+    apply_all(member, publish(holder, 2, lines_of(5)));
+    auto wrong = assembled(holder.snapshot());
+    wrong.lines.erase("u1");
+    EXPECT_FALSE(member.replace(wrong));
+    auto earlier = assembled(holder.snapshot());
+    earlier.revision = {epoch - 1, 9};
+    EXPECT_FALSE(member.replace(earlier));
+    auto older = assembled(holder.snapshot());
+    older.revision = {epoch, 9};
+    older.version.number = 1;
+    EXPECT_FALSE(member.replace(older));
+    expect_same(member, holder);
+}
+
+// ---- repair, between two members ----
+
+// Hands over what one says to the other until neither says anything.
+struct Pair {
+    explicit Pair(const DeltasRule& rule) : holder(rule), member(rule) {}
+
+    void settle(Point now)
+    {
+        for (bool more = true; more;) {
+            more = false;
+            for (Send& send : member.take_sends()) more = true, hear(now, holder, second, send.message);
+            for (Send& send : holder.take_sends()) more = true, hear(now, member, first, send.message);
+        }
+    }
+    void hear(Point now, ListDistribution& by, Member from, Message& message)
+    {
+        if (const auto* want = std::get_if<WantListDeltas>(&message)) {
+            ++wants;
+            return by.hear(now, from, *want, Span{});
+        }
+        if (const auto* chunk = std::get_if<ListSnapshotChunk>(&message)) {
+            ++chunks;
+            return (void)by.hear(now, from, *chunk);
+        }
+        by.hear(now, from, std::get<ListDelta>(message));
+    }
+    void ping(Point now)
+    {
+        member.hear_revision(now, first, holder.replica().revision(), holder.replica().digest());
+        settle(now);
+    }
+
+    ListDistribution holder, member;
+    size_t wants = 0, chunks = 0;
+};
+
+TEST(ListDistribution, PingOfANewerRevisionIsRepairedByDeltas)
+{
+    Pair pair{DeltasRule{}};
+    pair.holder.publish(epoch, version(1), lines_of(5), {});
+    pair.holder.publish(epoch, version(2), lines_of(6), {});
+    pair.ping(start);
+    expect_same(pair.member.replica(), pair.holder.replica());
+    EXPECT_EQ(pair.wants, 1u);
+    EXPECT_EQ(pair.chunks, 0u);
+    EXPECT_FALSE(pair.member.behind());
+}
+
+TEST(ListDistribution, LongRepairGoesOnWithoutWaiting)
+{
+    Pair pair{DeltasRule{1000, seconds(1), 1024}};
+    for (uint64_t number = 1; number <= 100; ++number)
+        pair.holder.publish(epoch, version(number), lines_of(number), {});
+    pair.ping(start);
+    expect_same(pair.member.replica(), pair.holder.replica());
+    EXPECT_GT(pair.wants, 3u);
+    EXPECT_EQ(pair.chunks, 0u);
+}
+
+TEST(ListDistribution, RevisionBeforeTheHistoryIsRepairedByASnapshot)
+{
+    Pair pair{DeltasRule{3, seconds(1), 1024}};
+    for (uint64_t number = 1; number <= 10; ++number)
+        pair.holder.publish(epoch, version(number), lines_of(100 + number), {});
+    pair.ping(start);
+    expect_same(pair.member.replica(), pair.holder.replica());
+    EXPECT_GT(pair.chunks, 5u);
+}
+
+TEST(ListDistribution, SnapshotThatIsBeingSentStaysWhileItsSenderGoesOn)
+{
+    Pair pair{DeltasRule{3, seconds(1), 1024}};
+    for (uint64_t number = 1; number <= 10; ++number)
+        pair.holder.publish(epoch, version(number), lines_of(100 + number), {});
+    pair.member.hear_revision(start, first, pair.holder.replica().revision(), pair.holder.replica().digest());
+    for (int chunk = 0; chunk < 2; ++chunk) {
+        for (Send& send : pair.member.take_sends()) pair.hear(start, pair.holder, second, send.message);
+        for (Send& send : pair.holder.take_sends()) pair.hear(start, pair.member, first, send.message);
+    }
+    pair.holder.publish(epoch, version(11), lines_of(50), {});
+    pair.settle(start);
+    EXPECT_EQ(pair.member.replica().version(), version(10));
+    pair.ping(start + seconds(1));
+    expect_same(pair.member.replica(), pair.holder.replica());
+}
+
+TEST(ListDistribution, EqualRevisionWithAnotherDigestIsRepairedAtWhoIsWrong)
+{
+    Pair pair{DeltasRule{}};
+    pair.holder.publish(epoch, version(1), lines_of(5), {});
+    pair.ping(start);
+    pair.member.replica().corrupt("u1", line("u1", 9));
+    pair.holder.hear_revision(start, second, pair.member.replica().revision(),
+                              pair.member.replica().digest());
+    EXPECT_FALSE(pair.holder.behind());
+    pair.ping(start + seconds(2));
+    expect_same(pair.member.replica(), pair.holder.replica());
+    EXPECT_TRUE(pair.member.replica().intact());
+    EXPECT_EQ(pair.chunks, 1u);
+}
+
+TEST(ListDistribution, WhoDoesNotAnswerIsAskedAgainOnlyAfterAnother)
+{
+    const DeltasRule rule;
+    ListDistribution member(rule);
+    member.hear_revision(start, first, {epoch, 5}, 7);
+    member.hear_revision(start, second, {epoch, 5}, 7);
+    auto sends = member.take_sends();
+    ASSERT_EQ(sends.size(), 1u);
+    EXPECT_EQ(sends[0].to, first);
+    member.tick(start + rule.repair * 0.5);
+    EXPECT_TRUE(member.take_sends().empty()) << "one is outstanding";
+    member.tick(start + rule.repair);
+    sends = member.take_sends();
+    ASSERT_EQ(sends.size(), 1u);
+    EXPECT_EQ(sends[0].to, second);
+}
+
+TEST(ListDistribution, OlderListIsNotSentToWhoHasANewerOne)
+{
+    ListDistribution behind{DeltasRule{}};
+    behind.publish(epoch, version(7), lines_of(5), {});
+    behind.hear(start, second, WantListDeltas{{epoch - 1, 4}, version(8), 1, false, {}, 0}, Span{});
+    EXPECT_TRUE(behind.take_sends().empty());
+}
+
+// ---- what the balancer uses ----
+
+TEST(ListDistribution, BalancerIsToldTheWholeListOnceAndThenChanges)
+{
+    ListDistribution holder{DeltasRule{}};
+    holder.publish(epoch, version(1), lines_of(50), {});
+    auto use = holder.take_use();
+    ASSERT_TRUE(use);
+    EXPECT_TRUE(use->all);
+    ListLines used;
+    net::take_in(used, use->text);
+    EXPECT_EQ(used, lines_of(50));
+
+    auto lines = lines_of(49);
+    lines["u7"] = line("u7", 2);
+    holder.publish(epoch, version(2), lines, std::vector<std::string>{"u7", "u49"});
+    use = holder.take_use();
+    ASSERT_TRUE(use);
+    EXPECT_FALSE(use->all);
+    EXPECT_EQ(use->version, 2u);
+    EXPECT_LT(use->text.size(), 200u);
+    net::take_in(used, use->text);
+    EXPECT_EQ(used, lines);
+    EXPECT_FALSE(holder.take_use());
+}
+
+TEST(ListDistribution, NewVersionWithoutChangesIsTold)
+{
+    ListDistribution holder{DeltasRule{}};
+    holder.publish(epoch, version(1), lines_of(5), {});
+    holder.take_use();
+    EXPECT_EQ(holder.publish(epoch, version(2), lines_of(5), {}).size(), 1u);
+    const auto use = holder.take_use();
+    ASSERT_TRUE(use);
+    EXPECT_EQ(use->version, 2u);
+    EXPECT_TRUE(holder.publish(epoch, version(2), lines_of(5), {}).empty()) << "nothing is new";
+}
+
+TEST(ListDistribution, VersionThatHasComeInPartIsNotUsed)
+{
+    const DeltasRule rule{1000, seconds(1), 1024};
+    ListDistribution holder(rule), member(rule);
+    const auto deltas = holder.publish(epoch, version(1), lines_of(50), {});
+    ASSERT_GT(deltas.size(), 1u);
+    for (const ListDelta& delta : deltas) {
+        EXPECT_FALSE(member.take_use());
+        member.hear(start, first, delta);
+    }
+    EXPECT_TRUE(member.take_use());
+}
+
+TEST(ListDistribution, OwnNewerListStaysWhileTheFleetsChangesBelowIt)
+{
+    ListDistribution holder{DeltasRule{}}, member{DeltasRule{}};
+    ListLines used;
+    const auto take = [&] {
+        if (const auto use = member.take_use()) net::take_in(used, use->text);
+    };
+    const auto hear = [&](const std::vector<ListDelta>& deltas) {
+        for (const ListDelta& delta : deltas) member.hear(start, first, delta);
+        take();
+    };
+    hear(holder.publish(epoch, version(1), {{"a", line("a", 1)}, {"b", line("b", 1)}}, {}));
+    // `a` changes at version 2 and back at 3, which this member knows from its own discovery.
+    const ListLines newest{{"a", line("a", 1)}, {"b", line("b", 3)}};
+    member.use_own(version(3), newest);
+    take();
+    EXPECT_EQ(used, newest);
+    hear(holder.publish(epoch, version(2), {{"a", line("a", 2)}, {"b", line("b", 1)}}, {}));
+    EXPECT_EQ(used, newest);
+    EXPECT_EQ(member.version(), version(3));
+    EXPECT_FALSE(member.hear_unchanged(start, first, {epoch, 2}));
+    hear(holder.publish(epoch, version(3), newest, {}));
+    EXPECT_EQ(used, newest);
+    EXPECT_FALSE(member.uses_own());
+    EXPECT_TRUE(member.hear_unchanged(start, first, {epoch, 3}));
+}
+
+TEST(ListDistribution, NewHolderWithoutAReplicaWaitsForRepair)
+{
+    const DeltasRule rule;
+    ListDistribution holder(rule);
+    EXPECT_TRUE(holder.must_wait_to_publish(start, epoch, start));
+    EXPECT_FALSE(holder.must_wait_to_publish(start + rule.repair, epoch, start)) << "nobody has a list";
+    holder.hear_revision(start, first, {epoch - 1, 4}, 7);
+    EXPECT_TRUE(holder.must_wait_to_publish(start + rule.repair, epoch, start)) << "another has one";
+    EXPECT_FALSE(holder.must_wait_to_publish(start + rule.repair * 3, epoch, start)) << "and does not answer";
+}
+
+TEST(ListDistribution, ChangesThatDoNotFollowThePublishedAnswerAreNotTrusted)
+{
+    ListDistribution holder{DeltasRule{}};
+    holder.publish(epoch, version(1), lines_of(5), {});
+    holder.skip();  // version 2, which added u5
+    holder.publish(epoch, version(3), lines_of(7), std::vector<std::string>{"u6"});
+    EXPECT_EQ(holder.replica().lines(), lines_of(7));
+}
+
+TEST(ListText, UidsAreQuoted)
+{
+    const std::string uid = "a\"b\\c\n";
+    ListLines lines{{uid, "x"}};
+    net::take_in(lines, list_changes_text(1, {uid}, {}));
+    EXPECT_TRUE(lines.empty());
+}
+
+// ---- messages ----
+
+template <class T>
+std::optional<T> over_the_wire(const T& message)
+{
+    FrameReader reader;
+    reader.take(encode_frame(message, 0));
+    if (reader.next() != FrameReader::State::message) return {};
+    const auto* got = std::get_if<T>(&reader.message());
+    return got ? std::optional(*got) : std::nullopt;
+}
+
+TEST(ListMessages, ComeAsTheyWereSent)
+{
+    ListReplica holder{DeltasRule{}};
+    auto delta = publish(holder, 1, lines_of(3))[0];
+    delta.answer = true, delta.more = true, delta.age_us = 5;
+    const auto got = over_the_wire(delta);
+    ASSERT_TRUE(got);
+    EXPECT_EQ(pack(*got), pack(delta));
+    const WantListDeltas want{{1, 2}, version(3), 4, true, {5, 6}, 7};
+    const auto wanted = over_the_wire(want);
+    ASSERT_TRUE(wanted);
+    EXPECT_EQ(pack(*wanted), pack(want));
+    const auto chunk = holder.snapshot()[0];
+    const auto chunk_got = over_the_wire(chunk);
+    ASSERT_TRUE(chunk_got);
+    EXPECT_EQ(pack(*chunk_got), pack(chunk));
+}
+
+TEST(ListMessages, EarlierKindsKeepTheirNumbers)
+{
+    EXPECT_EQ(Message(GivenParts{}).index(), 19u);
+    EXPECT_EQ(Message(ListDelta{}).index(), 20u);
+    EXPECT_EQ(Message(WantListDeltas{}).index(), 21u);
+    EXPECT_EQ(Message(ListSnapshotChunk{}).index(), 22u);
+}
+
+struct PingWithoutDigest {
+    uint64_t number = 0, answers = 0;
+    Incarnation incarnation = 0;
+    Life life = 0;
+    uint64_t view = 0;
+    uint8_t held = 0;
+    Incarnation held_at = 0;
+    Key leader = 0;
+    Term term = 0;
+    uint64_t list = 0;
+    Epoch list_epoch = 0;
+    uint8_t weight = 0;
+    MSGPACK_DEFINE(number, answers, incarnation, life, view, held, held_at, leader, term, list, list_epoch,
+                   weight)
+};
+
+TEST(ListMessages, PingsOfBuildsWithoutDigestsAreUnderstoodBothWays)
+{
+    PingWithoutDigest before;
+    before.number = 9, before.weight = 4;
+    const auto now = unpack<Ping>(pack(before));
+    ASSERT_TRUE(now);
+    EXPECT_EQ(now->weight, 4);
+    EXPECT_EQ(now->list_digest, 0u);
+    Ping ping;
+    ping.number = 9, ping.list_digest = 77;
+    const auto understood = unpack<PingWithoutDigest>(pack(ping));
+    ASSERT_TRUE(understood);
+    EXPECT_EQ(understood->number, 9u);
+}
+
+// ---- the fleet file ----
+
+std::string fleet_file(const std::string& more)
+{
+    std::string text = "[fleet]\nname = \"edge\"\nid = \"a\"\nlisten = \"127.0.0.1:1\"\ndata = \"d\"\n";
+    for (const char* id : {"a", "b", "c"})
+        text += std::string("[[member]]\nid = \"") + id +
+                "\"\naddress = \"127.0.0.1:" + std::to_string(id[0] - 'a' + 1) + "\"\nvoter = true\n";
+    return text + more;
+}
+
+std::string fault_of(const std::string& more)
+{
+    const auto got = decode_fleet_file(fleet_file(more));
+    const auto* fault = std::get_if<Fault>(&got);
+    return fault ? text_of(*fault) : "none";
+}
+
+TEST(DeltasTable, IsOffWithoutItAndHasDefaults)
+{
+    const auto without = std::get<FleetFile>(decode_fleet_file(fleet_file("[list]\n")));
+    EXPECT_FALSE(without.deltas);
+    const auto with = std::get<FleetFile>(decode_fleet_file(fleet_file("[list]\n[deltas]\n")));
+    ASSERT_TRUE(with.deltas);
+    EXPECT_EQ(with.deltas->history, 1000u);
+    EXPECT_EQ(with.deltas->repair, seconds(1));
+    EXPECT_EQ(with.deltas->chunk, 65536u);
+}
+
+TEST(DeltasTable, TakesSizesWithAndWithoutAUnit)
+{
+    const auto chunk = [](const std::string& value) {
+        const auto file = decode_fleet_file(fleet_file("[list]\n[deltas]\nchunk = " + value + "\n"));
+        return std::get<FleetFile>(file).deltas->chunk;
+    };
+    EXPECT_EQ(chunk("2048"), 2048u);
+    EXPECT_EQ(chunk("\"16KB\""), 16384u);
+    EXPECT_EQ(chunk("\"1MB\""), 1048576u);
+}
+
+TEST(DeltasTable, FaultsNameLineAndKey)
+{
+    EXPECT_EQ(fault_of("[deltas]\n"), "line 18: deltas: says nothing without [list]");
+    const auto with_list = [](const std::string& key) { return fault_of("[list]\n[deltas]\n" + key + "\n"); };
+    EXPECT_EQ(with_list("hystory = 5"), "line 20: deltas.hystory: unknown key");
+    EXPECT_EQ(with_list("history = 0"),
+              "line 20: deltas.history: a whole number from 1 to 1000000 is expected");
+    EXPECT_EQ(with_list("chunk = 100"), "line 20: deltas.chunk: must be from 1024 to 1048576 bytes");
+    EXPECT_EQ(with_list("chunk = \"5MB\""), "line 20: deltas.chunk: must be from 1024 to 1048576 bytes");
+    EXPECT_EQ(with_list("chunk = -1"), "line 20: deltas.chunk: must be from 1024 to 1048576 bytes");
+    EXPECT_EQ(with_list("chunk = \"64 apples\""),
+              "line 20: deltas.chunk: a size as 65536, \"64KB\" or \"1MB\" is expected, not '64 apples'");
+    EXPECT_EQ(with_list("repair = \"1ms\""), "line 20: deltas.repair: must be from 0.05 to 60 s");
+}
+
+}  // namespace
+}  // namespace firtide::fleet
