--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -222,6 +222,7 @@
     void use_replica();
     void list_confirmed(Span age);
     void list_tick();
+    void replica_tick();
     const std::string& list_to_remember();
     std::string show_list() const;
 
@@ -256,7 +257,8 @@
     Point wanted_news_;
     std::optional<ListDistribution> distribution_;  // where the fleet file has [deltas]
     Point list_gained_;
-    bool list_changed_ = false;  // since it was last written down to be remembered
+    std::optional<ListSeen> unpublished_list_;  // by a holder that is being repaired first
+    bool list_changed_ = false;                 // since it was last written down to be remembered
 
     // Choices that add up, where the fleet file has them.
     std::optional<Signals> signals_;
--- a/src/fleet/fleet_list.cpp
+++ b/src/fleet/fleet_list.cpp
@@ -174,7 +174,9 @@
     list_source_ = seen.source;
     list_fresh_ = now_;
     const auto epoch = holder_.mine(now_, "list");
-    if (!epoch || distribution_->must_wait_to_publish(now_, *epoch, list_gained_)) {
+    const bool waits = epoch && distribution_->must_wait_to_publish(now_, *epoch, list_gained_);
+    unpublished_list_ = waits ? std::optional(seen) : std::nullopt;
+    if (!epoch || waits) {
         distribution_->use_own(version, *seen.lines);
         return use_replica();
     }
@@ -199,10 +201,7 @@
 
 void Fleet::list_tick()
 {
-    if (distribution_) {
-        distribution_->tick(now_);
-        use_replica();
-    }
+    if (distribution_) replica_tick();
     if (!file_.list || asking_ || stopping_ || holder_.mine(now_, "list")) return;
     if (now_ - list_fresh_ <= file_.list->stale + list_spread_) return;
     effects_.push_back(AskDiscovery{asking_ = true});
@@ -210,12 +209,22 @@
         Noted{"list", "", "it is older than stated: discovery is asked by this member itself", 0, "", {}});
 }
 
+void Fleet::replica_tick()
+{
+    distribution_->tick(now_);
+    use_replica();
+    if (!unpublished_list_) return;
+    const auto epoch = holder_.mine(now_, "list");
+    if (!epoch) return unpublished_list_.reset();
+    if (distribution_->must_wait_to_publish(now_, *epoch, list_gained_)) return;
+    replicate(*std::exchange(unpublished_list_, std::nullopt));
+}
+
 // ---- shown, and remembered ----
 
 const std::string& Fleet::list_to_remember()
 {
-    if (distribution_ && std::exchange(list_changed_, false))
-        last_list_ = whole_list_text(list_version_, distribution_->lines());
+    if (distribution_ && std::exchange(list_changed_, false)) last_list_ = distribution_->whole_text();
     return last_list_;
 }
 
--- a/src/fleet/list_distribution.cpp
+++ b/src/fleet/list_distribution.cpp
@@ -312,16 +312,21 @@
     return at == replica_.lines().end() ? nullptr : &at->second;
 }
 
-ListLines ListDistribution::lines() const
+ListLines ListDistribution::own_lines() const
 {
-    ListLines all = replica_.lines();
-    if (!own_) return all;
+    ListLines lines = replica_.lines();
     for (const auto& [uid, text] : own_->differences)
         if (text)
-            all[uid] = *text;
+            lines[uid] = *text;
         else
-            all.erase(uid);
-    return all;
+            lines.erase(uid);
+    return lines;
+}
+
+std::string ListDistribution::whole_text() const
+{
+    if (own_) return whole_list_text(own_->version.number, own_lines());
+    return whole_list_text(replica_.version().number, replica_.lines());
 }
 
 std::optional<UseList> ListDistribution::take_use()
@@ -331,7 +336,7 @@
     untold_ = false;
     const uint64_t number = version().number;
     const auto uids = std::exchange(touched_, {});
-    if (!std::exchange(told_, true)) return UseList{number, whole_list_text(number, lines()), true};
+    if (!std::exchange(told_, true)) return UseList{number, whole_text(), true};
     ListLines changed;
     for (const std::string& uid : uids)
         if (const auto* line = line_of(uid)) changed[uid] = *line;
--- a/src/fleet/list_distribution.h
+++ b/src/fleet/list_distribution.h
@@ -61,8 +61,8 @@
     ListReplica& replica() { return replica_; }
     bool uses_own() const { return own_.has_value(); }
     const ListVersion& version() const { return own_ ? own_->version : replica_.version(); }
-    // The list that the balancer uses.
-    ListLines lines() const;
+    // The whole list that the balancer uses, in discovery's form.
+    std::string whole_text() const;
 
     std::vector<Send> take_sends() { return std::exchange(sends_, {}); }
     std::optional<UseList> take_use();
@@ -102,6 +102,7 @@
     void keep_own_of(const ListChanges& changes);
     void answer_with_snapshot(Point now, Member to, const WantListDeltas& want, Span age);
     bool finish(Point now);  // true: the snapshot is in its place
+    ListLines own_lines() const;
     const std::string* line_of(const std::string& uid) const;
 
     const DeltasRule rule_;
--- a/tests/list_deltas.cpp
+++ b/tests/list_deltas.cpp
@@ -207,6 +207,30 @@
     EXPECT_GT(lists.sent.chunks, 10u);
 }
 
+TEST(ListDeltas, HolderThatHasJustStartedIsRepairedBeforeItPublishes)
+{
+    auto o = options();
+    o.list_entries = 500;
+    Lists lists(o);
+    lists.change(5);
+    const size_t next = lists.other_than(lists.holder());
+    lists.world.crash(next);
+    lists.world.run(seconds(1));
+    const auto before = lists.world.count.list_bytes;
+    lists.world.start(next);
+    for (int tries = 0; tries < 100 && lists.holder() != next; ++tries) {
+        if (lists.holder() != SIZE_MAX)
+            lists.world.ask(lists.holder(), "hand-over", "list", "m" + std::to_string(next + 1));
+        lists.world.run(seconds(0.05));
+    }
+    ASSERT_EQ(lists.holder(), next);
+    lists.change(2);
+    lists.world.run(seconds(5));
+    lists.expect_all_alike();
+    EXPECT_LT(lists.world.count.list_bytes - before, 100'000u)
+        << "the list is 20 KB: once for this member, and not three times for each of the others";
+}
+
 TEST(ListDeltas, MemberBehindIsRepairedByDeltasWithinTheHistory)
 {
     Lists lists(options());
