Measure what a balancer adds to a call: firtide-latency

No figure told what one balancer adds to a call. The new program sends the same open-loop load straight to stand-ins of upstreams and through a balancer of a fleet, in alternation, while upstreams restart cold, duties are held and the list changes. No figures are claimed yet.

--- /dev/null
+++ b/scale/open_loop.h
@@ -0,0 +1,68 @@
+// An open-loop load: calls are due at intended times that no answer can delay, and each latency is counted
+// from the intended time. A sender that stalls thus adds its stall to every call that it sends late (no
+// coordinated omission). Pure: the caller supplies the clock.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <random>
+
+#include "histogram.h"
+
+namespace firtide::scale
+{
+
+using Nanoseconds = std::chrono::nanoseconds;
+
+// Poisson arrivals; the same seed gives the same times.
+class ArrivalSchedule
+{
+  public:
+    ArrivalSchedule(double calls_per_second, uint64_t seed);
+
+    // The time of the next arrival since the start.
+    Nanoseconds next();
+
+  private:
+    std::mt19937_64 random_;
+    double mean_gap_ns_;
+    double at_ns_ = 0;
+};
+
+struct Call {
+    uint64_t number = 0;
+    Nanoseconds intended{};
+};
+
+// The calls of one run, which times count from. Calls intended before `warm_up` is over are sent but not
+// recorded.
+class OpenLoop
+{
+  public:
+    OpenLoop(ArrivalSchedule schedule, Nanoseconds length, Nanoseconds warm_up);
+
+    // When the next call is due; nothing once all have been taken.
+    std::optional<Nanoseconds> next_due() const;
+    // The next call, if it is due.
+    std::optional<Call> take_due(Nanoseconds now);
+    // The last byte of a good answer came.
+    void answered(const Call& call, Nanoseconds now);
+    // The call got another status, its connection failed, or no answer came.
+    void failed(const Call& call);
+
+    uint64_t taken() const { return taken_; }
+    uint64_t answered_count() const { return answered_; }
+    uint64_t failed_count() const { return failed_; }
+    uint64_t outstanding() const { return taken_ - answered_ - failed_; }
+    // Latencies in nanoseconds.
+    const Histogram& latencies() const { return latencies_; }
+
+  private:
+    ArrivalSchedule schedule_;
+    Nanoseconds length_, warm_up_, next_;
+    uint64_t taken_ = 0, answered_ = 0, failed_ = 0;
+    Histogram latencies_;
+};
+
+}  // namespace firtide::scale
--- /dev/null
+++ b/scale/stand_ins.cpp
@@ -0,0 +1,217 @@
+#include "stand_ins.h"
+
+#include <fcntl.h>
+#include <sys/mman.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <new>
+#include <sstream>
+#include <stdexcept>
+
+#include "rig/standins.h"
+#include "src/net/event.h"
+
+namespace firtide::scale
+{
+namespace
+{
+
+constexpr const char* probe_answer = "depth=1";
+constexpr const char* call_answer = "ok\n";
+constexpr size_t draining_at_most_one_in = 4;
+
+using Ports = std::vector<uint16_t>;
+
+struct Pipe {
+    Pipe()
+    {
+        int ends[2];
+        if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+        reader = net::Descriptor(ends[0]);
+        writer = net::Descriptor(ends[1]);
+    }
+
+    net::Descriptor reader, writer;
+};
+
+void tell_ports(const Pipe& pipe, const Ports& ports)
+{
+    std::string line;
+    for (const auto port : ports) line += std::to_string(port) + " ";
+    line += "\n";
+    if (write(pipe.writer.fd(), line.data(), line.size()) != static_cast<ssize_t>(line.size()))
+        throw std::runtime_error("the parent is gone");
+}
+
+// Waits until the child has told them.
+Ports read_ports(Pipe& pipe)
+{
+    pipe.writer = net::Descriptor();
+    std::string line;
+    char byte = 0;
+    while (read(pipe.reader.fd(), &byte, 1) == 1 && byte != '\n') line += byte;
+    if (byte != '\n') throw std::runtime_error("a stand-in did not start");
+    std::istringstream in(line);
+    Ports ports;
+    for (uint16_t port = 0; in >> port;) ports.push_back(port);
+    return ports;
+}
+
+net::Base precise_base()
+{
+    event_config* config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    net::Base base(event_base_new_with_config(config));
+    event_config_free(config);
+    return base;
+}
+
+void serve_upstreams(size_t upstreams, Span service_time, const Pipe& pipe)
+{
+    const auto base = precise_base();
+    const auto serve = [&](evhttp_request* request) {
+        const std::string path = evhttp_request_get_uri(request);
+        if (path.starts_with("/-/")) return rig::answer(request, HTTP_OK, probe_answer);
+        if (service_time <= Span{}) return rig::answer(request, HTTP_OK, call_answer);
+        rig::answer_later(base.get(), service_time,
+                          [request] { rig::answer(request, HTTP_OK, call_answer); });
+    };
+    std::vector<std::unique_ptr<rig::Server>> servers;
+    Ports ports;
+    for (size_t i = 0; i < upstreams; ++i) {
+        servers.push_back(std::make_unique<rig::Server>(base.get(), serve));
+        ports.push_back(servers.back()->port());
+    }
+    tell_ports(pipe, ports);
+    event_base_dispatch(base.get());
+}
+
+std::string upstream_id(size_t upstream) { return "s-" + std::to_string(upstream); }
+
+void apply(const ListChange& change, rig::DiscoveryStandIn& discovery)
+{
+    const auto id = upstream_id(change.upstream);
+    switch (change.kind) {
+        case ListChange::Kind::restarted: return discovery.started(id);
+        case ListChange::Kind::draining: return discovery.state_is(id, "draining");
+        case ListChange::Kind::ready: return discovery.state_is(id, "ready");
+    }
+}
+
+// Changes a list at random moments for as long as the loop runs.
+class ListChanger
+{
+  public:
+    ListChanger(event_base* base, rig::DiscoveryStandIn& discovery, ListChanges changes,
+                double changes_per_second, std::atomic<uint64_t>& count)
+        : base_(base),
+          discovery_(discovery),
+          changes_(std::move(changes)),
+          changes_per_second_(changes_per_second),
+          count_(count)
+    {
+        schedule();
+    }
+
+  private:
+    void schedule()
+    {
+        rig::answer_later(base_, changes_.next_gap(changes_per_second_), [this] {
+            apply(changes_.next(), discovery_);
+            ++count_;
+            schedule();
+        });
+    }
+
+    event_base* base_;
+    rig::DiscoveryStandIn& discovery_;
+    ListChanges changes_;
+    double changes_per_second_;
+    std::atomic<uint64_t>& count_;
+};
+
+void serve_discovery(const std::vector<Ports>& lists, double changes_per_second, uint64_t seed,
+                     std::atomic<uint64_t>& changes, const Pipe& pipe)
+{
+    const net::Base base(event_base_new());
+    std::vector<std::unique_ptr<rig::DiscoveryStandIn>> servers;
+    Ports ports;
+    for (const auto& list : lists) {
+        std::map<std::string, std::pair<uint16_t, std::string>> targets;
+        for (size_t i = 0; i < list.size(); ++i) targets[upstream_id(i)] = {list[i], "ready"};
+        servers.push_back(std::make_unique<rig::DiscoveryStandIn>(base.get()));
+        servers.back()->list_is(std::move(targets));
+        ports.push_back(servers.back()->port());
+    }
+    std::unique_ptr<ListChanger> changer;
+    if (changes_per_second > 0)
+        changer = std::make_unique<ListChanger>(
+            base.get(), *servers.back(), ListChanges(lists.back().size(), seed), changes_per_second, changes);
+    tell_ports(pipe, ports);
+    event_base_dispatch(base.get());
+}
+
+template <class Serve>
+ChildProcess start_stand_in(const Serve& serve, Ports& ports)
+{
+    Pipe pipe;
+    auto process = ChildProcess::run([&] { serve(pipe); });
+    ports = read_ports(pipe);
+    return process;
+}
+
+std::atomic<uint64_t>* shared_counter()
+{
+    void* memory = mmap(nullptr, sizeof(std::atomic<uint64_t>), PROT_READ | PROT_WRITE,
+                        MAP_SHARED | MAP_ANONYMOUS, -1, 0);
+    if (memory == MAP_FAILED) throw std::runtime_error("no shared memory");
+    return new (memory) std::atomic<uint64_t>(0);
+}
+
+}  // namespace
+
+ListChanges::ListChanges(size_t upstreams, uint64_t seed) : random_(seed), upstreams_(upstreams) {}
+
+ListChange ListChanges::next()
+{
+    const size_t upstream = random_() % upstreams_;
+    if (random_() % 2 == 0) return {upstream, ListChange::Kind::restarted};
+    const bool drains = std::find(draining_.begin(), draining_.end(), upstream) != draining_.end();
+    if (!drains && draining_.size() < upstreams_ / draining_at_most_one_in) {
+        draining_.push_back(upstream);
+        return {upstream, ListChange::Kind::draining};
+    }
+    if (draining_.empty()) return {upstream, ListChange::Kind::restarted};
+    const size_t back = draining_.front();
+    draining_.erase(draining_.begin());
+    return {back, ListChange::Kind::ready};
+}
+
+Span ListChanges::next_gap(double changes_per_second)
+{
+    const double uniform = static_cast<double>(random_() >> 11) * 0x1p-53;
+    return seconds(-std::log1p(-uniform) / changes_per_second);
+}
+
+UpstreamProcess::UpstreamProcess(size_t upstreams, Span service_time)
+    : process_(
+          start_stand_in([&](const Pipe& pipe) { serve_upstreams(upstreams, service_time, pipe); }, ports_))
+{
+}
+
+DiscoveryProcess::DiscoveryProcess(const std::vector<Ports>& lists, double changes_per_second, uint64_t seed)
+    : changes_(shared_counter()),
+      process_(start_stand_in(
+          [&](const Pipe& pipe) { serve_discovery(lists, changes_per_second, seed, *changes_, pipe); },
+          ports_))
+{
+}
+
+DiscoveryProcess::~DiscoveryProcess() { munmap(changes_, sizeof *changes_); }
+
+}  // namespace firtide::scale
