--- a/scale/latency.cpp
+++ b/scale/latency.cpp
@@ -51,6 +51,7 @@
     LoadTarget target;
     Histogram latencies;
     uint64_t answered = 0, failed = 0;
+    FailureCounts failures;
 
     Quantiles run(const LatencyOptions& options, double calls_per_second, size_t round)
     {
@@ -61,6 +62,7 @@
         latencies.merge(loop.latencies());
         answered += loop.answered_count();
         failed += loop.failed_count();
+        for (const auto& [status, count] : loop.failures()) failures[status] += count;
         return quantiles_of(loop.latencies());
     }
 };
@@ -93,6 +95,14 @@
     return {{"median", spread.median}, {"min", spread.min}, {"max", spread.max}};
 }
 
+ordered_json to_json(const FailureCounts& failures)
+{
+    ordered_json counts = ordered_json::object();
+    for (const auto& [status, count] : failures)
+        counts[status == no_answer ? "no answer" : std::to_string(status)] = count;
+    return counts;
+}
+
 ordered_json to_json(const LatencyResult& result)
 {
     return {{"calls_per_second", result.calls_per_second},
@@ -101,6 +111,7 @@
             {"added_ms", {{"p50", to_json(result.added_p50)}, {"p99", to_json(result.added_p99)}}},
             {"answered", result.answered},
             {"failed", result.failed},
+            {"failed_by_status", to_json(result.failures)},
             {"direct_answered", result.direct_answered},
             {"direct_failed", result.direct_failed},
             {"list_changes", result.list_changes},
@@ -215,6 +226,7 @@
     result.added_p99 = spread_of(std::move(added_p99));
     result.answered = through.answered;
     result.failed = through.failed;
+    result.failures = through.failures;
     result.direct_answered = direct.answered;
     result.direct_failed = direct.failed;
     result.list_changes = bed.list_changes();
--- a/scale/latency.h
+++ b/scale/latency.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "open_loop.h"
+
 namespace CLI
 {
 class App;
@@ -50,6 +52,7 @@
     Quantiles direct, through;          // over all rounds
     Spread added_p50, added_p99;        // of the rounds' differences
     uint64_t answered = 0, failed = 0;  // of the calls through the balancer
+    FailureCounts failures;
     uint64_t direct_answered = 0, direct_failed = 0;
     uint64_t list_changes = 0;
     std::vector<std::string> duties;  // that the measured balancer held at the end
--- a/scale/load_generator.cpp
+++ b/scale/load_generator.cpp
@@ -94,7 +94,7 @@
             return;
         }
         if (Connection* connection = connect(port)) return send_call(*connection, call);
-        loop_.failed(call);
+        loop_.failed();
     }
 
     Connection* connect(size_t port)
@@ -175,10 +175,11 @@
     void finish_call(Connection& connection)
     {
         const Call call = *std::exchange(connection.call, std::nullopt);
-        if (connection.reader->response().status == good_status)
+        const int status = connection.reader->response().status;
+        if (status == good_status)
             loop_.answered(call, now());
         else
-            loop_.failed(call);
+            loop_.failed(status);
         if (!connection.reader->keeps_connection()) return close(connection);
         connection.reader = std::make_unique<net::ResponseReader>(setup_);
         if (waiting_.empty()) {
@@ -192,7 +193,7 @@
 
     void close(Connection& connection)
     {
-        if (connection.call) loop_.failed(*connection.call);
+        if (connection.call) loop_.failed();
         std::erase(idle_[connection.port], &connection);
         connections_.erase(connection.self);
         if (waiting_.empty()) return;
@@ -204,8 +205,8 @@
     void give_up()
     {
         for (const Connection& connection : connections_)
-            if (connection.call) loop_.failed(*connection.call);
-        for (const Call& call : waiting_) loop_.failed(call);
+            if (connection.call) loop_.failed();
+        for (size_t i = 0; i < waiting_.size(); ++i) loop_.failed();
     }
 
     const LoadTarget& target_;
--- a/scale/open_loop.cpp
+++ b/scale/open_loop.cpp
@@ -48,6 +48,10 @@
     latencies_.record(static_cast<uint64_t>(latency.count()));
 }
 
-void OpenLoop::failed(const Call&) { ++failed_; }
+void OpenLoop::failed(int status)
+{
+    ++failed_;
+    ++failures_[status];
+}
 
 }  // namespace firtide::scale
--- a/scale/open_loop.h
+++ b/scale/open_loop.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 
@@ -30,6 +31,9 @@
     double at_ns_ = 0;
 };
 
+inline constexpr int no_answer = 0;
+using FailureCounts = std::map<int, uint64_t>;  // by status
+
 struct Call {
     uint64_t number = 0;
     Nanoseconds intended{};
@@ -48,12 +52,13 @@
     std::optional<Call> take_due(Nanoseconds now);
     // The last byte of a good answer came.
     void answered(const Call& call, Nanoseconds now);
-    // The call got another status, its connection failed, or no answer came.
-    void failed(const Call& call);
+    // The call got another status, or none: its connection failed, or no answer came.
+    void failed(int status = no_answer);
 
     uint64_t taken() const { return taken_; }
     uint64_t answered_count() const { return answered_; }
     uint64_t failed_count() const { return failed_; }
+    const FailureCounts& failures() const { return failures_; }
     uint64_t outstanding() const { return taken_ - answered_ - failed_; }
     // Latencies in nanoseconds.
     const Histogram& latencies() const { return latencies_; }
@@ -62,6 +67,7 @@
     ArrivalSchedule schedule_;
     Nanoseconds length_, warm_up_, next_;
     uint64_t taken_ = 0, answered_ = 0, failed_ = 0;
+    FailureCounts failures_;
     Histogram latencies_;
 };
 
--- a/tests/latency.cpp
+++ b/tests/latency.cpp
@@ -168,7 +168,7 @@
     uint64_t warm = 0, late = 0;
     while (const auto call = loop.take_due(milliseconds(100))) {
         if (call->intended >= milliseconds(50) && ++late % 2 == 0) {
-            loop.failed(*call);
+            loop.failed(503);
             continue;
         }
         if (call->intended < milliseconds(50)) ++warm;
@@ -177,6 +177,7 @@
     ASSERT_GT(warm, 0u);
     ASSERT_GT(late, 1u);
     EXPECT_EQ(loop.failed_count(), late / 2);
+    EXPECT_EQ(loop.failures(), (FailureCounts{{503, late / 2}}));
     EXPECT_EQ(loop.answered_count(), warm + late - late / 2);
     EXPECT_EQ(loop.latencies().count(), late - late / 2);
     EXPECT_EQ(loop.outstanding(), 0u);
@@ -272,7 +273,7 @@
     EXPECT_EQ(result.direct_answered, calls_of(options, 154));
     EXPECT_EQ(result.answered, calls_of(options, 154));
     EXPECT_EQ(result.direct_failed, 0u);
-    EXPECT_EQ(result.failed, 0u);
+    EXPECT_EQ(result.failures, FailureCounts{});
 }
 
 TEST(Latency, AShortRunThroughAChainAnswersAllCalls)
@@ -280,7 +281,7 @@
     const auto options = short_run();
     const auto result = measure_rate(options, 154, 3);
     EXPECT_EQ(result.answered, calls_of(options, 154));
-    EXPECT_EQ(result.failed, 0u);
+    EXPECT_EQ(result.failures, FailureCounts{});
     EXPECT_TRUE(result.duties.empty());
 }
 
