--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -25,7 +25,7 @@
 constexpr Span pass_on_every = seconds(0.2);  // what probes of the fleet found
 constexpr size_t most_stamps = 256;
 constexpr Span tick_every = seconds(0.1);  // of what the balancer tells its fleet
-constexpr size_t kept_back = 48;  // descriptors for the loop, the log, discovery, the listener and the door
+constexpr size_t kept_back = 48;  // descriptors for the loop, the log, discovery, the listener and management
 // Of the others, at most; together more than all, for either may need the room that the other leaves.
 constexpr double part_of_upstreams = 0.4, part_of_callers = 0.85;
 
@@ -107,8 +107,8 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     if (!config_.shared_folder.empty()) handover_.emplace(config_.shared_folder);
-    if (config_.door)
-        management_.emplace(base_.get(), *config_.door, [this](Event e) {
+    if (config_.management)
+        management_.emplace(base_.get(), *config_.management, [this](Event e) {
             const auto* ordered = std::get_if<Ordered>(&e);
             if (fleet_ && ordered && ordered->order == Order::resume)
                 fleet_->tell(fleet::AdminRequest{0, "turn-over", "", ""});
@@ -120,10 +120,7 @@
         if (file.subset || file.signals || file.turns || file.recovery)
             reducer_.join({file.subset, file.signals, file.turns, file.members[file.self].key, 0, {}, 0.1});
         fleet_.emplace(base_.get(), std::move(fleet->first), fleet->second, hooks());
-        if (shares_list())
-            discovery_.tell_whole([this](uint64_t version, std::string text) {
-                fleet_->tell(fleet::ListSeen{text_of(config_.discovery), version, std::move(text)});
-            });
+        if (shares_list()) tell_lists_to_fleet();
         if (management_)
             management_->fleet_orders(
                 [this](OperatorId caller, const auto& words) { return ordered(caller, words); },
@@ -149,6 +146,18 @@
 
 Service::~Service() = default;
 
+void Service::tell_lists_to_fleet()
+{
+    if (fleet_->file().deltas)
+        return discovery_.tell_lines([this](uint64_t version, auto lines, auto uids) {
+            fleet_->tell(
+                fleet::ListSeen{text_of(config_.discovery), version, "", std::move(lines), std::move(uids)});
+        });
+    discovery_.tell_whole([this](uint64_t version, std::string text) {
+        fleet_->tell(fleet::ListSeen{text_of(config_.discovery), version, std::move(text), nullptr, {}});
+    });
+}
+
 // What the fleet asks of this balancer.
 fleet::Host::Hooks Service::hooks()
 {
@@ -160,7 +169,7 @@
     h.resume = [this] { post(Ordered{0, Order::resume}); };
     h.ask_discovery = [this](bool on) { on ? discovery_.ask() : discovery_.rest(); };
     h.use_list = [this](const fleet::UseList& list) {
-        if (auto decoded = decode_list(config_.setup, list.whole, epoch_)) post(std::move(decoded->told));
+        if (auto decoded = decode_list(config_.setup, list.text, epoch_)) post(std::move(decoded->told));
     };
     h.probe = [this](const fleet::ProbeNow& now, const std::string& duty, fleet::Epoch epoch) {
         stamps_[next_stamp_] = {duty, epoch};
