--- a/scale/child_process.cpp
+++ b/scale/child_process.cpp
@@ -1,13 +1,18 @@
 #include "child_process.h"
 
+#include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <cerrno>
 #include <csignal>
+#include <cstdio>
+#include <exception>
+#include <stdexcept>
 #include <utility>
 
+#include "src/net/event.h"
+
 namespace firtide::scale
 {
 namespace
@@ -15,63 +20,83 @@
 
 constexpr int cannot_execute = 127;
 
-[[noreturn]] void become(const std::vector<char*>& arguments, const ChildStreams& streams, pid_t parent)
+// Forks; `in_child` must not return. The kernel kills the child when this process ends.
+template <class InChild>
+pid_t fork_child(const InChild& in_child)
 {
+    const pid_t parent = getpid();
+    const pid_t child = fork();
+    if (child < 0) throw std::runtime_error("cannot fork");
+    if (child > 0) return child;
     prctl(PR_SET_PDEATHSIG, SIGKILL);
-    // Guards against a controller that has ended before the line above.
     if (getppid() != parent) _exit(cannot_execute);
-    if (streams.input >= 0) dup2(streams.input, STDIN_FILENO);
-    if (streams.output >= 0) dup2(streams.output, STDOUT_FILENO);
-    if (streams.error >= 0) dup2(streams.error, STDERR_FILENO);
-    execv(arguments.front(), arguments.data());
+    // An interrupt of the terminal is for the parent, which then ends its children.
+    std::signal(SIGINT, SIG_IGN);
+    in_child();
     _exit(cannot_execute);
 }
 
 }  // namespace
 
-std::optional<ChildProcess> ChildProcess::start(const std::vector<std::string>& arguments,
-                                                const ChildStreams& streams)
+ChildProcess ChildProcess::execute(const std::vector<std::string>& arguments, const ChildStreams& streams)
 {
-    std::vector<char*> words;
-    for (const auto& argument : arguments) words.push_back(const_cast<char*>(argument.c_str()));
-    words.push_back(nullptr);
-    const pid_t parent = getpid();
-    const pid_t pid = fork();
-    if (pid < 0) return {};
-    if (pid == 0) become(words, streams, parent);
-    return ChildProcess(pid);
+    std::vector<char*> pointers;
+    for (const auto& argument : arguments) pointers.push_back(const_cast<char*>(argument.c_str()));
+    pointers.push_back(nullptr);
+    return ChildProcess(fork_child([&] {
+        if (streams.input >= 0) dup2(streams.input, STDIN_FILENO);
+        if (streams.output >= 0) dup2(streams.output, STDOUT_FILENO);
+        if (streams.error >= 0) dup2(streams.error, STDERR_FILENO);
+        execv(pointers[0], pointers.data());
+    }));
 }
 
-ChildProcess::~ChildProcess() { kill_and_wait(); }
+ChildProcess ChildProcess::execute(const std::vector<std::string>& arguments, const std::string& log)
+{
+    const net::Descriptor file(open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
+    return execute(arguments, ChildStreams{-1, -1, file.fd()});
+}
 
-ChildProcess::ChildProcess(ChildProcess&& other) noexcept : pid_(std::exchange(other.pid_, 0)) {}
+ChildProcess ChildProcess::run(const std::function<void()>& body)
+{
+    return ChildProcess(fork_child([&] {
+        try {
+            body();
+            _exit(0);
+        } catch (const std::exception& error) {
+            std::fprintf(stderr, "firtide-latency: a stand-in: %s\n", error.what());
+            _exit(1);
+        }
+    }));
+}
+
+ChildProcess::ChildProcess(ChildProcess&& other) noexcept : id_(std::exchange(other.id_, 0)) {}
 
 ChildProcess& ChildProcess::operator=(ChildProcess&& other) noexcept
 {
-    std::swap(pid_, other.pid_);
+    std::swap(id_, other.id_);
     return *this;
 }
 
-bool ChildProcess::ended()
+ChildProcess::~ChildProcess() { end(); }
+
+void ChildProcess::signal(int number) const
 {
-    if (pid_ == 0) return true;
-    if (waitpid(pid_, nullptr, WNOHANG) != pid_) return false;
-    pid_ = 0;
-    return true;
+    if (id_ != 0) kill(id_, number);
 }
 
-void ChildProcess::signal(int number) const
+bool ChildProcess::running()
 {
-    if (pid_ != 0) ::kill(pid_, number);
+    if (id_ != 0 && waitpid(id_, nullptr, WNOHANG) == id_) id_ = 0;
+    return id_ != 0;
 }
 
-void ChildProcess::kill_and_wait()
+void ChildProcess::end()
 {
-    if (pid_ == 0) return;
-    ::kill(pid_, SIGKILL);
-    while (waitpid(pid_, nullptr, 0) < 0 && errno == EINTR) {
-    }
-    pid_ = 0;
+    if (id_ == 0) return;
+    kill(id_, SIGKILL);
+    waitpid(id_, nullptr, 0);
+    id_ = 0;
 }
 
 }  // namespace firtide::scale
--- a/scale/cluster.cpp
+++ b/scale/cluster.cpp
@@ -61,10 +61,9 @@
     Real& real = real_[member];
     real.log = std::make_unique<LineStream>(
         base_, ends[0], [this, member](std::string_view line) { heard_log(member, line); });
-    real.process = ChildProcess::start({options_.program, "serve", layout_.config_path(member), "--fleet",
-                                        layout_.fleet_path(member), "--log-level", "debug"},
-                                       {-1, writes.fd(), writes.fd()});
-    if (!real.process) return false;
+    real.process = ChildProcess::execute({options_.program, "serve", layout_.config_path(member), "--fleet",
+                                          layout_.fleet_path(member), "--log-level", "debug"},
+                                         ChildStreams{-1, writes.fd(), writes.fd()});
     tracker_.member_up(member, fleet::fleet_now());
     return true;
 }
@@ -80,9 +79,8 @@
                                                [this, group](std::string_view line) { heard(group, line); });
     const net::Descriptor log(
         ::open(layout_.log_path(group).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
-    hollow.process = ChildProcess::start({own_program_, "hollow", layout_.spec_path(group)},
-                                         {child_end.fd(), log.fd(), log.fd()});
-    if (!hollow.process) return false;
+    hollow.process = ChildProcess::execute({own_program_, "hollow", layout_.spec_path(group)},
+                                           ChildStreams{child_end.fd(), log.fd(), log.fd()});
     const auto& members = layout_.groups()[group];
     for (uint32_t place = 0; place < members.count; ++place)
         tracker_.member_up(members.first + place, fleet::fleet_now());
@@ -181,7 +179,7 @@
 void Cluster::end_hollow(size_t group)
 {
     Hollow& hollow = hollow_[group];
-    hollow.process->kill_and_wait();
+    hollow.process->end();
     hollow.line.reset();
     waiting_ -= std::exchange(hollow.asked, 0U);
     const auto& members = layout_.groups()[group];
@@ -230,7 +228,7 @@
 {
     for (uint32_t member = 0; member < options_.real; ++member) {
         Real& real = real_[member];
-        if (!real.stopping || !real.process->ended()) continue;
+        if (!real.stopping || real.process->running()) continue;
         real.stopping = false;
         if (!start_real(member)) return false;
     }
@@ -242,10 +240,10 @@
 std::optional<std::string> Cluster::failure()
 {
     for (uint32_t member = 0; member < options_.real; ++member)
-        if (real_[member].process && !real_[member].stopping && real_[member].process->ended())
+        if (real_[member].process && !real_[member].stopping && !real_[member].process->running())
             return "the process of " + Layout::id_of(member) + " has ended by itself";
     for (size_t group = 0; group < hollow_.size(); ++group)
-        if (hollow_[group].process && !hollow_[group].killed && hollow_[group].process->ended())
+        if (hollow_[group].process && !hollow_[group].killed && !hollow_[group].process->running())
             return "a process of hollow members has ended by itself: " + last_line(layout_.log_path(group));
     return {};
 }
@@ -253,9 +251,9 @@
 void Cluster::read_usage()
 {
     for (Real& real : real_)
-        if (real.process) real.usage.take(real.process->pid());
+        if (real.process) real.usage.take(real.process->id());
     for (Hollow& hollow : hollow_)
-        if (hollow.process) hollow.usage.take(hollow.process->pid());
+        if (hollow.process) hollow.usage.take(hollow.process->id());
 }
 
 void Cluster::forget_greatest_usage()
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -66,8 +66,12 @@
     std::variant<std::monostate, Memory, std::string> memory;
     std::optional<Span> ago;  // by a clock that is trusted: the machine has not been started anew
 };
+// The members as a fleet at rest holds them, of a simulation that does not begin with all unknown.
+struct Acquainted {
+    std::shared_ptr<const std::vector<Members::One>> members;
+};
 using FleetEvent = std::variant<Begun, Heard, Ticked, VoterAgentReported, AdminRequest, AdminDisconnected,
-                                ListSeen, ProbesSeen, Refused, Stops, Observed, Recalled>;
+                                ListSeen, ProbesSeen, Refused, Stops, Observed, Recalled, Acquainted>;
 
 // Effects. Send is one of them.
 struct Seating {  // of a member among the voters
@@ -196,6 +200,7 @@
     void on(const Stops&);
     void on(Observed& observed);
     void on(Recalled& recalled);
+    void on(const Acquainted& acquainted) { members_.acquaint(*acquainted.members); }
     void recovery_tick();
     std::string show_recovery() const;
 
@@ -224,6 +229,7 @@
     void use_replica();
     void list_confirmed(Span age);
     void list_tick();
+    void replica_tick();
     const std::string& list_to_remember();
     std::string show_list() const;
 
@@ -258,7 +264,8 @@
     Point wanted_news_;
     std::optional<ListDistribution> distribution_;  // where the fleet file has [deltas]
     Point list_gained_;
-    bool list_changed_ = false;  // since it was last written down to be remembered
+    std::optional<ListSeen> unpublished_list_;  // by a holder that is being repaired first
+    bool list_changed_ = false;                 // since it was last written down to be remembered
 
     // Choices that add up, where the fleet file has them.
     std::optional<Signals> signals_;
@@ -266,6 +273,7 @@
     std::optional<Allocator> allocator_;
     Observed observed_;
     std::vector<Sharer> sharers_;
+    std::optional<uint64_t> sharers_version_;  // of the members, as they were told last
     Point weighed_, sharers_at_, wanted_parts_;
     bool signalled_ = false;
 
