--- a/scale/hollow_process.cpp
+++ b/scale/hollow_process.cpp
@@ -21,9 +21,8 @@
 namespace
 {
 
-constexpr Span start_every = seconds(0.02);
-constexpr size_t started_at_a_time = 4;
-constexpr Span leaves_within = seconds(0.3);  // for its last messages to go out
+constexpr Span longest_delay = seconds(0.05);  // of a start: then this process has too much to do
+constexpr Span leaves_within = seconds(0.3);   // for its last messages to go out
 
 class HollowMember
 {
@@ -127,6 +126,7 @@
   public:
     explicit HollowProcess(const HollowSpec& spec)
         : first_(spec.first),
+          start_every_(spec.start_every),
           config_(net::read_config(spec.config_path)),
           base_(event_base_new()),
           controller_(
@@ -151,25 +151,23 @@
     {
         starting_.reset(event_new(
             base_.get(), -1, EV_PERSIST,
-            [](evutil_socket_t, short, void* self) { static_cast<HollowProcess*>(self)->start_some(); },
+            [](evutil_socket_t, short, void* self) { static_cast<HollowProcess*>(self)->start_next(); },
             this));
-        const auto every = net::to_timeval(start_every);
-        start_due_ = net::monotonic_now() + start_every;
+        const auto every = net::to_timeval(start_every_);
+        start_due_ = net::monotonic_now() + start_every_;
         event_add(starting_.get(), &every);
         event_base_dispatch(base_.get());
     }
 
   private:
-    // Each start is news to all members. Guards against more of it than this process can pass on: whoever
-    // falls behind is suspected, which is news to all again.
-    void start_some()
+    // Nobody is started while this process falls behind.
+    void start_next()
     {
         const Point now = net::monotonic_now();
-        const bool late = now - start_due_ > start_every;
-        start_due_ = now + start_every;
+        const bool late = now - start_due_ > longest_delay;
+        start_due_ = now + start_every_;
         if (late) return;
-        for (size_t place = 0; place < started_at_a_time && started_ < members_.size(); ++place)
-            members_[started_++]->join();
+        if (started_ < members_.size()) members_[started_++]->join();
         if (started_ < members_.size()) return;
         event_del(starting_.get());
         controller_.write(encode(Started{}));
@@ -208,6 +206,7 @@
     }
 
     const uint32_t first_;
+    const Span start_every_;
     const net::Config config_;
     net::Base base_;
     LineStream controller_;
--- a/scale/hollow_protocol.cpp
+++ b/scale/hollow_protocol.cpp
@@ -49,7 +49,8 @@
     return nlohmann::json{{"fleet_path", spec.fleet_path},
                           {"config_path", spec.config_path},
                           {"first", spec.first},
-                          {"data_folders", spec.data_folders}}
+                          {"data_folders", spec.data_folders},
+                          {"start_every_us", spec.start_every.us}}
         .dump();
 }
 
@@ -62,6 +63,7 @@
         spec.fleet_path = in.at("fleet_path").get<std::string>();
         spec.config_path = in.at("config_path").get<std::string>();
         spec.first = in.at("first").get<uint32_t>();
+        spec.start_every.us = in.at("start_every_us").get<int64_t>();
         spec.data_folders = in.at("data_folders").get<std::vector<std::string>>();
     } catch (const nlohmann::json::exception&) {
         return {};
--- a/scale/hollow_protocol.h
+++ b/scale/hollow_protocol.h
@@ -18,6 +18,7 @@
     std::string fleet_path, config_path;
     uint32_t first = 0;  // place of the first member in the fleet file; the others follow it
     std::vector<std::string> data_folders;  // one for each member
+    Span start_every;                       // from the start of one member to that of the next
 };
 
 std::string encode_spec(const HollowSpec& spec);
--- a/scale/layout.cpp
+++ b/scale/layout.cpp
@@ -20,6 +20,9 @@
 constexpr uint16_t serve_offset = 1, door_offset = 2, upstream_offset = 3;
 constexpr uint32_t hosts_per_byte = 250;
 constexpr int member_network = 1, upstream_network = 2;
+// Each start goes to all members over each link. Guards against more of that than the machine can carry:
+// whoever falls behind is suspected, which goes to all again.
+constexpr double start_messages_per_second = 16'000;
 constexpr const char* claimed_host = "127.1.255.254";
 
 // A loopback address for each: a machine of its own, as far as ports go.
@@ -45,6 +48,8 @@
 
 }  // namespace
 
+double starts_per_second(uint32_t members) { return start_messages_per_second / members; }
+
 std::optional<PortClaim> PortClaim::claim()
 {
     for (uint16_t port = first_port; port < last_port; port = static_cast<uint16_t>(port + ports_each)) {
@@ -58,9 +63,8 @@
 
 TemporaryFolder::TemporaryFolder()
 {
-    char path[] = "/tmp/firtide-scale-XXXXXX";
-    if (!mkdtemp(path)) throw std::runtime_error("no folder can be made in /tmp");
-    path_ = path;
+    path_ = std::filesystem::temp_directory_path() / "firtide-scale-XXXXXX";
+    if (!mkdtemp(path_.data())) throw std::runtime_error("no folder can be made at " + path_);
 }
 
 TemporaryFolder::~TemporaryFolder()
@@ -165,6 +169,7 @@
         spec.fleet_path = fleet_path(groups_[group].first);
         spec.config_path = config_path(groups_[group].first);
         spec.first = groups_[group].first;
+        spec.start_every = seconds(static_cast<double>(groups_.size()) / starts_per_second(options_.members));
         for (uint32_t place = 0; place < groups_[group].count; ++place)
             spec.data_folders.push_back(data_folder(groups_[group].first + place));
         std::ofstream(spec_path(group)) << encode_spec(spec);
--- a/scale/layout.h
+++ b/scale/layout.h
@@ -41,6 +41,9 @@
     std::string path_;
 };
 
+// Of hollow members, all processes together.
+double starts_per_second(uint32_t members);
+
 // The members that share a hollow process: their places in the fleet file, one after the other.
 struct HollowGroup {
     uint32_t first = 0, count = 0;
--- a/scale/run.cpp
+++ b/scale/run.cpp
@@ -92,6 +92,7 @@
     std::optional<RunFailure> change_and_trouble(Result& result);
     std::optional<RunFailure> read_after(Result& result);
     std::optional<RunFailure> wait_for_last_change(Result& result);
+    std::optional<RunFailure> last_views();
     std::optional<RunFailure> conclude(Result& result);
 
     void on_signal(int number);
@@ -238,7 +239,8 @@
 std::optional<RunFailure> Run::warm_up(Result& result)
 {
     const Point began = monotonic_now();
-    auto failed = until([&] { return cluster_.hollow_started(); }, whole_within,
+    const Span starts = seconds(2 * options_.hollow() / starts_per_second(options_.members));
+    auto failed = until([&] { return cluster_.hollow_started(); }, whole_within + starts,
                         "the hollow members have not started in time");
     if (failed) return failed;
     failed = until(
@@ -453,12 +455,26 @@
     return {};
 }
 
+// Whoever was suspected, or has just returned, is given time to be seen alive again.
+std::optional<RunFailure> Run::last_views()
+{
+    const Point end = monotonic_now() + reached_within;
+    for (;;) {
+        looked_ = monotonic_now();
+        cluster_.ask_views();
+        const auto answered = [&] { return cluster_.answered() && monotonic_now() - looked_ >= look_every; };
+        if (auto failed = until(answered, answers_within, "not all members have answered in time"))
+            return failed;
+        const auto leads = leader();
+        const uint32_t up = options_.members - killed_members_;
+        if (leads && cluster_.real_view(*leads)->alive == up) return {};
+        if (monotonic_now() > end) return {};
+    }
+}
+
 std::optional<RunFailure> Run::conclude(Result& result)
 {
-    cluster_.ask_views();
-    if (auto failed = until([&] { return cluster_.answered(); }, answers_within,
-                            "not all members have answered in time"))
-        return failed;
+    if (auto failed = last_views()) return failed;
     fill_roles(result);
     fill_changes(result);
     fill_traffic(result);
