--- a/scale/layout.cpp
+++ b/scale/layout.cpp
@@ -61,9 +61,8 @@
     return {};
 }
 
-TemporaryFolder::TemporaryFolder()
+TemporaryFolder::TemporaryFolder() : path_(std::filesystem::temp_directory_path() / "firtide-scale-XXXXXX")
 {
-    path_ = std::filesystem::temp_directory_path() / "firtide-scale-XXXXXX";
     if (!mkdtemp(path_.data())) throw std::runtime_error("no folder can be made at " + path_);
 }
 
