Scale runs: estimate and members to a process by measured descriptors and memory

Runs of 800 members ran out of descriptors with 150 and with 80 hollow members to a process; one of 200 members and 2000 upstreams took 740 MB where 650 had been estimated.

--- a/scale/estimate.cpp
+++ b/scale/estimate.cpp
@@ -6,24 +6,28 @@
 #include <algorithm>
 #include <cmath>
 
+#include "layout.h"
+
 namespace firtide::scale
 {
 namespace
 {
 
-// Measured as resident memory with 3 voters and lists of whole upstreams, rounded up; docs/capacity/scale.md
-// tells how. In MB, or in KB where the name says so.
-constexpr double controller_mb = 30, real_process_mb = 20, hollow_process_mb = 20;
-constexpr double real_member_kb = 8;      // at a real process, for each member of the fleet
-constexpr double hollow_base_kb = 150;    // of a hollow member by itself
-constexpr double hollow_member_kb = 0.6;  // at a hollow member, for each member of the fleet
-constexpr double list_entry_kb = 0.1;     // of an upstream in the text of a list
-constexpr double hollow_list_copies = 8;  // at a hollow member: the last list, and what waits to be sent
-constexpr double real_list_copies = 20;   // at a real process: parsed too
-constexpr double sockets_kb = 120;        // of the system, for each member's connections
+// Measured as resident memory with 50 and 200 members and 50 to 2000 upstreams, and rounded up
+// (docs/capacity/runs). In MB, or in KB where the name says so.
+constexpr double controller_mb = 30, real_process_mb = 10, hollow_process_mb = 20;
+constexpr double real_member_kb = 8;       // at a real process, for each member of the fleet
+constexpr double hollow_base_kb = 150;     // of a hollow member by itself
+constexpr double hollow_member_kb = 0.6;   // at a hollow member, for each member of the fleet
+constexpr double list_entry_kb = 0.08;     // of an upstream in the text of a list
+constexpr double hollow_list_copies = 25;  // at a hollow member, parsed ones and what waits to be sent too
+constexpr double real_list_copies = 40;    // at a real process
 constexpr double controller_list_copies = 10;
+constexpr double sockets_kb = 120;  // of the system, for each member's connections; not measured
 
-constexpr uint64_t descriptors_a_member = 100;  // of a hollow process, while neighbours change in the warm-up
+constexpr double descriptors_a_member = 130;       // of a hollow process, where the start takes no time
+constexpr double descriptors_a_start_second = 8;   // besides: of pings to members taken for gone
+constexpr double connection_seconds = 90;          // an idle connection lasts so long
 constexpr uint64_t descriptors_a_member_real = 3;  // at a leader: one way each, and questions
 constexpr uint64_t descriptors_process = 100;
 
@@ -31,6 +35,13 @@
 
 }  // namespace
 
+uint64_t descriptors_of_hollow_member(uint32_t members)
+{
+    const double start_seconds = members / starts_per_second(members);
+    return static_cast<uint64_t>(descriptors_a_member +
+                                 descriptors_a_start_second * std::min(start_seconds, connection_seconds));
+}
+
 uint32_t hollow_processes(const Options& options)
 {
     const uint32_t hollow = options.hollow();
@@ -56,8 +67,9 @@
                        hollow_processes(options) * hollow_process_mb + hollow * one_hollow_mb +
                        members * sockets_kb / kb_in_mb;
     const uint64_t together = std::min(options.hollow(), options.hollow_per_process);
-    needed.descriptors_each = descriptors_process + std::max(together * descriptors_a_member,
-                                                             options.members * descriptors_a_member_real);
+    needed.descriptors_each =
+        descriptors_process + std::max(together * descriptors_of_hollow_member(options.members),
+                                       options.members * descriptors_a_member_real);
     return needed;
 }
 
--- a/scale/estimate.h
+++ b/scale/estimate.h
@@ -23,6 +23,9 @@
 inline constexpr uint32_t most_processes = 300;
 inline constexpr double most_memory_part = 0.5;
 
+// Most of them are connections, which last longer than the members' start takes.
+uint64_t descriptors_of_hollow_member(uint32_t members);
+
 uint32_t hollow_processes(const Options& options);
 Estimate estimate(const Options& options);
 
--- a/scale/options.cpp
+++ b/scale/options.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "estimate.h"
 #include "src/toml_table.h"
 
 namespace firtide::scale
@@ -11,7 +12,10 @@
 {
 
 constexpr uint32_t most_members = 2000, most_upstreams = 40'000, most_duties = 400, most_zones = 64;
-constexpr uint32_t most_hollow_per_process = 190;
+constexpr uint32_t most_hollow_per_process = 150;
+constexpr uint32_t usual_hollow_per_process = 100;
+constexpr uint64_t most_hollow_descriptors =
+    19'000;  // that a process may have, on the systems that this runs on
 constexpr double most_changes_per_second = 100, most_restarts_per_second = 50, most_seconds = 3600;
 constexpr uint32_t upstreams_per_service = 18;  // as planned: 37,000 upstreams in 2,000 services
 constexpr double killed_part = 0.05;
@@ -33,8 +37,8 @@
      most_upstreams},
     {"duties", "beside the list", &Options::duties, 0, most_duties},
     {"zones", "that the members are spread over", &Options::zones, 1, most_zones},
-    {"hollow-per-process", "hollow members that share a process at most", &Options::hollow_per_process, 1,
-     most_hollow_per_process},
+    {"hollow-per-process", "hollow members that share a process; 0: by their descriptors",
+     &Options::hollow_per_process, 0, most_hollow_per_process},
     {"seed", "of whatever is drawn", &Options::seed, 0, UINT32_MAX},
 };
 
@@ -179,6 +183,9 @@
 void fill_in(Options& options)
 {
     if (options.upstreams == 0) options.upstreams = options.members;
+    const auto room = most_hollow_descriptors / descriptors_of_hollow_member(options.members);
+    if (options.hollow_per_process == 0)
+        options.hollow_per_process = std::min(usual_hollow_per_process, static_cast<uint32_t>(room));
     if (options.services == 0) options.services = std::max(1U, options.upstreams / upstreams_per_service);
 }
 
--- a/scale/options.h
+++ b/scale/options.h
@@ -33,7 +33,7 @@
     uint32_t services = 0;
     uint32_t duties = 3;
     uint32_t zones = 3;
-    uint32_t hollow_per_process = 150;
+    uint32_t hollow_per_process = 0;
     double changes_per_second = 1;
     double restarts_per_second = 0;
     double seconds = 20;
--- a/tests/scale.cpp
+++ b/tests/scale.cpp
@@ -106,6 +106,7 @@
 {
     Options small, large, listed;
     small.upstreams = large.upstreams = 100;
+    for (Options* one : {&small, &large, &listed}) one->hollow_per_process = 40;
     large.members = 1000, listed.upstreams = 10'000;
     EXPECT_GT(estimate(large).memory_mb, estimate(small).memory_mb);
     EXPECT_GT(estimate(listed).memory_mb, estimate(small).memory_mb);
