--- a/src/fleet/pack.h
+++ b/src/fleet/pack.h
@@ -28,6 +28,8 @@
         size_t at = 0;
         const auto size = bytes.size();
         const msgpack::unpack_limit limit(size + 1, size + 1, size + 1, size + 1, size + 1, 16);
+        // False positive: a caller's temporary lives until this returns, and msgpack copies out of it.
+        // cppcheck-suppress danglingTemporaryLifetime
         const auto handle = msgpack::unpack(bytes.data(), size, at, nullptr, nullptr, limit);
         if (at != size) return {};
         T value;
