scale/capacity.py: the capacity page's tables, from runs

Runs that are equal but for one option are a series of that axis; a least-squares line through it is told with its residuals and R². Figures at the planned size stand beside their budget with the run they come from.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES = $(patsubst ./%,%,$(sort $(shell find . -path './build*' -prune -o -name '*.cpp' -print -o -name '*.h' -print)))
 FOLDERS = $(sort $(foreach file,$(SOURCES),$(firstword $(subst /, ,$(file)))))
 
-.PHONY: build test lint run clean
+.PHONY: build test lint capacity run clean
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
@@ -19,6 +19,10 @@
 	cppcheck -j4 --quiet --std=c++20 --language=c++ --library=googletest --enable=warning,performance,portability \
 	  --inline-suppr --suppress=missingIncludeSystem --error-exitcode=1 -I . $(FOLDERS)
 
+# The tables of docs/CAPACITY.md, from the runs kept in docs/capacity.
+capacity:
+	python3 scale/capacity.py
+
 run: build
 	$(BUILD)/firtide serve $(CONFIG)
 
--- /dev/null
+++ b/scale/capacity.py
@@ -0,0 +1,378 @@
+#!/usr/bin/env python3
+"""Writes the tables of docs/CAPACITY.md from the JSON files of runs.
+
+    python3 scale/capacity.py [--folder docs/capacity] [--page docs/CAPACITY.md]
+
+A table stands between `<!-- table NAME -->` and `<!-- end -->`; what was there is replaced. Exit status: 0; 2 with one
+line on standard error where a file or the page cannot be read.
+"""
+
+from __future__ import annotations
+
+import argparse
+import re
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from capacity_fit import Fit, Verdict
+from capacity_runs import (
+    AddedLatency,
+    LatencyRun,
+    RunFileError,
+    ScaleRun,
+    read_latency_run,
+    read_scale_run,
+)
+from capacity_series import AXES, Extrapolation, Series, base_series, extrapolate, find_series
+
+STATUS_WRONG = 2
+LATENCY_PREFIX = "latency-"
+TABLE = re.compile(r"(<!-- table (?P<name>[\w-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
+NO_RUN = "No run yet."
+FIGURE_TITLES = {
+    "cpu_percent": "% of a core",
+    "rss_mb": "MB resident",
+    "kb_per_second": "KB/s",
+    "messages_per_second": "messages/s",
+}
+# What a balancer may spend on control, by figure.
+BALANCER_BUDGET = {"cpu_percent": 2.0, "rss_mb": 64.0, "kb_per_second": 21.0}
+# A process has one loop, so an office on one of the machines set aside for control has one core.
+CONTROL_BUDGET = {"cpu_percent": 100.0}
+CONTROL_ROLES = ("leader", "voter", "list_holder")
+HIDDEN_ROLES = ("hollow",)  # where a run has real members: hollow ones only fill the fleet
+ADDED_BUDGET_MS = 0.43
+CHANGE_BUDGET_SECONDS = 12.0
+
+
+class PageError(Exception):
+    """The page cannot be read, or asks for a table that there is not."""
+
+
+@dataclass(frozen=True)
+class Runs:
+    """All runs of the folder."""
+
+    scale: list[ScaleRun]
+    latency: list[LatencyRun]
+
+    def series(self) -> dict[str, list[Series]]:
+        return {key: find_series(self.scale, axis) for key, axis in AXES.items()}
+
+
+def read_runs(folder: Path) -> Runs:
+    measured = sorted((folder / "runs").glob("*.json"))
+    virtual = sorted((folder / "virtual").glob("*.json"))
+    latency = [path for path in measured if path.name.startswith(LATENCY_PREFIX)]
+    scale = [path for path in measured if path not in latency]
+    return Runs([read_scale_run(path) for path in scale + virtual], [read_latency_run(path) for path in latency])
+
+
+def number(value: float | None) -> str:
+    """Three significant digits, without an exponent."""
+    if value is None:
+        return "—"
+    if abs(value) >= 1000:
+        return f"{value:,.0f}"
+    text = f"{value:.3g}"
+    return f"{value:.6f}".rstrip("0").rstrip(".") if "e" in text else text
+
+
+def signed(value: float) -> str:
+    text = number(abs(value))
+    return text if text == "0" else f"{'-' if value < 0 else '+'}{text}"
+
+
+def over_or_under(value: float | None, budget: float | None) -> str:
+    if value is None or budget is None:
+        return ""
+    return f"{'over' if value > budget else 'under'} {number(budget)}"
+
+
+def markdown_table(heads: list[str], rows: list[list[str]]) -> str:
+    if not rows:
+        return NO_RUN + "\n"
+    lines = [heads, ["---"] * len(heads), *rows]
+    return "".join("| " + " | ".join(cells) + " |\n" for cells in lines)
+
+
+def name_of(run: ScaleRun | LatencyRun) -> str:
+    return f"`{run.path.parent.name}/{run.path.name}`"
+
+
+def seed_of(run: ScaleRun | LatencyRun) -> str:
+    return number(run.seed) if isinstance(run.seed, float) else str(run.seed or "—")
+
+
+# Tables of runs.
+
+
+def runs_table(runs: Runs) -> str:
+    rows = []
+    for run in runs.scale:
+        other = f"{number(run.other_cpu_cores)} cores" if run.other_cpu_cores is not None else "—"
+        if run.is_virtual:
+            other = "virtual time"
+        rows.append([name_of(run), f"`{run.command}`", seed_of(run), run.commit or "—", number(run.seconds), other])
+    for run in runs.latency:
+        load = run.load_before.split(" ")[0]
+        rows.append([name_of(run), f"`{run.command}`", seed_of(run), run.commit or "—", "—", f"load {load or '—'}"])
+    return markdown_table(["run", "command", "seed", "commit", "seconds", "other programs meanwhile"], rows)
+
+
+def changes_table(runs: Runs) -> str:
+    rows = []
+    for run in runs.scale:
+        times = run.change_times
+        if times is None:
+            continue
+        rows.append(
+            [
+                name_of(run),
+                number(run.options["members"]),
+                number(run.options["upstreams"]),
+                str(run.options["lists"]),
+                str(run.options["trouble"]),
+                number(times.p50),
+                number(times.p99),
+                number(times.greatest),
+                number(times.missing),
+                over_or_under(times.greatest, CHANGE_BUDGET_SECONDS),
+            ]
+        )
+    heads = ["run", "members", "upstreams", "lists", "trouble", "p50 s", "p99 s", "greatest s", "missing", "budget s"]
+    return markdown_table(heads, rows)
+
+
+def troubles_table(runs: Runs) -> str:
+    rows = []
+    for run in runs.scale:
+        outcome = run.trouble
+        if outcome is None:
+            continue
+        until = outcome.seconds_until_agreed
+        rows.append(
+            [
+                name_of(run),
+                number(run.options["members"]),
+                str(run.options["lists"]),
+                str(run.options["trouble"]),
+                number(outcome.traffic_peak_over_rest),
+                number(outcome.bytes_peak_over_rest),
+                number(until) if until is not None else "not agreed",
+            ]
+        )
+    heads = ["run", "members", "lists", "trouble", "messages, peak over rest", "bytes, peak over rest"]
+    return markdown_table([*heads, "s until all agree"], rows)
+
+
+# Tables of series.
+
+
+def statistics_of(series: Series, role: str, figure: str) -> list[str]:
+    """The greatest is told where it differs from the median, as it does where a role has several members."""
+    spreads = [run.roles.get(role, {}).get(figure) for run in series.runs]
+    differ = any(spread and spread.median != spread.greatest for spread in spreads)
+    return ["median", "greatest"] if differ else ["median"]
+
+
+def shown(series: Series, role: str) -> bool:
+    return series.option("virtual") is True or role not in HIDDEN_ROLES
+
+
+def points_of(fit: Fit) -> str:
+    pairs = zip(fit.points, fit.residuals)
+    return "; ".join(f"{number(point.x)}: {number(point.y)} ({signed(residual)})" for point, residual in pairs)
+
+
+def verdict_of(fit: Fit) -> str:
+    if fit.verdict is not Verdict.NOT_LINEAR:
+        return fit.verdict.value
+    exponent = f", exponent {fit.power_law.exponent:.2f}" if fit.power_law else ""
+    return f"**not linear**{exponent}"
+
+
+def condition_of(series: Series) -> str:
+    """The options that all runs of a series share."""
+    shared = []
+    for name, value in series.runs[0].options.items():
+        if value is None or name in (*series.axis.varied, "virtual", "hollow_per_process"):
+            continue
+        if (name, value) in (("trouble", "none"), ("restarts_per_second", 0.0)):
+            continue
+        shown_value = number(value) if isinstance(value, float) else str(value)
+        shared.append(f"{name.replace('_', ' ')} {shown_value}")
+    where = "virtual time" if series.option("virtual") else "real processes"
+    return f"{where}; " + ", ".join(shared)
+
+
+def axis_table(all_series: dict[str, list[Series]], key: str) -> str:
+    parts = [series_table(series) for series in all_series[key]]
+    return "\n".join(parts) if parts else NO_RUN + "\n"
+
+
+def series_table(series: Series) -> str:
+    rows = []
+    for measure in series.measures():
+        if not shown(series, measure.role) or measure.statistic not in statistics_of(
+            series, measure.role, measure.figure
+        ):
+            continue
+        fit = series.fit(measure)
+        if fit is None:
+            continue
+        rows.append(
+            [
+                measure.role,
+                f"{FIGURE_TITLES[measure.figure]}, {measure.statistic}",
+                points_of(fit),
+                number(fit.intercept),
+                number(fit.slope),
+                f"{fit.r_squared:.3f}",
+                f"{100 * fit.largest_residual_share():.0f} %",
+                verdict_of(fit),
+            ]
+        )
+    heads = ["role", "figure", f"{series.axis.name}: value (residual)", "intercept", "slope", "R²"]
+    table = markdown_table([*heads, "largest residual of the range", "verdict"], rows)
+    files = ", ".join(name_of(run) for run in series.runs)
+    return f"*{series.axis.name}* — {condition_of(series)}. Runs: {files}.\n\n{table}"
+
+
+# The planned fleet.
+
+
+def target_table(all_series: dict[str, list[Series]]) -> str:
+    rows = []
+    for base in base_series(all_series):
+        for measure in base.measures():
+            if not shown(base, measure.role) or measure.statistic not in statistics_of(
+                base, measure.role, measure.figure
+            ):
+                continue
+            at_target = extrapolate(all_series, base, measure)
+            if at_target is not None:
+                rows.append(target_row(base, at_target))
+    heads = ["lists", "role", "figure", "at the planned size", "balancer's budget", "one core of 24 machines"]
+    return markdown_table([*heads, "extrapolated", "largest run", "seed", "commit", "not as planned in the runs"], rows)
+
+
+def target_row(base: Series, at_target: Extrapolation) -> list[str]:
+    measure, source = at_target.measure, at_target.source
+    control = CONTROL_BUDGET.get(measure.figure) if measure.role in CONTROL_ROLES else None
+    return [
+        f"{base.option('lists')}, {'virtual' if base.option('virtual') else 'real'}",
+        measure.role,
+        f"{FIGURE_TITLES[measure.figure]}, {measure.statistic}",
+        value_of(at_target),
+        over_or_under(at_target.value, BALANCER_BUDGET.get(measure.figure)),
+        over_or_under(at_target.value, control),
+        ", ".join(f"{step.axis.option} ×{number(step.factor)}" for step in at_target.steps),
+        name_of(source),
+        seed_of(source),
+        source.commit or "—",
+        ", ".join(f"{name} {number(value)}" for name, value in at_target.unlike_target.items()) or "—",
+    ]
+
+
+def value_of(at_target: Extrapolation) -> str:
+    if at_target.value is None:
+        exponent = f" (exponent {at_target.exponent:.2f})" if at_target.exponent is not None else ""
+        return f"not extrapolated: not linear{exponent}"
+    error = f" ± {number(2 * at_target.standard_error)}" if at_target.standard_error is not None else ""
+    unchecked = ", from two sizes only" if at_target.verdict is Verdict.UNCHECKED else ""
+    return f"{number(at_target.value)}{error}{unchecked}"
+
+
+# Latency.
+
+
+def latency_table(runs: Runs) -> str:
+    rows = [latency_row(run, one) for run in runs.latency for one in run.rates]
+    return markdown_table(latency_heads("calls/s"), rows)
+
+
+def depth_table(runs: Runs) -> str:
+    rows = [latency_row(run, one) for run in runs.latency for one in run.chains]
+    return markdown_table(latency_heads("balancers in a row, calls/s"), rows)
+
+
+def latency_heads(first: str) -> list[str]:
+    direct = ["direct p50 ms", "direct p99 ms"]
+    added = ["added p50 ms (least to greatest)", "added p99 ms (least to greatest)", "a call's budget at each"]
+    return ["run", first, *direct, *added, "answered", "failed"]
+
+
+def latency_row(run: LatencyRun, one: AddedLatency) -> list[str]:
+    at_each = one.added_p99.median / one.balancers
+    rate = number(one.calls_per_second)
+    return [
+        name_of(run),
+        rate if one.balancers == 1 else f"{one.balancers}, {rate}",
+        number(one.direct_p50),
+        number(one.direct_p99),
+        range_of(one.added_p50),
+        range_of(one.added_p99),
+        over_or_under(at_each, ADDED_BUDGET_MS),
+        str(one.answered),
+        str(one.failed),
+    ]
+
+
+def range_of(added) -> str:
+    return f"{number(added.median)} ({number(added.least)} to {number(added.greatest)})"
+
+
+# The page.
+
+
+def tables_of(runs: Runs) -> dict[str, str]:
+    all_series = runs.series()
+    tables = {f"axis-{key}": axis_table(all_series, key) for key in AXES}
+    tables["axis-depth"] = depth_table(runs)
+    tables["runs"] = runs_table(runs)
+    tables["changes"] = changes_table(runs)
+    tables["troubles"] = troubles_table(runs)
+    tables["target"] = target_table(all_series)
+    tables["latency"] = latency_table(runs)
+    return tables
+
+
+def fill_page(text: str, tables: dict[str, str]) -> str:
+    def filled(match: re.Match) -> str:
+        name = match["name"]
+        if name not in tables:
+            raise PageError(f"there is no table '{name}'")
+        return f"{match[1]}\n{tables[name]}\n{match[3]}"
+
+    return TABLE.sub(filled, text)
+
+
+def write_page(folder: Path, page: Path) -> None:
+    try:
+        text = page.read_text(encoding="utf-8")
+    except OSError as error:
+        raise PageError(f"cannot be read: {error.strerror}") from error
+    filled = fill_page(text, tables_of(read_runs(folder)))
+    page.write_text(filled, encoding="utf-8")
+
+
+def main(arguments: list[str]) -> int:
+    parser = argparse.ArgumentParser(description="Writes the tables of the capacity page from runs.")
+    parser.add_argument("--folder", type=Path, default=Path("docs/capacity"), help="with runs/ and virtual/")
+    parser.add_argument("--page", type=Path, default=Path("docs/CAPACITY.md"))
+    options = parser.parse_args(arguments)
+    try:
+        write_page(options.folder, options.page)
+    except RunFileError as error:
+        print(error, file=sys.stderr)
+        return STATUS_WRONG
+    except PageError as error:
+        print(f"{options.page}: {error}", file=sys.stderr)
+        return STATUS_WRONG
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
