--- a/scale/capacity.py
+++ b/scale/capacity.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from capacity_fit import Fit, Verdict
+from capacity_fit import Fit, Point, Verdict, fit_line
 from capacity_runs import (
     AddedLatency,
     LatencyRun,
@@ -186,6 +186,21 @@
     return "; ".join(f"{number(point.x)}: {number(point.y)} ({signed(residual)})" for point, residual in pairs)
 
 
+def fit_heads(axis: str) -> list[str]:
+    return [f"{axis}: value (residual)", "intercept", "slope", "R²", "largest residual of the range", "verdict"]
+
+
+def fit_cells(fit: Fit) -> list[str]:
+    return [
+        points_of(fit),
+        number(fit.intercept),
+        number(fit.slope),
+        f"{fit.r_squared:.3f}",
+        f"{100 * fit.largest_residual_share():.0f} %",
+        verdict_of(fit),
+    ]
+
+
 def verdict_of(fit: Fit) -> str:
     if fit.verdict is not Verdict.NOT_LINEAR:
         return fit.verdict.value
@@ -222,20 +237,8 @@
         fit = series.fit(measure)
         if fit is None:
             continue
-        rows.append(
-            [
-                measure.role,
-                f"{FIGURE_TITLES[measure.figure]}, {measure.statistic}",
-                points_of(fit),
-                number(fit.intercept),
-                number(fit.slope),
-                f"{fit.r_squared:.3f}",
-                f"{100 * fit.largest_residual_share():.0f} %",
-                verdict_of(fit),
-            ]
-        )
-    heads = ["role", "figure", f"{series.axis.name}: value (residual)", "intercept", "slope", "R²"]
-    table = markdown_table([*heads, "largest residual of the range", "verdict"], rows)
+        rows.append([measure.role, f"{FIGURE_TITLES[measure.figure]}, {measure.statistic}", *fit_cells(fit)])
+    table = markdown_table(["role", "figure", *fit_heads(series.axis.name)], rows)
     files = ", ".join(name_of(run) for run in series.runs)
     return f"*{series.axis.name}* — {condition_of(series)}. Runs: {files}.\n\n{table}"
 
@@ -295,17 +298,31 @@
 
 def depth_table(runs: Runs) -> str:
     rows = [latency_row(run, one) for run in runs.latency for one in run.chains]
-    return markdown_table(latency_heads("balancers in a row, calls/s"), rows)
+    measured = markdown_table(latency_heads("balancers in a row, calls/s"), rows)
+    fits = depth_fits([one for run in runs.latency for one in run.chains])
+    return f"{measured}\n{fits}" if fits else measured
+
+
+def depth_fits(chains: list[AddedLatency]) -> str:
+    """Lines over the number of balancers in a row; empty where no rate was measured at two depths."""
+    rows = []
+    for rate in sorted({one.calls_per_second for one in chains}):
+        at_rate = [one for one in chains if one.calls_per_second == rate]
+        if len({one.balancers for one in at_rate}) < 2:
+            continue
+        for name, value in (("p50", lambda one: one.added_p50.median), ("p99", lambda one: one.added_p99.median)):
+            fit = fit_line([Point(one.balancers, value(one)) for one in at_rate])
+            rows.append([number(rate), f"added {name} ms", *fit_cells(fit)])
+    return markdown_table(["calls/s", "figure", *fit_heads("balancers in a row")], rows) if rows else ""
 
 
 def latency_heads(first: str) -> list[str]:
     direct = ["direct p50 ms", "direct p99 ms"]
-    added = ["added p50 ms (least to greatest)", "added p99 ms (least to greatest)", "a call's budget at each"]
+    added = ["added p50 ms (least to greatest)", "added p99 ms (least to greatest)", "budget ms, 0.43 at each"]
     return ["run", first, *direct, *added, "answered", "failed"]
 
 
 def latency_row(run: LatencyRun, one: AddedLatency) -> list[str]:
-    at_each = one.added_p99.median / one.balancers
     rate = number(one.calls_per_second)
     return [
         name_of(run),
@@ -314,7 +331,7 @@
         number(one.direct_p99),
         range_of(one.added_p50),
         range_of(one.added_p99),
-        over_or_under(at_each, ADDED_BUDGET_MS),
+        over_or_under(one.added_p99.median, ADDED_BUDGET_MS * one.balancers),
         str(one.answered),
         str(one.failed),
     ]
--- a/tests/capacity_test.py
+++ b/tests/capacity_test.py
@@ -285,6 +285,20 @@
         self.assertIn("`runs/members-200.json` | 1 | abc1234 |", page)
         self.assertIn("| over 0.43 | 100 | 1 |", page)
 
+    def test_depth_is_fitted_where_a_rate_has_two_depths(self):
+        rate = LATENCY_RUN["rates"][0]
+
+        def chain(balancers, p50):
+            added = {"p50": {"median": p50, "min": p50, "max": p50}, "p99": rate["added_ms"]["p99"]}
+            return {**rate, "balancers": balancers, "added_ms": added}
+
+        chains = [chain(1, 0.2), chain(4, 0.5), chain(11, 1.2)]
+        for i, one in enumerate(chains):
+            self.keep(f"runs/latency-{i}.json", {"run": LATENCY_RUN["run"], "chain": one})
+        _, _, page = self.write_page("<!-- table axis-depth -->\n<!-- end -->\n")
+        self.assertIn("| 154 | added p50 ms | 1: 0.2 (0); 4: 0.5 (0); 11: 1.2 (0) | 0.1 | 0.1 | 1.000 | 0 % | linear |", page)
+        self.assertIn("| under 4.73 |", page)  # 11 balancers, 0.43 ms at each
+
     def test_writing_again_changes_nothing(self):
         self.keep("runs/a.json", real_run())
         _, _, first = self.write_page("<!-- table runs -->\n<!-- end -->\n")
