firtide-lab scale: traffic by role, changes in force and troubles of large fleets

What a fleet costs as it grows was measured by hand, at rest only. A scale run begins with a fleet that has long been up and gives JSON: messages and bytes in and out by role, the times until changes of the list are in force everywhere, changes that are missing at the end, and for four troubles the peak of traffic over rest and the time until all agree.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -1,10 +1,15 @@
 // firtide-lab: fleets in virtual time, from the command line.
+#include <sys/resource.h>
+
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <cstdio>
+#include <fstream>
 
 #include "check.h"
+#include "scale.h"
 #include "subsets.h"
 #include "troubles.h"
 #include "walk.h"
@@ -125,6 +130,33 @@
     return w.broken().empty() ? 0 : 1;
 }
 
+double peak_memory_mb()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return static_cast<double>(usage.ru_maxrss) / 1024;
+}
+
+// Exit status 2: the plan, or the file for the report, can't be used.
+int scale(const ScalePlan& plan, const std::string& json)
+{
+    if (const auto fault = plan.fault(); !fault.empty()) {
+        std::fprintf(stderr, "%s\n", fault.c_str());
+        return 2;
+    }
+    const auto began = std::chrono::steady_clock::now();
+    const ScaleResult result = ScaleRun(plan).run();
+    const std::chrono::duration<double> wall = std::chrono::steady_clock::now() - began;
+    const auto report = scale_report(plan, result, {wall.count(), peak_memory_mb()});
+    if (json.empty()) {
+        std::fputs(report.c_str(), stdout);
+    } else if (!(std::ofstream(json) << report << std::flush)) {
+        std::fprintf(stderr, "%s cannot be written\n", json.c_str());
+        return 2;
+    }
+    return result.broken.empty() ? 0 : 1;
+}
+
 int subsets(size_t members, size_t upstreams, uint32_t size, size_t seeds)
 {
     std::printf("%zu members, %zu upstreams, %u in a subset, mean of %zu seeds\n", members, upstreams, size,
@@ -229,6 +261,20 @@
     double tick = options.tick.seconds();
     resting->add_option("--tick", tick, "seconds")->check(CLI::Range(0.02, 0.05));
     resting->add_flag("--acquainted", acquainted, "all know each other from the start");
+    auto* scaling = app.add_subcommand("scale", "what a fleet costs as it grows, as JSON");
+    ScalePlan plan;
+    std::string trouble = "none", json;
+    scaling->add_option("--members", plan.members);
+    scaling->add_option("--voters", plan.voters);
+    scaling->add_option("--duties", plan.duties);
+    scaling->add_option("--zones", plan.zones);
+    scaling->add_option("--upstreams", plan.upstreams);
+    scaling->add_option("--changes-per-second", plan.changes_per_second);
+    scaling->add_option("--seconds", plan.seconds);
+    scaling->add_option("--seed", plan.seed);
+    scaling->add_option("--trouble", trouble, "none, killed, zone, regions or restart");
+    scaling->add_flag("--deltas", plan.deltas, "the list goes round as deltas");
+    scaling->add_option("--json", json, "file for the report");
     auto* subsetting = app.add_subcommand("subsets", "ways to choose subsets of the upstreams, compared");
     size_t members = 300, upstreams = 60, size = 18;
     subsetting->add_option("--members", members)->check(CLI::Range(2, 5000));
@@ -248,7 +294,23 @@
     returning->add_option("--upstreams", simulated_upstreams)->check(CLI::Range(6, 1000));
     returning->add_option("--from", seeds.first, "seed");
     returning->add_option("--to", seeds.last, "seed");
-    CLI11_PARSE(app, argc, argv);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& e) {
+        if (!scaling->parsed() || e.get_exit_code() == 0) return app.exit(e);
+        std::fprintf(stderr, "%s\n", e.what());
+        return 2;
+    }
+    if (scaling->parsed()) {
+        const auto known = scale_trouble_of(trouble);
+        if (!known) {
+            std::fprintf(stderr, "trouble: none, killed, zone, regions or restart, not '%s'\n",
+                         trouble.c_str());
+            return 2;
+        }
+        plan.trouble = *known;
+        return scale(plan, json);
+    }
     if (returning->parsed()) return returns(simulated_balancers, simulated_upstreams, seeds);
     if (simulating->parsed()) return simulate_service(simulated_balancers, simulated_upstreams, seeds, only);
     if (subsetting->parsed()) return subsets(members, upstreams, static_cast<uint32_t>(size), seeds.last);
--- /dev/null
+++ b/lab/scale.cpp
@@ -0,0 +1,424 @@
+#include "scale.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+#include "src/fleet/list_text.h"
+
+namespace firtide::lab
+{
+namespace
+{
+
+constexpr size_t most_members = 20000, most_upstreams = 50000, most_duties = 500, most_zones = 64;
+constexpr double most_seconds = 3600, most_changes = 1000;
+constexpr Span warm_up = seconds(10), bucket = seconds(1), look_every = seconds(0.1);
+constexpr Span killed_for = seconds(10), zone_gone_for = seconds(20), split_for = seconds(60),
+               restarted_within = seconds(10), down_at_restart = seconds(0.5);
+constexpr Span longest_settling = seconds(120);
+constexpr size_t one_killed_of = 20;
+constexpr uint32_t regions = 3;
+constexpr uint64_t first_version = 1;
+
+constexpr std::pair<ScaleTrouble, const char*> trouble_names[] = {{ScaleTrouble::none, "none"},
+                                                                  {ScaleTrouble::killed, "killed"},
+                                                                  {ScaleTrouble::zone, "zone"},
+                                                                  {ScaleTrouble::regions, "regions"},
+                                                                  {ScaleTrouble::restart, "restart"}};
+
+template <class T>
+Spread spread_of(std::vector<T> values, double over)
+{
+    if (values.empty()) return {};
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    const auto greatest = *std::max_element(values.begin(), values.end());
+    return {static_cast<double>(*middle) / over, static_cast<double>(greatest) / over};
+}
+
+World::Traffic operator-(const World::Traffic& a, const World::Traffic& b)
+{
+    return {a.messages_out - b.messages_out, a.bytes_out - b.bytes_out, a.messages_in - b.messages_in,
+            a.bytes_in - b.bytes_in};
+}
+
+RoleTraffic role_traffic(const std::vector<World::Traffic>& of, double lasts)
+{
+    constexpr double kilo = 1000;
+    const auto spread = [&](double over, auto&& value) {
+        std::vector<uint64_t> values;
+        for (const World::Traffic& t : of) values.push_back(value(t));
+        return spread_of(std::move(values), over);
+    };
+    RoleTraffic role;
+    role.members = of.size();
+    role.messages = spread(lasts, [](const auto& t) { return t.messages_in + t.messages_out; });
+    role.messages_in = spread(lasts, [](const auto& t) { return t.messages_in; });
+    role.messages_out = spread(lasts, [](const auto& t) { return t.messages_out; });
+    role.kilobytes = spread(lasts * kilo, [](const auto& t) { return t.bytes_in + t.bytes_out; });
+    role.kilobytes_in = spread(lasts * kilo, [](const auto& t) { return t.bytes_in; });
+    role.kilobytes_out = spread(lasts * kilo, [](const auto& t) { return t.bytes_out; });
+    return role;
+}
+
+// Most voters are in region 0, so that duties are granted there.
+uint32_t region_of(size_t node, size_t voters)
+{
+    if (node >= voters) return static_cast<uint32_t>(node % regions);
+    const size_t majority = voters / 2 + 1;
+    return node < majority ? 0 : static_cast<uint32_t>(1 + (node - majority) % (regions - 1));
+}
+
+}  // namespace
+
+const char* text_of(ScaleTrouble trouble)
+{
+    for (const auto& [value, name] : trouble_names)
+        if (value == trouble) return name;
+    return "";
+}
+
+std::optional<ScaleTrouble> scale_trouble_of(std::string_view text)
+{
+    for (const auto& [value, name] : trouble_names)
+        if (text == name) return value;
+    return {};
+}
+
+std::string ScalePlan::fault() const
+{
+    const auto between = [](const char* what, double value, double least, double most) -> std::string {
+        if (value >= least && value <= most) return "";
+        char text[128];
+        std::snprintf(text, sizeof text, "%s: from %g to %g are possible, not %g", what, least, most, value);
+        return text;
+    };
+    if (voters != 3 && voters != 5 && voters != 7)
+        return "voters: 3, 5 or 7 members vote, not " + std::to_string(voters);
+    const std::string faults[] = {
+        between("members", static_cast<double>(members), static_cast<double>(voters), most_members),
+        between("duties", static_cast<double>(duties), 0, most_duties),
+        between("zones", static_cast<double>(zones), 1, most_zones),
+        between("upstreams", static_cast<double>(upstreams), 1, most_upstreams),
+        between("changes-per-second", changes_per_second, 0, most_changes),
+        between("seconds", seconds, 1, most_seconds)};
+    for (const std::string& fault : faults)
+        if (!fault.empty()) return fault;
+    if (trouble == ScaleTrouble::zone && zones < 2) return "zones: where one is lost, two are needed";
+    return "";
+}
+
+World::Options ScaleRun::world_options() const
+{
+    World::Options options;
+    options.members = plan_.members, options.voters = plan_.voters, options.duties = plan_.duties;
+    options.zones = plan_.zones;
+    options.list = true;
+    options.list_entries = plan_.upstreams;
+    if (plan_.deltas) options.deltas.emplace();
+    options.tick = seconds(0.05);  // as the program's
+    return options;
+}
+
+ScaleRun::ScaleRun(const ScalePlan& plan)
+    : plan_(plan),
+      world_(world_options(), plan.seed),
+      members_(plan.members),
+      chance_(static_cast<uint32_t>(plan.seed + 1))
+{
+    changed_at_.assign(first_version + 1, world_.now());
+    world_.discovery_is(first_version, whole_list_text(first_version, world_.discovery_lines(first_version)));
+    world_.on_effect = [this](size_t node, FleetEffect& effect) {
+        if (const auto* use = std::get_if<UseList>(&effect)) list_in_use(node, use->version);
+    };
+}
+
+void ScaleRun::list_in_use(size_t node, uint64_t version)
+{
+    MemberState& member = members_[node];
+    for (uint64_t v = std::max(member.list + 1, member.first_counted); v <= version; ++v)
+        if (v > first_version) waits_us_.push_back(static_cast<uint32_t>((world_.now() - changed_at_[v]).us));
+    member.list = std::max(member.list, version);
+}
+
+void ScaleRun::change_list()
+{
+    const uint64_t version = changed_at_.size();
+    changed_at_.push_back(world_.now());
+    world_.discovery_is(
+        version, plan_.deltas ? std::string() : whole_list_text(version, world_.discovery_lines(version)));
+}
+
+// Of a Poisson process: changes keep no step with the times at which discovery is asked.
+Span ScaleRun::until_next_change()
+{
+    return seconds(std::exponential_distribution<>(plan_.changes_per_second)(chance_));
+}
+
+void ScaleRun::begin_seconds()
+{
+    seconds_.clear();
+    second_began_ = world_.now();
+    second_before_ = world_.count;
+}
+
+void ScaleRun::advance(Point until)
+{
+    while (world_.now() < until) {
+        const bool change = changing_ && next_change_ <= until;
+        const Point second_ends = second_began_ + bucket;
+        world_.run_until(std::min(second_ends, change ? next_change_ : until));
+        if (change && world_.now() >= next_change_) {
+            change_list();
+            next_change_ = next_change_ + until_next_change();
+        }
+        if (world_.now() < second_ends) continue;
+        seconds_.push_back(
+            {world_.count.messages - second_before_.messages, world_.count.bytes - second_before_.bytes});
+        second_began_ = world_.now();
+        second_before_ = world_.count;
+    }
+}
+
+void ScaleRun::run_for(Span span) { advance(world_.now() + span); }
+
+std::optional<size_t> ScaleRun::list_holder() const
+{
+    const auto holders = world_.holders("list");
+    return holders.empty() ? std::nullopt : std::optional(holders.front());
+}
+
+std::string ScaleRun::role_of(size_t node, std::optional<size_t> leader, std::optional<size_t> holder) const
+{
+    if (node == leader) return "leader";
+    if (node == holder) return "holder.list";
+    return node < plan_.voters ? "voter" : "member";
+}
+
+// What each member's role is at the end counts for the whole time: at rest roles do not move.
+void ScaleRun::measure_rest()
+{
+    const auto before = world_.traffic;
+    run_for(seconds(plan_.seconds));
+    const auto leader = world_.leader(), holder = list_holder();
+    std::map<std::string, std::vector<World::Traffic>> by_role;
+    for (size_t i = 0; i < plan_.members; ++i)
+        by_role[role_of(i, leader, holder)].push_back(world_.traffic[i] - before[i]);
+    for (const auto& [role, traffic] : by_role) result_.roles[role] = role_traffic(traffic, plan_.seconds);
+}
+
+void ScaleRun::start(size_t node)
+{
+    members_[node] = {0, changed_at_.size()};
+    world_.start(node);
+}
+
+void ScaleRun::crash(size_t node) { world_.crash(node); }
+
+std::vector<size_t> ScaleRun::members_to_kill()
+{
+    std::vector<size_t> all(plan_.members);
+    for (size_t i = 0; i < all.size(); ++i) all[i] = i;
+    std::shuffle(all.begin(), all.end(), world_.chance());
+    all.resize(std::max<size_t>(1, all.size() / one_killed_of));
+    return all;
+}
+
+void ScaleRun::crash_for(const std::vector<size_t>& nodes, Span away)
+{
+    for (const size_t i : nodes) crash(i);
+    run_for(away);
+    for (const size_t i : nodes) start(i);
+}
+
+void ScaleRun::split_regions()
+{
+    for (size_t i = 0; i < plan_.members; ++i) world_.set_region(i, region_of(i, plan_.voters));
+    const auto holder = list_holder();
+    const uint32_t known_in = holder ? region_of(*holder, plan_.voters) : 0;
+    world_.discovery_answers = [this, known_in](size_t node) {
+        return region_of(node, plan_.voters) == known_in;
+    };
+    run_for(split_for);
+    world_.discovery_answers = nullptr;
+    world_.heal();
+}
+
+void ScaleRun::restart_all()
+{
+    const Span step = restarted_within * (1.0 / static_cast<double>(plan_.members));
+    for (size_t i = 0; i < plan_.members; ++i) {
+        world_.schedule(step * static_cast<double>(i), SIZE_MAX, [this, i] { crash(i); });
+        world_.schedule(step * static_cast<double>(i) + down_at_restart, SIZE_MAX, [this, i] { start(i); });
+    }
+    run_for(restarted_within + down_at_restart);
+}
+
+void ScaleRun::play_trouble()
+{
+    double messages = 0, bytes = 0;
+    for (const Second& s : seconds_) {
+        messages += static_cast<double>(s.messages) / static_cast<double>(seconds_.size());
+        bytes += static_cast<double>(s.bytes) / static_cast<double>(seconds_.size());
+    }
+    begin_seconds();
+    switch (plan_.trouble) {
+        case ScaleTrouble::none: return;
+        case ScaleTrouble::killed: crash_for(members_to_kill(), killed_for); break;
+        case ScaleTrouble::zone: {
+            std::vector<size_t> zone;
+            for (size_t i = plan_.zones - 1; i < plan_.members; i += plan_.zones) zone.push_back(i);
+            crash_for(zone, zone_gone_for);
+            break;
+        }
+        case ScaleTrouble::regions: split_regions(); break;
+        case ScaleTrouble::restart: restart_all(); break;
+    }
+    TroubleOutcome outcome;
+    const Point ended = world_.now();
+    if (settle(changed_at_.size() - 1, longest_settling))
+        outcome.seconds_until_agreed = (world_.now() - ended).seconds();
+    run_for(bucket);  // so that the last second is whole
+    for (const Second& s : seconds_) {
+        outcome.traffic_peak_over_rest =
+            std::max(outcome.traffic_peak_over_rest, static_cast<double>(s.messages) / messages);
+        outcome.bytes_peak_over_rest =
+            std::max(outcome.bytes_peak_over_rest, static_cast<double>(s.bytes) / bytes);
+    }
+    result_.trouble = outcome;
+}
+
+bool ScaleRun::agreed(uint64_t version)
+{
+    std::optional<size_t> first;
+    size_t up = 0;
+    for (size_t i = 0; i < plan_.members; ++i) up += world_.up(i);
+    for (size_t i = 0; i < plan_.members; ++i) {
+        if (!world_.up(i)) continue;
+        if (!first) first = i;
+        const Members& members = world_.fleet(i).members();
+        if (members.alive() != up || members_[i].list < version) return false;
+        if (members.digest() != world_.fleet(*first).members().digest()) return false;
+    }
+    return true;
+}
+
+bool ScaleRun::settle(uint64_t version, Span longest)
+{
+    const Point end = world_.now() + longest;
+    while (!agreed(version)) {
+        if (world_.now() >= end) return false;
+        run_for(look_every);
+    }
+    return true;
+}
+
+// No more changes; those that were made have to be in force.
+void ScaleRun::finish()
+{
+    changing_ = false;
+    const uint64_t newest = changed_at_.size() - 1;
+    settle(newest, longest_settling);
+    for (size_t i = 0; i < plan_.members; ++i) {
+        if (!world_.up(i)) continue;
+        const uint64_t has = std::max(members_[i].list, members_[i].first_counted - 1);
+        result_.changes_missing += newest - std::min(newest, has);
+    }
+    // Who was started anew needs the newest list, however old its changes are.
+    for (size_t i = 0; i < plan_.members; ++i)
+        result_.changes_missing +=
+            world_.up(i) && members_[i].list < newest && members_[i].first_counted > newest;
+    std::sort(waits_us_.begin(), waits_us_.end());
+    ChangeTimes& times = result_.change_in_force;
+    times.counted = waits_us_.size();
+    const auto at = [&](double part) {
+        if (waits_us_.empty()) return 0.0;
+        const auto place = static_cast<size_t>(part * static_cast<double>(waits_us_.size() - 1));
+        return waits_us_[place] / 1e6;
+    };
+    times.p50 = at(0.5), times.p99 = at(0.99), times.greatest = at(1);
+    result_.messages = world_.count.messages, result_.bytes = world_.count.bytes;
+    result_.broken = world_.broken();
+}
+
+ScaleResult ScaleRun::run()
+{
+    world_.start_all_acquainted();
+    world_.run(warm_up);
+    changing_ = plan_.changes_per_second > 0;
+    if (changing_) next_change_ = world_.now() + until_next_change();
+    begin_seconds();
+    measure_rest();
+    if (plan_.trouble != ScaleTrouble::none) play_trouble();
+    finish();
+    return std::move(result_);
+}
+
+std::string scale_report(const ScalePlan& plan, const ScaleResult& result, const ScaleMachine& machine)
+{
+    using Json = nlohmann::ordered_json;
+    const auto rounded = [](double value) {
+        char text[32];
+        std::snprintf(text, sizeof text, "%.3f", value);
+        return std::stod(text);
+    };
+    const auto number = [](double value) {
+        char text[32];
+        std::snprintf(text, sizeof text, "%g", value);
+        return std::string(text);
+    };
+    const auto spread = [&](const Spread& s) {
+        return Json{{"median", rounded(s.median)}, {"greatest", rounded(s.greatest)}};
+    };
+    const std::string command = "firtide-lab scale --members " + std::to_string(plan.members) + " --voters " +
+                                std::to_string(plan.voters) + " --duties " + std::to_string(plan.duties) +
+                                " --zones " + std::to_string(plan.zones) + " --upstreams " +
+                                std::to_string(plan.upstreams) + " --changes-per-second " +
+                                number(plan.changes_per_second) + " --seconds " + number(plan.seconds) +
+                                " --seed " + std::to_string(plan.seed) + " --trouble " +
+                                text_of(plan.trouble) + (plan.deltas ? " --deltas" : "");
+    Json json;
+    json["run"] = {{"command", command},
+                   {"members", plan.members},
+                   {"voters", plan.voters},
+                   {"duties", plan.duties},
+                   {"zones", plan.zones},
+                   {"upstreams", plan.upstreams},
+                   {"changes_per_second", plan.changes_per_second},
+                   {"seconds", plan.seconds},
+                   {"seed", plan.seed},
+                   {"trouble", text_of(plan.trouble)},
+                   {"deltas", plan.deltas},
+                   {"virtual", true}};
+    json["roles"] = Json::object();
+    for (const auto& [role, traffic] : result.roles)
+        json["roles"][role] = {{"members", traffic.members},
+                               {"messages_per_second", spread(traffic.messages)},
+                               {"messages_in_per_second", spread(traffic.messages_in)},
+                               {"messages_out_per_second", spread(traffic.messages_out)},
+                               {"kb_per_second", spread(traffic.kilobytes)},
+                               {"kb_in_per_second", spread(traffic.kilobytes_in)},
+                               {"kb_out_per_second", spread(traffic.kilobytes_out)}};
+    const ChangeTimes& times = result.change_in_force;
+    json["change_in_force_seconds"] = {{"p50", rounded(times.p50)},
+                                       {"p99", rounded(times.p99)},
+                                       {"max", rounded(times.greatest)},
+                                       {"counted", times.counted}};
+    json["changes_missing"] = result.changes_missing;
+    json["rules_broken"] = result.broken.size();
+    json["trouble"] = nullptr;
+    if (const auto& trouble = result.trouble) {
+        json["trouble"] = {{"traffic_peak_over_rest", rounded(trouble->traffic_peak_over_rest)},
+                           {"bytes_peak_over_rest", rounded(trouble->bytes_peak_over_rest)},
+                           {"seconds_until_agreed", nullptr},
+                           {"changes_missing", result.changes_missing}};
+        if (trouble->seconds_until_agreed)
+            json["trouble"]["seconds_until_agreed"] = rounded(*trouble->seconds_until_agreed);
+    }
+    json["machine"] = {{"wall_seconds", rounded(machine.wall_seconds)},
+                       {"peak_memory_mb", rounded(machine.peak_memory_mb)}};
+    return json.dump(2) + "\n";
+}
+
+}  // namespace firtide::lab
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -99,7 +99,7 @@
         MemberLine m;
         m.id = "m" + std::to_string(i + 1);
         m.key = key_of(m.id);
-        m.zone = "z" + std::to_string(i % 3);
+        m.zone = "z" + std::to_string(i % options_.zones);
         m.voter = i < options_.voters;
         file.members.push_back(std::move(m));
     }
--- a/lab/world.h
+++ b/lab/world.h
@@ -61,11 +61,11 @@
 {
   public:
     struct Options {
-        size_t members = 5, voters = 3, duties = 4;
+        size_t members = 5, voters = 3, duties = 4, zones = 3;
         Lease lease;
         bool list = false;
         std::optional<DeltasRule> deltas;
-        size_t list_entries = 12;  // that discovery may know, with deltas
+        size_t list_entries = 12;  // that discovery may know
         std::optional<uint32_t> probe_parts, drain_most;
         std::optional<SubsetRule> subset;
         std::optional<SignalRule> signals;
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -124,7 +124,7 @@
     std::unordered_map<Member, Watch> watch_;
     Point heard_at_least_;  // each is taken to have been heard since then
     std::vector<Member> neighbours_, successors_;
-    std::vector<Watch*> neighbour_watches_;  // in step with the neighbours
+    std::vector<Watch*> neighbour_watches_;                               // in step with the neighbours
     std::vector<std::pair<Member, std::pair<Member, Point>>> asked_for_;  // subject, who asked and when
     std::vector<Send> sends_;
     std::vector<HealthChange> changes_;
