--- a/lab/walk.cpp
+++ b/lab/walk.cpp
@@ -5,6 +5,15 @@
 namespace
 {
 
+// A member's own agent of discovery tells an older list for a while.
+void agents_fall_behind(World& w, uint64_t version)
+{
+    const auto node = static_cast<size_t>(w.roll() * static_cast<double>(w.size()));
+    const uint64_t lag = static_cast<uint64_t>(w.roll() * 6);
+    if (w.roll() < 0.2 && version > lag) w.discovery_of(node, version - lag);
+    if (w.roll() < 0.3) w.discovery_of(node, std::nullopt);
+}
+
 // Long after all has healed every member has what the holder of `list` has.
 std::string list_apart(World& w)
 {
@@ -42,6 +51,7 @@
         w.run(span(0, 2 / walk.faults));
         ++out.faults;
         w.discovery_is(++version);
+        if (walk.options.deltas) agents_fall_behind(w, version);
         const size_t a = any(), b = any();
         const double lease = walk.options.lease.length.seconds();
         switch (static_cast<int>(w.roll() * (walk.disks ? 14 : 10))) {
@@ -79,6 +89,7 @@
         w.heal();
         for (size_t i = 0; i < n; ++i) {
             w.disk(i).full = false, w.disk(i).sync_takes = {};
+            w.discovery_of(i, std::nullopt);
             w.start(i);
         }
         w.run(seconds(20) + walk.options.lease.length * 4);
