--- a/scale/estimate.cpp
+++ b/scale/estimate.cpp
@@ -13,15 +13,15 @@
 namespace
 {
 
-// Measured as resident memory with 50 and 200 members and 50 to 2000 upstreams, and rounded up
+// Measured as resident memory with 50 and 200 members and 50 to 8000 upstreams, and rounded up
 // (docs/capacity/runs). In MB, or in KB where the name says so.
 constexpr double controller_mb = 30, real_process_mb = 10, hollow_process_mb = 20;
 constexpr double real_member_kb = 8;       // at a real process, for each member of the fleet
 constexpr double hollow_base_kb = 150;     // of a hollow member by itself
 constexpr double hollow_member_kb = 0.6;   // at a hollow member, for each member of the fleet
 constexpr double list_entry_kb = 0.08;     // of an upstream in the text of a list
-constexpr double hollow_list_copies = 25;  // at a hollow member, parsed ones and what waits to be sent too
-constexpr double real_list_copies = 40;    // at a real process
+constexpr double hollow_list_copies = 50;  // at a hollow member, with what waits to be sent
+constexpr double real_list_copies = 70;    // at a real process
 constexpr double controller_list_copies = 10;
 constexpr double sockets_kb = 120;  // of the system, for each member's connections; not measured
 
