--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -22,7 +22,8 @@
 //   watch it asks within 0.75 s. 4.5 s in all, which leaves 1.5 s for the answer; after SIGHUP nothing.
 constexpr Span watch_for = seconds(2);       // one call; short, so that a silent agent is soon noticed
 constexpr Span watch_within = seconds(2.5);  // until the last byte of its answer; then the call is given up
-constexpr Span whole_within = seconds(1.5);  // the same of a call for the whole list
+constexpr Span whole_within = seconds(1.5);  // the same of a call that is answered at once
+constexpr Span resume_for = seconds(0.001);  // of a call for what was missed: it does not wait for a change
 // Not answered by then: the whole list is asked for beside it, where lists are pushed.
 constexpr Span overdue_watch = seconds(2.2), overdue_whole = seconds(0.2);
 constexpr Span first_pause = seconds(0.05);  // after a call that failed; twice as long with each
@@ -126,7 +127,6 @@
     if (asking_) return;
     asking_ = true;
     resting_ = false;
-    version_.reset();
     call_in(Span{});
 }
 
@@ -209,13 +209,15 @@
     const auto host = address_.host + ":" + std::to_string(address_.port);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", host.c_str());
     std::string target = "/api/targets";
+    const bool watches = version_ && !resuming_;
+    const Span wait = watches ? watch_for : resume_for;
     if (version_)
-        target += "?after=" + std::to_string(*version_) + "&wait_ms=" + std::to_string(watch_for.us / 1000);
+        target += "?after=" + std::to_string(*version_) + "&wait_ms=" + std::to_string(wait.us / 1000);
     at->out = true;
     // On the whole call. Guards against an answer whose bytes trickle and never end: evhttp's own limit is on
     // each of them.
-    at->until = timer<&Discovery::late>(*at, version_ ? watch_within : whole_within);
-    if (is_pushed()) at->overdue = timer<&Discovery::overdue>(*at, version_ ? overdue_watch : overdue_whole);
+    at->until = timer<&Discovery::late>(*at, watches ? watch_within : whole_within);
+    if (is_pushed()) at->overdue = timer<&Discovery::overdue>(*at, watches ? overdue_watch : overdue_whole);
     if (evhttp_make_request(at->connection.get(), request, EVHTTP_REQ_GET, target.c_str()) != 0 &&
         !at->dropped)
         return failed(*at, "the call could not be made");
@@ -243,9 +245,15 @@
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(body, -1));
     const std::string text(bytes ? bytes : "", size);
     auto list = decode_list(config_.setup, text, epoch_);
-    if (!list) return failed(call, "the answer is no list");
+    if (!list) {
+        version_.reset();
+        return failed(call, "the answer is no list");
+    }
     // Guards against an agent that has fallen behind: an older list would bring back what drains or has gone.
-    if (list->version < newest_) return failed(call, "a list older than the last one");
+    if (list->version < newest_) {
+        version_.reset();
+        return failed(call, "a list older than the last one");
+    }
     newest_ = list->version;
     call.out = false;
     call.overdue.reset(), call.until.reset();
@@ -255,6 +263,7 @@
     pause_ = first_pause;
     const bool first = !version_;
     version_ = list->version;
+    resuming_ = false;
     for (const Entry& e : list->told.entries)
         spdlog::debug("list {}: {} {} {}", list->version, e.uid, e.endpoint, static_cast<int>(e.presence));
     if (first) spdlog::info("list {} of {} upstreams", list->version, list->told.entries.size());
@@ -286,7 +295,12 @@
     dropped_.splice(dropped_.end(), calls_, at);
     if (well_) spdlog::warn("discovery: {}; the last list stays in use", why);
     well_ = false;
-    version_.reset();                                        // a new watch begins with the whole list
+    // A discovery that many ask has work for each line of an answer, and turns away what is too much: whoever
+    // it turns away asks for what changed since. Where an agent answers at no cost, for the whole list.
+    if (is_pushed())
+        version_.reset();
+    else
+        resuming_ = version_.has_value();
     if (!calls_.empty()) return;                             // another is out beside it
     if (!is_pushed() && !told_elsewhere()) asking_ = false;  // the module says when to ask again
     tell_(ListFailed{});
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -86,9 +86,11 @@
     std::list<Call> calls_;
     std::list<Call> dropped_;  // to be freed outside of their own callbacks
     Timer again_;
-    std::optional<uint64_t> version_;
-    uint64_t newest_ = 0;  // that this agent told
-    bool resting_ = true;  // until it is to ask for the first time, or while another balancer asks
+    std::optional<uint64_t>
+        version_;            // the next call asks for what came after it; nothing: for the whole list
+    bool resuming_ = false;  // the last call failed: the next one asks for what was missed
+    uint64_t newest_ = 0;    // that this agent told
+    bool resting_ = true;    // until it is to ask for the first time, or while another balancer asks
     bool asking_ = false;
     bool well_ = true;
     Span pause_;
