--- a/scale/child_process.cpp
+++ b/scale/child_process.cpp
@@ -11,6 +11,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "src/net/event.h"
+
 namespace firtide::scale
 {
 namespace
@@ -36,18 +38,25 @@
 
 }  // namespace
 
-ChildProcess ChildProcess::execute(const std::vector<std::string>& arguments, const std::string& log)
+ChildProcess ChildProcess::execute(const std::vector<std::string>& arguments, const ChildStreams& streams)
 {
     std::vector<char*> pointers;
     for (const auto& argument : arguments) pointers.push_back(const_cast<char*>(argument.c_str()));
     pointers.push_back(nullptr);
     return ChildProcess(fork_child([&] {
-        const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
-        if (file >= 0) dup2(file, STDERR_FILENO);
+        if (streams.input >= 0) dup2(streams.input, STDIN_FILENO);
+        if (streams.output >= 0) dup2(streams.output, STDOUT_FILENO);
+        if (streams.error >= 0) dup2(streams.error, STDERR_FILENO);
         execv(pointers[0], pointers.data());
     }));
 }
 
+ChildProcess ChildProcess::execute(const std::vector<std::string>& arguments, const std::string& log)
+{
+    const net::Descriptor file(open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
+    return execute(arguments, ChildStreams{-1, -1, file.fd()});
+}
+
 ChildProcess ChildProcess::run(const std::function<void()>& body)
 {
     return ChildProcess(fork_child([&] {
@@ -71,6 +80,11 @@
 
 ChildProcess::~ChildProcess() { end(); }
 
+void ChildProcess::signal(int number) const
+{
+    if (id_ != 0) kill(id_, number);
+}
+
 bool ChildProcess::running()
 {
     if (id_ != 0 && waitpid(id_, nullptr, WNOHANG) == id_) id_ = 0;
--- a/scale/child_process.h
+++ b/scale/child_process.h
@@ -10,11 +10,17 @@
 namespace firtide::scale
 {
 
+// Descriptors that a child gets as its own; -1: those of this program.
+struct ChildStreams {
+    int input = -1, output = -1, error = -1;
+};
+
 class ChildProcess
 {
   public:
     // Runs a program; its standard error goes to the file `log`.
     static ChildProcess execute(const std::vector<std::string>& arguments, const std::string& log);
+    static ChildProcess execute(const std::vector<std::string>& arguments, const ChildStreams& streams);
     // Runs a function in a fork of this process, which ends when the function returns.
     static ChildProcess run(const std::function<void()>& body);
 
@@ -22,15 +28,15 @@
     ChildProcess& operator=(ChildProcess&& other) noexcept;
     ChildProcess(const ChildProcess&) = delete;
     ChildProcess& operator=(const ChildProcess&) = delete;
-    // Kills it and waits for its end.
-    ~ChildProcess();
+    ~ChildProcess();  // ends it
 
     pid_t id() const { return id_; }
     bool running();
+    void signal(int number) const;
+    void end();  // kills it and waits for its end
 
   private:
     explicit ChildProcess(pid_t id) : id_(id) {}
-    void end();
 
     pid_t id_ = 0;
 };
