--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -130,6 +130,12 @@
     call_in(Span{});
 }
 
+void Discovery::resume_from(uint64_t version)
+{
+    version_ = version;
+    resuming_ = remembered_ = true;
+}
+
 void Discovery::rest()
 {
     asking_ = false;
@@ -155,6 +161,7 @@
 void Discovery::drop_all()
 {
     version_.reset();
+    resuming_ = remembered_ = false;
     for (Call& c : calls_) c.dropped = true, c.overdue.reset(), c.until.reset();
     dropped_.splice(dropped_.end(), calls_);
 }
@@ -250,6 +257,12 @@
         return failed(call, "the answer is no list");
     }
     // Guards against an agent that has fallen behind: an older list would bring back what drains or has gone.
+    // Guards against a remembered list that another discovery had numbered.
+    const bool renumbered = std::exchange(remembered_, false) && !list->told.all && list->version < *version_;
+    if (renumbered) {
+        version_.reset();
+        return failed(call, "it numbers its lists anew");
+    }
     if (list->version < newest_) {
         version_.reset();
         return failed(call, "a list older than the last one");
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -51,7 +51,10 @@
 
     void rest();            // asks nothing until ask()
     void move(Address to);  // asks there from now on, for the whole list first
-    void ask();  // the whole list, and then watches it; asks anew after failures, where that is its own job
+    void ask();
+    // The first call asks for what changed since this version: that of a list which this process was given.
+    void resume_from(uint64_t version);  // the whole list, and then watches it; asks anew after failures,
+                                         // where that is its own job
 
   private:
     // One call, or a connection that the next one may use.
@@ -87,10 +90,11 @@
     std::list<Call> dropped_;  // to be freed outside of their own callbacks
     Timer again_;
     std::optional<uint64_t>
-        version_;            // the next call asks for what came after it; nothing: for the whole list
-    bool resuming_ = false;  // the last call failed: the next one asks for what was missed
-    uint64_t newest_ = 0;    // that this agent told
-    bool resting_ = true;    // until it is to ask for the first time, or while another balancer asks
+        version_;              // the next call asks for what came after it; nothing: for the whole list
+    bool resuming_ = false;    // the next call asks for what was missed, and does not wait for a change
+    bool remembered_ = false;  // version_ is of a list from before this start
+    uint64_t newest_ = 0;      // that this agent told
+    bool resting_ = true;      // until it is to ask for the first time, or while another balancer asks
     bool asking_ = false;
     bool well_ = true;
     Span pause_;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -322,9 +322,11 @@
     if (config_.peers) spdlog::warn(no_peers);
     post(Started{});
     if (!config_.known.empty()) {
-        if (auto list = decode_list(config_.setup, config_.known, epoch_))
+        if (auto list = decode_list(config_.setup, config_.known, epoch_)) {
             post(ListRemembered{std::move(list->told.entries)});
-        else
+            if (config_.setup.settings.list_must_be_asked && !shares_list())
+                discovery_.resume_from(list->version);
+        } else
             spdlog::warn("known: is no list of upstreams; starting without");
     }
     if (fleet_) fleet_->start();
