A full zone is seen by its places in use, and by reports that drift to their own zone's mean

The limit is not what is wrong: of tier 0 only the balancers of one zone throttle, as answers there are late. After the shift of traffic the second tier's balancers of that zone send 95 in 100 to their own zone's upstreams, which are at 0.91 to 0.98 of their places, while the others stand at 0.45 to 0.58. Lines at fault: load_of() takes the queue alone, and that is 0.15 to 0.7 at 0.98 of the places; expected_load() drifts, with 0.5 s, to one mean of all zones, while probes within their price see an upstream every 5 s or so. Kept: load by places in use, mean of either side of the border, in the draw only.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,9 +1,9 @@
-// All decisions of firtide. The interface and how a host calls it: balance.h. The mechanism and its
-// exceptions are told in docs/design.md.
+// All decisions of firtide. The interface: balance.h; the mechanism and its exceptions: docs/design.md.
 
 #include "balance.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <numeric>
 #include <random>
@@ -119,6 +119,7 @@
     Entry entry;
     std::optional<Point> unpaired;  // a timeout or reset that waits for its fellow
     std::optional<double> load;
+    double busy = 0;  // its load by the places in use, where a queue is reported
     bool load_counts_own = false;
     Point load_at;
     uint32_t out = 0, overdue = 0, out_at_report = 0;
@@ -175,9 +176,7 @@
     State(Settings settings, uint64_t seed, Outlet& outlet)
         : set(std::move(settings)),
           out(outlet),
-          chance(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 32))),
-          near_met(std::exp(std::min(10.0, set.crossing_price * crossing_weighs))),
-          near_told(std::pow(near_met, 3.0 / 8))
+          chance(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 32)))
     {
         take_over({}, {});
         chance.discard(32);
@@ -200,6 +199,8 @@
     double mean_failed = 0, outcomes = 0;  // of what no entry by key holds back: share, how many
 
     double mean_load = 0, mean_errors = 0;
+    // Of the own zone and of the others: mean reported load, and by places in use, where a queue is reported.
+    std::array<double, 2> zone_load{}, zone_busy{};
     Point fellows_at{INT64_MIN / 2};
 
     Rate warm_sends, asked;
@@ -239,7 +240,7 @@
 
     std::vector<Tgt> near, far;  // all that have a place, each in this instance's own order of preference
     std::vector<std::pair<Tgt, double>> weights;
-    double near_met, near_told;  // the own zone's favour in the draw
+    double near_met = 1, near_told = 1;  // the own zone's favour in the draw
 
     double roll() { return std::generate_canonical<double, 24>(chance); }
 
@@ -338,11 +339,10 @@
         Invocation& inv = invs[id];
         if (!may_send(inv, tgt)) return false;
         Upstream& u = ups[tgt];
-        if (is_cold(u)) {
+        if (is_cold(u))
             u.cold_tokens -= 1;
-        } else {
+        else
             warm_sends.count(now);
-        }
         bool rested = u.out == 0 && (now - u.last_end).seconds() > ops[inv.operation].usual;
         if (rested && now < distrust_idle_until) {
             out.close_idle(tgt);
@@ -394,9 +394,8 @@
     {
         Invocation& inv = invs[id];
         if (!inv.over) return;
-        for (const Forward& f : inv.forwards)
-            if (f.out) return;
-        out.released(id);
+        if (std::none_of(inv.forwards.begin(), inv.forwards.end(), [](auto& f) { return f.out; }))
+            out.released(id);
     }
 
     // ---- what is learnt from answers ----
@@ -468,13 +467,12 @@
 
     static double fourth(double x) { return x * x * x * x; }
 
+    static double busy(double used) { return used / std::max(0.05, 1.05 - used); }
+
     static std::optional<double> load_of(const Report& r)
     {
-        const double busy = r.utilisation ? *r.utilisation / std::max(0.05, 1.05 - *r.utilisation) : 0;
-        if (r.queue) return *r.queue;
-        if (r.inflight) return r.inflight;
-        if (r.utilisation) return busy;
-        return {};
+        if (r.queue || r.inflight) return r.queue ? r.queue : r.inflight;
+        return r.utilisation ? std::optional(busy(*r.utilisation)) : std::nullopt;
     }
 
     void reported(Upstream& u, const Report& r)
@@ -482,6 +480,7 @@
         refresh_fellows();
         if (const auto load = load_of(r)) {
             u.load = load, u.load_at = now, u.load_counts_own = !r.queue, u.out_at_report = u.out;
+            u.busy = r.queue ? busy(r.utilisation.value_or(0)) : 0;
             queues_told = queues_told || r.queue;
             if (r.queue && *r.queue > long_queue + well_above * mean_load) raise(u, step, false);
         }
@@ -493,13 +492,18 @@
     {
         if (now - fellows_at < seconds(0.2)) return;
         fellows_at = now;
-        double load = 0, loads = 0, errors = 0, judged = 0;
+        double errors = 0, judged = 0;
+        std::array<double, 2> load{}, used{}, loads{};
         for (const Upstream& u : ups) {
             if (u.listing.presence != Presence::ready) continue;
-            if (u.load) load += *u.load, ++loads;
+            if (u.load) load[is_far(u)] += *u.load, used[is_far(u)] += u.busy, ++loads[is_far(u)];
             if (u.answered >= enough) errors += u.errors, ++judged;
         }
-        mean_load = loads > 0 ? load / loads : 0;
+        mean_load = (load[0] + load[1]) / std::max(1.0, loads[0] + loads[1]);
+        for (size_t z = 0; z < 2; ++z) {
+            zone_load[z] = loads[z] > 0 ? load[z] / loads[z] : mean_load;
+            zone_busy[z] = loads[z] > 0 ? used[z] / loads[z] : used[1 - z] / std::max(1.0, loads[1 - z]);
+        }
         mean_errors = judged > 0 ? errors / judged : 0;
     }
 
@@ -711,11 +715,12 @@
 
     // ---- the pick ----
 
-    // The last report, drifting to the others' mean with age (a cold one's part of it), and own sends since.
+    // The last report, drifting to the mean of its zone or the others (a cold one's part), and own sends
+    // since.
     double expected_load(const Upstream& u) const
     {
         if (heard > 0) return u.out - u.overdue + u.peers_out;
-        const double own = u.out, usual = mean_load * warm_share(u);
+        const double own = u.out, usual = zone_load[is_far(u)] * warm_share(u);
         if (!u.load) return usual + own;
         const double fresh = std::exp2(-((now - u.load_at) / report_age));
         const double report = usual + (*u.load - usual) * fresh;
@@ -733,6 +738,7 @@
     // Sharp, since what is known is old and seldom the same at two instances; gently where all are told it.
     double evenness(double idle, const Upstream& u) const
     {
+        idle /= 1 + zone_busy[is_far(u)];
         const double favour = is_far(u) ? 1 : heard > 0 ? near_told : near_met;
         return favour * (heard > 0 ? idle * idle * idle : fourth(idle) * fourth(idle));
     }
@@ -922,9 +928,8 @@
         const auto next = std::move(f.next);
         if (over && !inv.over) return close(id);
         if (inv.over) return release(id);
-        const bool more_out =
-            std::any_of(inv.forwards.begin(), inv.forwards.end(), [](auto& g) { return g.out; });
-        if (!more_out) next(now, result);
+        if (std::none_of(inv.forwards.begin(), inv.forwards.end(), [](auto& g) { return g.out; }))
+            next(now, result);
     }
 
     // ---- the list ----
@@ -977,12 +982,8 @@
     void list_answered(bool well)
     {
         if (!set.list_must_be_asked) return;
-        if (well) {
-            backoff = first_backoff;
-            return;
-        }
-        later(now + backoff * (0.5 + roll()), [this] { out.watch_list(); });
-        backoff = std::min({set.ask_within * 0.5, longest_backoff, backoff * 2});
+        if (!well) later(now + backoff * (0.5 + roll()), [this] { out.watch_list(); });
+        backoff = well ? first_backoff : std::min({set.ask_within * 0.5, longest_backoff, backoff * 2});
     }
 
     void start()
