--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -18,11 +18,13 @@
 // lists are pushed, at the moment at which the agent has it. The longest that an agent which can be reached,
 // and answers at once then, goes unasked:
 // - where lists are pushed: 0.2 s (overdue_whole or longest_pause), after a watch that fell silent 2.2 s;
-// - where they are asked for: 1.5 s of a call (2.5 s of a watch) and 3 s until the module asks again; after a
-//   watch it asks within 0.75 s. 4.5 s in all, which leaves 1.5 s for the answer; after SIGHUP nothing.
+// - where they are asked for: 2.5 s of a call and 3 s until the module asks again; after a watch it asks
+// within
+//   0.75 s. 5.5 s in all; after SIGHUP nothing. A discovery that many ask keeps a call for up to 2 s until
+//   its turn: to give it up just before costs the answer, and the work that was done for it.
 constexpr Span watch_for = seconds(2);       // one call; short, so that a silent agent is soon noticed
 constexpr Span watch_within = seconds(2.5);  // until the last byte of its answer; then the call is given up
-constexpr Span whole_within = seconds(1.5);  // the same of a call that is answered at once
+constexpr Span whole_within = seconds(1.5);  // the same of a call for the whole list, where lists are pushed
 constexpr Span resume_for = seconds(0.001);  // of a call for what was missed: it does not wait for a change
 // Not answered by then: the whole list is asked for beside it, where lists are pushed.
 constexpr Span overdue_watch = seconds(2.2), overdue_whole = seconds(0.2);
@@ -223,7 +225,7 @@
     at->out = true;
     // On the whole call. Guards against an answer whose bytes trickle and never end: evhttp's own limit is on
     // each of them.
-    at->until = timer<&Discovery::late>(*at, watches ? watch_within : whole_within);
+    at->until = timer<&Discovery::late>(*at, watches || !is_pushed() ? watch_within : whole_within);
     if (is_pushed()) at->overdue = timer<&Discovery::overdue>(*at, watches ? overdue_watch : overdue_whole);
     if (evhttp_make_request(at->connection.get(), request, EVHTTP_REQ_GET, target.c_str()) != 0 &&
         !at->dropped)
