--- a/scale/capacity.py
+++ b/scale/capacity.py
@@ -167,6 +167,39 @@
     return markdown_table([*heads, "s until all agree"], rows)
 
 
+def mechanism_table(runs: Runs) -> str:
+    """Runs with whole lists beside those with deltas: same members, upstreams and changes a second."""
+    with_deltas = {size_of(run): run for run in measured_at_rest(runs) if run.options["lists"] == "deltas"}
+    rows = []
+    for whole in measured_at_rest(runs):
+        deltas = with_deltas.get(size_of(whole))
+        if whole.options["lists"] != "whole" or deltas is None:
+            continue
+        row = [number(value) for value in size_of(whole)]
+        for figure in ("kb_per_second", "cpu_percent", "rss_mb"):
+            row += [number(run.roles["balancer"][figure].median) for run in (whole, deltas)]
+        row += [number(run.change_times.p99) if run.change_times else "—" for run in (whole, deltas)]
+        rows.append([*row, f"{name_of(whole)}, {name_of(deltas)}"])
+    heads = ["members", "upstreams", "changes a second", "KB/s whole", "deltas", "% of a core whole", "deltas"]
+    return markdown_table([*heads, "MB whole", "deltas", "p99 s in force whole", "deltas", "runs"], rows)
+
+
+def measured_at_rest(runs: Runs) -> list[ScaleRun]:
+    """Runs of the program without a trouble and without restarts."""
+    return [
+        run
+        for run in runs.scale
+        if not run.is_virtual
+        and run.options["trouble"] in (None, "none")
+        and not run.options["restarts_per_second"]
+        and set(run.roles.get("balancer", {})) >= {"kb_per_second", "cpu_percent", "rss_mb"}
+    ]
+
+
+def size_of(run: ScaleRun) -> tuple:
+    return tuple(run.options[option] for option in ("members", "upstreams", "changes_per_second"))
+
+
 # Tables of series.
 
 
@@ -351,6 +384,7 @@
     tables["runs"] = runs_table(runs)
     tables["changes"] = changes_table(runs)
     tables["troubles"] = troubles_table(runs)
+    tables["mechanism"] = mechanism_table(runs)
     tables["target"] = target_table(all_series)
     tables["latency"] = latency_table(runs)
     return tables
