--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -25,7 +25,7 @@
 constexpr Span watch_for = seconds(2);       // one call; short, so that a silent agent is soon noticed
 constexpr Span watch_within = seconds(2.5);  // until the last byte of its answer; then the call is given up
 constexpr Span whole_within = seconds(1.5);  // the same of a call for the whole list, where lists are pushed
-constexpr Span resume_for = seconds(0.001);  // of a call for what was missed: it does not wait for a change
+constexpr Span resume_for = seconds(0.5);    // of a call for what was missed: a watch that is answered soon
 // Not answered by then: the whole list is asked for beside it, where lists are pushed.
 constexpr Span overdue_watch = seconds(2.2), overdue_whole = seconds(0.2);
 constexpr Span first_pause = seconds(0.05);  // after a call that failed; twice as long with each
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -91,7 +91,7 @@
     Timer again_;
     std::optional<uint64_t>
         version_;              // the next call asks for what came after it; nothing: for the whole list
-    bool resuming_ = false;    // the next call asks for what was missed, and does not wait for a change
+    bool resuming_ = false;    // the next call asks for what was missed, by a short watch
     bool remembered_ = false;  // version_ is of a list from before this start
     uint64_t newest_ = 0;      // that this agent told
     bool resting_ = true;      // until it is to ask for the first time, or while another balancer asks
