--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -18,10 +18,9 @@
 // lists are pushed, at the moment at which the agent has it. The longest that an agent which can be reached,
 // and answers at once then, goes unasked:
 // - where lists are pushed: 0.2 s (overdue_whole or longest_pause), after a watch that fell silent 2.2 s;
-// - where they are asked for: 2.5 s of a call and 3 s until the module asks again; after a watch it asks
-// within
-//   0.75 s. 5.5 s in all; after SIGHUP nothing. A discovery that many ask keeps a call for up to 2 s until
-//   its turn: to give it up just before costs the answer, and the work that was done for it.
+// - where they are asked for: 2.5 s of a call and 3 s until the module asks again, 5.5 s in all; after
+//   a watch it asks within 0.75 s, after SIGHUP at once. A discovery that many ask keeps a call for up to
+//   2 s until its turn: to give it up just before costs the answer, and the work that was done for it.
 constexpr Span watch_for = seconds(2);       // one call; short, so that a silent agent is soon noticed
 constexpr Span watch_within = seconds(2.5);  // until the last byte of its answer; then the call is given up
 constexpr Span whole_within = seconds(1.5);  // the same of a call for the whole list, where lists are pushed
