--- a/review/standins.py
+++ b/review/standins.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -28,17 +29,19 @@
 
 
 def free_ports(count):
-    """Ports that are free now; all are held open until the last one is known."""
-    held = []
-    for _ in range(count):
-        s = socket.socket()
-        s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        s.bind(("127.0.0.1", 0))
-        held.append(s)
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
-    return ports
+    """Ports that are free now, from below those that the system gives to outgoing connections."""
+    ports = []
+    for port in random.sample(range(20000, 32000), 12000):
+        with socket.socket() as s:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise CannotRun("no free ports")
 
 
 class Record:
