--- a/review/standins.py
+++ b/review/standins.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -278,17 +279,23 @@
     folder = os.path.abspath(folder)
     record = Record(folder)
     balancers = None
+
+    def stopped(number, _):
+        raise CannotRun(f"it was told to stop by signal {number}")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stopped)
     code = NOT_RUN
     try:
         balancers = Balancers(record)
-
         loop = asyncio.new_event_loop()  # never closed: the process ends with _exit
         held = loop.run_until_complete(asyncio.wait_for(case(record, balancers), limit_s))
         code = HELD if held else BROKEN
     except CannotRun as reason:
         record.verdict(f"the case could not run: {reason}")
-    except (asyncio.TimeoutError, OSError) as error:
-        record.verdict(f"the case could not run: {error!r}")
+    except Exception:
+        # Whatever went wrong here says nothing about the rule.
+        record.verdict("the case could not run:\n" + traceback.format_exc())
     finally:
         if balancers:
             balancers.close()
