Callers: a response before its request's end is always the last on its connection

Cause: send_response replaces the request's reader, which alone knows that more of the request is to come; its callers had to tell it beforehand, and the branch for readiness checks did not.

Fix: send_response asks the reader at the one place where it is replaced, so no caller can forget it.

--- a/src/net/downstream_server.cpp
+++ b/src/net/downstream_server.cpp
@@ -242,8 +242,7 @@
     if (most > it->body_memory) {
         if (body_memory_ - it->body_memory + most > max_body_memory_) {
             post_event_(RequestRejected{request.operation, request.config_version});
-            it->body_bytes_due = it->reader.max_remaining_body_bytes();
-            return reject(it, 503, "no room for the body");
+            return send_response(it, plain_response(503, "no room for the body\n"), true);
         }
         reserve_body_memory(*it, most);
     }
@@ -278,7 +277,7 @@
     it->close_after_response = !it->reader.keep_alive() || it->pipelined_requests >= max_pipelined_requests;
     if (it->reader.is_readiness_check()) {
         const bool ready = ready_();
-        return send_response(it, {ready ? 200 : 503, false, {}, {}, ready ? "ready\n" : "not ready\n"},
+        return send_response(it, plain_response(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"),
                              !ready);
     }
     Request request = std::move(it->reader.request());
@@ -300,13 +299,14 @@
     post_event_(RequestReceived{it->caller, std::move(request), disconnected});
 }
 
-// An unreadable request may have been framed differently than it was read: no further request is read on
-// the connection.
+// An unreadable request may have been framed differently than it was read, and one that took too long may
+// never end: no further request is read on the connection, and the rest of this one is not waited for.
 void DownstreamServer::reject(ConnectionIterator it, int status, const char* why)
 {
     spdlog::debug("request rejected with {}, {}, {} ms after it began, {} bytes of its body received", status,
                   why, (monotonic_now() - it->phase_since).us / 1000, it->reader.body_bytes_received());
-    send_response(it, {status, false, {}, {}, std::string(why) + "\n"}, true);
+    send_response(it, plain_response(status, std::string(why) + "\n"), true);
+    it->body_bytes_due = 0;
 }
 
 void DownstreamServer::answer(const SendResponse& answer)
@@ -314,10 +314,6 @@
     const auto found = connection_of_.find(answer.caller);
     if (found == connection_of_.end()) return;  // the caller has disconnected
     const ConnectionIterator it = found->second;
-    // After an early response the rest of the request is only read and discarded, so the connection cannot
-    // be reused.
-    const bool last = answer.close_connection || !it->reader.is_complete();
-    it->body_bytes_due = it->reader.max_remaining_body_bytes();
     if (answer.response.body_incomplete) {
         it->streaming_response = true;
         it->chunked = !answer.response.content_length && !it->reader.is_http_1_0();
@@ -327,7 +323,7 @@
         connection_of_.erase(found);
         it->caller = 0;
     }
-    send_response(it, answer.response, last);
+    send_response(it, answer.response, answer.close_connection);
 }
 
 void DownstreamServer::send_chunk(SendResponseChunk& chunk)
@@ -375,6 +371,10 @@
     const bool nearly_full = open_connections() > budget_.limit() / 4 * 3;
     it->close_after_response = it->close_after_response || last || nearly_full;
     it->close_after_response = it->close_after_response || it->ends_with_connection;
+    // After an early response the rest of the request is only read and discarded: it must not be taken for
+    // further requests.
+    it->close_after_response = it->close_after_response || !it->reader.is_complete();
+    it->body_bytes_due = it->reader.max_remaining_body_bytes();
     const auto bytes = encode_response(response, it->close_after_response, it->reader.is_http_1_0());
     it->reader = RequestReader(config_.service_config);
     reserve_body_memory(*it, response.body_incomplete ? stream_buffer_bytes : bytes.size());
