Upstreams: bytes that come before a request is written are not its response

Callers could see: a second copy, or noise, that reaches a rested connection between its choice and the write of the request was given out as the response, although nothing of the request had left.

Cause: the look for unread bytes was made at the choice only, and on_readable took bytes for a response as soon as the request was handed to the stream.

Fix: the look is repeated before the first byte is handed over, and bytes that are read while the kernel has none of the request are unsolicited. The connection closes, and the attempt counts as not written, so the request may be sent again.

--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -80,6 +80,9 @@
 
     size_t unsent_bytes() const { return evbuffer_get_length(bufferevent_get_output(stream.get())); }
 
+    // Whether no byte of a request has been accepted by the kernel, so that nothing can be its response.
+    bool is_request_unsent() const { return !request_begun || unsent_bytes() == request_bytes; }
+
     // Whether bytes, or the end of the connection, have arrived that the loop has not handled yet.
     bool has_unread_input() const
     {
@@ -238,6 +241,7 @@
     const auto it = connection_of_.find(write.attempt);
     if (it == connection_of_.end()) return;
     const ConnectionIterator connection = it->second;
+    if (!connection->request_begun && connection->has_unread_input()) return on_unsolicited_bytes(connection);
     connection->request_begun = true;
     connection->request_incomplete = write.request_incomplete;
     connection->request_bytes += write.bytes.size();
@@ -378,7 +382,7 @@
     auto* input = bufferevent_get_input(it->stream.get());
     const size_t size = evbuffer_get_length(input);
     if (size == 0) return;
-    if (!it->attempt || !it->request_begun) return on_unsolicited_bytes(it);
+    if (!it->attempt || it->is_request_unsent()) return on_unsolicited_bytes(it);
     if (it->reading_paused) return;
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
     const auto state = it->reader.parse({bytes, size});
--- a/tests/upstream_responses.cpp
+++ b/tests/upstream_responses.cpp
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <vector>
 
+#include "src/net/upstream_pool.h"
 #include "trace.h"
 
 namespace firtide
@@ -13,6 +14,12 @@
 namespace
 {
 
+using net::AttemptFailed;
+using net::ConnectUpstream;
+using net::ResponseReceived;
+using net::UpstreamConnected;
+using net::WriteUpstream;
+
 // Within this time after a response, a further request on its connection is crossed by a second copy.
 constexpr int copy_delay_ms = 20;
 constexpr size_t large_body_bytes = 100'000;
@@ -166,5 +173,69 @@
     }
 }
 
+// The pool alone, with a peer that is scripted between its steps.
+class UpstreamPoolTest : public testing::Test
+{
+  protected:
+    UpstreamPoolTest()
+        : base_(event_base_new()),
+          pool_(base_.get(), config_, net::ConnectionBudget(10, 10, [] { return size_t{0}; }),
+                [this](net::Event event) { events_.push_back(std::move(event)); })
+    {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        auto address = TestConnection::loopback_address(0);
+        bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        socklen_t size = sizeof address;
+        getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+        endpoint_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        listen(listener_, 8);
+    }
+    ~UpstreamPoolTest() override { ::close(listener_); }
+
+    TestConnection accept_peer() { return TestConnection(accept(listener_, nullptr, nullptr)); }
+
+    template <class Expected>
+    const Expected* run_until()
+    {
+        for (int i = 0; i < 1000; ++i) {
+            for (const auto& event : events_)
+                if (const auto* expected = std::get_if<Expected>(&event)) return expected;
+            event_base_loop(base_.get(), EVLOOP_NONBLOCK);
+            sleep_ms(1);
+        }
+        return nullptr;
+    }
+
+    ServiceConfig config_;
+    EventBasePtr base_;
+    std::vector<net::Event> events_;
+    net::UpstreamPool pool_;
+    int listener_ = -1;
+    std::string endpoint_;
+};
+
+// Guards against a second copy that comes between the choice of a connection and the write of its request.
+TEST_F(UpstreamPoolTest, TakesNothingForTheResponseToARequestThatIsNotWritten)
+{
+    const auto request = http_message("POST /once/x HTTP/1.1", "b");
+    const auto response = http_message(status_line_ok, "first");
+    pool_.start_attempt(ConnectUpstream{1, 1, endpoint_, seconds(1)});
+    auto peer = accept_peer();
+    ASSERT_TRUE(run_until<UpstreamConnected>());
+    pool_.write(WriteUpstream{1, request, false});
+    peer.send(response);
+    ASSERT_TRUE(run_until<ResponseReceived>());
+    sleep_ms(100);
+    events_.clear();
+    pool_.start_attempt(ConnectUpstream{2, 1, endpoint_, seconds(1)});
+    ASSERT_TRUE(run_until<UpstreamConnected>());
+    peer.send(response);
+    sleep_ms(5);
+    pool_.write(WriteUpstream{2, request, false});
+    const auto* failed = run_until<AttemptFailed>();
+    ASSERT_TRUE(failed) << "the copy was taken for the response";
+    EXPECT_LT(failed->error.progress, AttemptProgress::written);
+}
+
 }  // namespace
 }  // namespace firtide
