Responses: a 204 or 304 that announces a body ends its connection

Callers could see: the body of such a response, which may come later, read as the response to the next request.

Cause: the reader ends a 204 or 304 at its head, as it must, and kept the connection whatever length was announced. Evidence: the new case ResponseReader.KeepsNoConnectionOnWhichAnUnexpectedBodyMayFollow fails 3 of 3 times before.

Fix: where a length above 0 or chunks are announced, the connection is not kept.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -385,6 +385,9 @@
         return response_.status != 101;
     }
     if (response_.status == 204 || response_.status == 304) {
+        // These have no body. What is announced may come all the same, and would be read as the next
+        // response.
+        if (chunked_ || content_length_.value_or(0) > 0) keep_alive_ = false;
         phase_ = Phase::done;
         return true;
     }
--- a/tests/message.cpp
+++ b/tests/message.cpp
@@ -183,6 +183,16 @@
     expect_response("complete 200 'body', connection ends", ok_line + four_byte_body + "rest", 20);
 }
 
+// Guards against a body that no such response has being read as the response to the next request.
+TEST(ResponseReader, KeepsNoConnectionOnWhichAnUnexpectedBodyMayFollow)
+{
+    expect_response("complete 204 ''", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n");
+    expect_response("complete 204 '', connection ends",
+                    "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n");
+    expect_response("complete 304 '', connection ends",
+                    "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n");
+}
+
 TEST(ResponseReader, AcceptsAllFormsOfTheProtocol)
 {
     expect_response("complete 200 'x'", "HTTP/1.1 200 OK\nContent-Length: 1\n\nx");
