Operators: the result of an internal command reaches no connection

Operators saw (report of the review): connected before a drain permit was granted, and having sent `ready` a moment later, one read `SUCCESS draining`.

Cause: the program's own drain and resume carry connection 0, and 0 is also what a connection has before its command line has come; AdminServer::answer took the oldest of these.

Fix: the id of no connection has a name, and a result for it is given to nobody; a service without the address, too, which would have used a server that is not there (read in the code, not run).

--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -86,7 +86,7 @@
     Descriptor socket;
     EventPtr read_event;
     std::string line;
-    AdminConnectionId caller = 0;  // 0 until its command line has been received
+    AdminConnectionId caller = no_admin_connection;  // until its command line has been received
     bool answered = false;
     bool awaits_fleet_reply = false;  // for the reply to a fleet command, which may take a while
     size_t ignored_bytes = 0;
@@ -181,13 +181,13 @@
         it->awaits_fleet_reply = true;
         if (handle_fleet_command_(it->caller, split_words(line))) return;
         it->awaits_fleet_reply = false;
-        it->caller = 0;
+        it->caller = no_admin_connection;
         return send_reply(
             it,
             "FAILURE unknown call; known are ready, show-stat, drain, resume, drain permit, show-fleet, "
             "transfer-duty DUTY [ID], add-voter ID, remove-voter ID\n");
     }
-    it->caller = 0;
+    it->caller = no_admin_connection;
     send_reply(it, "FAILURE unknown call; known are ready, show-stat, drain, resume\n");
 }
 
@@ -201,6 +201,7 @@
 
 void AdminServer::answer(AdminConnectionId caller, const std::string& text)
 {
+    if (caller == no_admin_connection) return;
     const auto it = std::find_if(connections_.begin(), connections_.end(),
                                  [&](const Connection& c) { return c.caller == caller; });
     if (it != connections_.end()) send_reply(it, text);
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -21,6 +21,8 @@
 using RequestId = uint64_t;          // a request of a caller
 using AttemptId = uint64_t;          // a forward or a probe
 using AdminConnectionId = uint64_t;  // a command at the management address
+// Of a command that this program gives itself: nobody waits for its result.
+inline constexpr AdminConnectionId no_admin_connection = 0;
 
 // The lifecycle state that operators and readiness checks are told.
 enum class ServingState { starting, ready, draining, stopping };
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -184,8 +184,8 @@
     h.reply = [this](uint64_t caller, const std::string& text) {
         if (admin_) admin_->answer(caller, text);
     };
-    h.start_drain = [this] { post(AdminCommandReceived{0, AdminCommand::drain}); };
-    h.end_drain = [this] { post(AdminCommandReceived{0, AdminCommand::resume}); };
+    h.start_drain = [this] { post(AdminCommandReceived{no_admin_connection, AdminCommand::drain}); };
+    h.end_drain = [this] { post(AdminCommandReceived{no_admin_connection, AdminCommand::resume}); };
     h.set_discovery_polling = [this](bool on) {
         on ? discovery_.start_polling() : discovery_.stop_polling();
     };
@@ -313,7 +313,8 @@
 void Service::execute(Effect& effect)
 {
     if (auto* answer = std::get_if<SendResponse>(&effect)) return downstream_.answer(*answer);
-    if (auto* result = std::get_if<AdminCommandResult>(&effect)) return admin_->answer(*result);
+    if (auto* result = std::get_if<AdminCommandResult>(&effect))
+        return admin_ ? admin_->answer(*result) : void();
     if (auto* chunk = std::get_if<SendResponseChunk>(&effect)) return downstream_.send_chunk(*chunk);
     if (auto* abort = std::get_if<AbortResponse>(&effect)) return downstream_.abort_response(abort->caller);
     if (auto* reading = std::get_if<SetRequestReading>(&effect))
