Duties: a subscriber's response that was there before a notification is not its response

Programs saw: a second copy of a 409 that the loop had not read counted as the refusal of the next notification, of a higher epoch, and the duty would be given up.

Cause: the same as in the pool: DutyNotifier wrote without a look at what had come, and bytes behind a complete response were dropped with the connection kept.

Fix: with unread input the connection is closed in place of the write, as after trailing bytes; the next notification opens another. The look is now one function for the pool and the notifier, src/io/unread_input.

--- a/src/fleet/transport/duty_notifier.cpp
+++ b/src/fleet/transport/duty_notifier.cpp
@@ -7,6 +7,8 @@
 
 #include <optional>
 
+#include "src/io/unread_input.h"
+
 namespace firtide::fleet
 {
 namespace
@@ -83,13 +85,14 @@
     const size_t size = evbuffer_get_length(input);
     if (!unanswered || size == 0) return close();
     const auto state = reader->parse({reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), size});
+    const bool has_trailing_bytes = reader->consumed_bytes() < size;
     evbuffer_drain(input, size);
     if (state == ResponseReader::State::incomplete) return;
     const bool is_complete = state == ResponseReader::State::complete;
     const DutyNotification answered = *std::exchange(unanswered, std::nullopt);
     const int status = is_complete ? reader->response().status : 0;
     bufferevent_set_timeouts(stream.get(), nullptr, nullptr);
-    if (!is_complete || !reader->keep_alive()) close();
+    if (!is_complete || has_trailing_bytes || !reader->keep_alive()) close();
     if (status == conflict_status) owner->on_refused_(answered.duty, answered.epoch);
 }
 
@@ -119,6 +122,8 @@
     if (subscriber.unanswered) return;
     if (!subscriber.stream) subscriber.connect();
     if (!subscriber.connected) return;
+    // A second copy of the last response would be taken for the response to this notification.
+    if (has_unread_input(subscriber.stream.get())) return subscriber.close();
     const std::string bytes = encode(address, notification);
     subscriber.reader.emplace(response_config_);
     if (authorize()) subscriber.send(bytes, notification);
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -10,6 +10,7 @@
 #include <cerrno>
 
 #include "src/io/log.h"
+#include "src/io/unread_input.h"
 
 namespace firtide::net
 {
@@ -83,15 +84,6 @@
     // Whether no byte of a request has been accepted by the kernel, so that nothing can be its response.
     bool is_request_unsent() const { return !request_begun || unsent_bytes() == request_bytes; }
 
-    // Whether bytes, or the end of the connection, have arrived that the loop has not handled yet.
-    bool has_unread_input() const
-    {
-        char byte;
-        return evbuffer_get_length(bufferevent_get_input(stream.get())) > 0 ||
-               recv(bufferevent_getfd(stream.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
-               (errno != EAGAIN && errno != EINTR);
-    }
-
     // "Written" means accepted by the kernel. Data passed to the stream waits there until the loop has
     // checked once more for closed connections: after a stall, a request that meets a closed connection is
     // known not to have been sent.
@@ -147,7 +139,7 @@
     for (;;) {
         const ConnectionIterator it = find_rested(upstream_id, endpoint);
         if (it == connections_.end()) return it;
-        if (it->endpoint == endpoint && !it->has_unread_input()) {
+        if (it->endpoint == endpoint && !has_unread_input(it->stream.get())) {
             remove_from_idle(it);
             return it;
         }
@@ -241,7 +233,8 @@
     const auto it = connection_of_.find(write.attempt);
     if (it == connection_of_.end()) return;
     const ConnectionIterator connection = it->second;
-    if (!connection->request_begun && connection->has_unread_input()) return on_unsolicited_bytes(connection);
+    if (!connection->request_begun && has_unread_input(connection->stream.get()))
+        return on_unsolicited_bytes(connection);
     connection->request_begun = true;
     connection->request_incomplete = write.request_incomplete;
     connection->request_bytes += write.bytes.size();
