--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -131,7 +131,7 @@
             connections_.erase(oldest);
         }
         connections_.emplace_back();
-        const ConnectionIterator it = std::prev(connections_.end());
+        const auto it = std::prev(connections_.end());
         it->owner = this;
         it->self = it;
         it->socket = std::move(socket);
--- a/src/net/downstream_server.cpp
+++ b/src/net/downstream_server.cpp
@@ -36,7 +36,8 @@
 constexpr size_t write_watermark_bytes = 16 * 1024;
 constexpr size_t stream_buffer_bytes = 128 * 1024;  // approximate buffer for a large message
 constexpr size_t max_ignored_bytes = 128 * 1024;    // input read and discarded after a last response
-constexpr uint32_t max_pipelined_requests = 16;     // requests sent before the response to the previous one
+constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr uint32_t max_pipelined_requests = 16;  // requests sent before the response to the previous one
 
 // Time since the last byte arrived. For requests that waited unread while this process stood still, time
 // counts from when their callers sent them.
@@ -164,7 +165,7 @@
 {
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    const ConnectionIterator it =
+    const auto it =
         connections_[reading_request].emplace(connections_[reading_request].end(), config_.service_config);
     it->owner = this;
     it->self = it;
@@ -210,16 +211,7 @@
 {
     auto* input = bufferevent_get_input(it->stream.get());
     const size_t size = evbuffer_get_length(input);
-    if (it->phase == lingering) {
-        evbuffer_drain(input, size);
-        if ((it->ignored_bytes += size) > max_ignored_bytes + it->body_bytes_due) return close_connection(it);
-        // A caller may read its response only after sending all of its request: it is not cut off while it
-        // sends.
-        if (it->body_bytes_due > 0 && size > 0) enter_phase(it, lingering);
-        if (it->body_bytes_due > 0 && it->ignored_bytes >= it->body_bytes_due)
-            shutdown(bufferevent_getfd(it->stream.get()), SHUT_WR);
-        return;
-    }
+    if (it->phase == lingering) return discard_input(it);
     // Pipelined input stays unread, and bounded, until the response before it is written.
     if (size == 0 || it->phase == awaiting_response || it->phase == sending_response) return;
     if (it->phase == idle) enter_phase(it, reading_request);
@@ -235,25 +227,46 @@
         return reject(it, status, why);
     }
     if (it->phase == streaming_request) return on_body_chunk(it, state == RequestReader::State::complete);
-    // Bounds memory: a body that would not fit is refused before it arrives.
-    const auto& request = it->reader.request();
-    const size_t most = it->reader.exceeds_buffer() ? 2 * stream_buffer_bytes
-                                                    : request.body.size() + it->reader.body_bytes_to_buffer();
-    if (most > it->body_memory) {
-        if (body_memory_ - it->body_memory + most > max_body_memory_) {
-            post_event_(RequestRejected{request.operation, request.config_version});
-            return send_response(it, plain_response(503, "no room for the body\n"), true);
-        }
-        reserve_body_memory(*it, most);
+    if (!reserve_for_request(it)) {
+        const auto& request = it->reader.request();
+        post_event_(RequestRejected{request.operation, request.config_version});
+        return send_response(it, plain_response(503, "no room for the body\n"), true);
     }
     if (state == RequestReader::State::complete) return on_request(it, false);
     if (it->reader.exceeds_buffer()) {
         bufferevent_setwatermark(it->stream.get(), EV_READ, 0, body_read_watermark_bytes);
-        if (request.body.size() >= max_buffered_body_bytes) return on_request(it, true);
+        if (it->reader.request().body.size() >= max_buffered_body_bytes) return on_request(it, true);
+    }
+    if (it->reader.expects_continue() && it->reader.request().body.empty()) {
+        bufferevent_write(it->stream.get(), continue_response.data(), continue_response.size());
+        it->reader.mark_continue_sent();
     }
-    if (it->reader.expects_continue() && request.body.empty())
-        bufferevent_write(it->stream.get(), "HTTP/1.1 100 Continue\r\n\r\n", 25),
-            it->reader.mark_continue_sent();
+}
+
+// Reads and drops what comes after the last response on a connection.
+void DownstreamServer::discard_input(ConnectionIterator it)
+{
+    auto* input = bufferevent_get_input(it->stream.get());
+    const size_t size = evbuffer_get_length(input);
+    evbuffer_drain(input, size);
+    it->ignored_bytes += size;
+    if (it->ignored_bytes > max_ignored_bytes + it->body_bytes_due) return close_connection(it);
+    if (it->body_bytes_due == 0) return;
+    // A caller may read its response only after sending all of its request: it is not cut off while it sends.
+    if (size > 0) enter_phase(it, lingering);
+    if (it->ignored_bytes >= it->body_bytes_due) shutdown(bufferevent_getfd(it->stream.get()), SHUT_WR);
+}
+
+// Bounds memory: a body that would not fit is rejected before it arrives. Returns whether there is room.
+bool DownstreamServer::reserve_for_request(ConnectionIterator it)
+{
+    const size_t most = it->reader.exceeds_buffer()
+                            ? 2 * stream_buffer_bytes
+                            : it->reader.request().body.size() + it->reader.body_bytes_to_buffer();
+    if (most <= it->body_memory) return true;
+    if (body_memory_ - it->body_memory + most > max_body_memory_) return false;
+    reserve_body_memory(*it, most);
+    return true;
 }
 
 // Handles more of a request that is forwarded while it arrives.
--- a/src/net/downstream_server.h
+++ b/src/net/downstream_server.h
@@ -70,6 +70,8 @@
     void add_connection(int fd);
     void enter_phase(ConnectionIterator it, Phase phase);
     void on_readable(ConnectionIterator it);
+    void discard_input(ConnectionIterator it);
+    bool reserve_for_request(ConnectionIterator it);
     void on_request(ConnectionIterator it, bool more);
     void on_body_chunk(ConnectionIterator it, bool last);
     Duration unread_time(ConnectionIterator it) const;
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -112,8 +112,7 @@
 
 void UpstreamPool::start_attempt(const ConnectUpstream& connect)
 {
-    if (const ConnectionIterator idle = take_idle(connect.upstream_id, connect.endpoint);
-        idle != connections_.end()) {
+    if (const auto idle = take_idle(connect.upstream_id, connect.endpoint); idle != connections_.end()) {
         bufferevent_set_timeouts(idle->stream.get(), nullptr, nullptr);
         assign(idle, connect.attempt, connect.timeout);
         return post_event_(UpstreamConnected{connect.attempt});
@@ -123,7 +122,7 @@
         return post_event_(
             AttemptFailed{connect.attempt, {AttemptProgress::not_connected, FailureCause::no_descriptor}});
     }
-    const ConnectionIterator it = open_connection(connect.upstream_id, connect.endpoint);
+    const auto it = open_connection(connect.upstream_id, connect.endpoint);
     if (it == connections_.end()) {
         const auto cause = cause_of(errno);
         if (cause == FailureCause::no_descriptor) close_oldest_idle(8);
@@ -137,7 +136,7 @@
 UpstreamPool::ConnectionIterator UpstreamPool::take_idle(UpstreamId upstream_id, const std::string& endpoint)
 {
     for (;;) {
-        const ConnectionIterator it = find_rested(upstream_id, endpoint);
+        const auto it = find_rested(upstream_id, endpoint);
         if (it == connections_.end()) return it;
         if (it->endpoint == endpoint && !has_unread_input(it->stream.get())) {
             remove_from_idle(it);
@@ -173,7 +172,7 @@
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     connections_.emplace_front(setup_);
-    const ConnectionIterator it = connections_.begin();
+    const auto it = connections_.begin();
     it->owner = this;
     it->self = it;
     it->upstream_id = upstream_id;
@@ -316,7 +315,7 @@
 size_t UpstreamPool::close_oldest_idle(size_t count)
 {
     std::vector<ConnectionIterator> resting;
-    for (ConnectionIterator it = connections_.begin(); it != connections_.end(); ++it)
+    for (auto it = connections_.begin(); it != connections_.end(); ++it)
         if (it->attempt == 0) resting.push_back(it);
     count = std::min(count, resting.size());
     std::partial_sort(
@@ -383,26 +382,31 @@
     evbuffer_drain(input, size);
     if (state == ResponseReader::State::malformed) return fail(it, FailureCause::invalid_response);
     if (state == ResponseReader::State::complete) return on_response_complete(it, trailing_bytes);
-    if (!it->reader.has_started()) return;
+    if (it->reader.has_started()) on_response_progress(it);
+}
+
+// Handles more of a response that is not complete: passes it on, begins to, or waits for its rest.
+void UpstreamPool::on_response_progress(ConnectionIterator it)
+{
     it->response_begun = true;
     if (it->streaming_response) {
         restart_timeout(it, streaming_gap_timeout);
         if (auto piece = it->reader.take_body(); !piece.empty())
             post_event_(ResponseChunkReceived{it->attempt, std::move(piece), false});
-    } else if (it->reader.content_length()
-                   ? it->reader.exceeds_buffer() && it->reader.body_bytes_received() > 0
-                   : it->reader.body_bytes_received() > max_buffered_unsized_bytes) {
-        // A response without a stated length is streamed too, rather than collected piece by piece until
-        // its timeout.
-        it->streaming_response = true;
-        restart_timeout(it, streaming_gap_timeout);
-        auto first = std::exchange(it->reader.response(), {});
-        first.body_incomplete = true;
-        first.content_length = it->reader.content_length();
-        post_event_(ResponseReceived{it->attempt, std::move(first)});
-    } else {
-        restart_timeout(it, std::min(response_gap_timeout, it->deadline - monotonic_now()));
+        return;
     }
+    // A response without a stated length is streamed too, rather than collected piece by piece until its
+    // timeout.
+    const bool is_large = it->reader.content_length()
+                              ? it->reader.exceeds_buffer() && it->reader.body_bytes_received() > 0
+                              : it->reader.body_bytes_received() > max_buffered_unsized_bytes;
+    if (!is_large) return restart_timeout(it, std::min(response_gap_timeout, it->deadline - monotonic_now()));
+    it->streaming_response = true;
+    restart_timeout(it, streaming_gap_timeout);
+    auto first = std::exchange(it->reader.response(), {});
+    first.body_incomplete = true;
+    first.content_length = it->reader.content_length();
+    post_event_(ResponseReceived{it->attempt, std::move(first)});
 }
 
 // Bytes that cannot be the response to a request: a second copy of the last response, for instance. Others
--- a/src/net/upstream_pool.h
+++ b/src/net/upstream_pool.h
@@ -46,6 +46,7 @@
     void on_timeout(ConnectionIterator it);
     void fail(ConnectionIterator it, FailureCause cause);
     void on_unsolicited_bytes(ConnectionIterator it);
+    void on_response_progress(ConnectionIterator it);
     void on_response_complete(ConnectionIterator it, bool trailing_bytes);
     void restart_timeout(ConnectionIterator it, Duration wait);
     void close_connection(ConnectionIterator it);
--- a/tests/duty_notifier.cpp
+++ b/tests/duty_notifier.cpp
@@ -16,22 +16,16 @@
     const EventBasePtr base(event_base_new());
     std::vector<Epoch> refused;
     DutyNotifier notifier(base.get(), [&](const std::string&, Epoch epoch) { refused.push_back(epoch); });
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    auto address = TestConnection::loopback_address(0);
-    bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
-    listen(listener, 8);
-    const auto endpoint = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    const TestListener listener;
     const auto run = [&] {
         for (int i = 0; i < 20; ++i) event_base_loop(base.get(), EVLOOP_NONBLOCK), sleep_ms(1);
     };
     const auto notify = [&](Epoch epoch) {
-        notifier.notify(endpoint, {"report", "b1", epoch, 1, 1000}, [] { return true; });
+        notifier.notify(listener.endpoint(), {"report", "b1", epoch, 1, 1000}, [] { return true; });
         run();
     };
     notify(1);  // opens the connection
-    TestConnection peer(accept(listener, nullptr, nullptr));
+    auto peer = listener.accept_connection();
     const auto refusal = http_message("HTTP/1.1 409 Conflict");
     notify(1);
     ASSERT_FALSE(peer.receive_message().empty());
@@ -42,7 +36,6 @@
     sleep_ms(5);
     notify(2);
     EXPECT_EQ(refused, std::vector<Epoch>{1});
-    ::close(listener);
 }
 
 }  // namespace
--- a/tests/early_responses.cpp
+++ b/tests/early_responses.cpp
@@ -138,11 +138,8 @@
   protected:
     EarlyResponses()
         : discovery_([this](TestConnection& connection) {
-              for (std::string request; !(request = connection.receive_message()).empty();) {
-                  if (is_silent_ || request.find("after=") != std::string::npos)
-                      return (void)connection.receives_eof();
-                  connection.send(http_message(status_line_ok, upstream_.list(2)));
-              }
+              if (is_silent_) return (void)connection.receive_all();
+              serve_unchanging_list(connection, upstream_.list(2));
           })
     {
         program_path = FIRTIDE_PROGRAM;
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -228,12 +228,46 @@
     std::vector<std::thread> connection_threads_;
 };
 
+// A listening socket whose connections the test accepts itself, between the steps of the code under test.
+class TestListener
+{
+  public:
+    TestListener() : fd_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        auto address = TestConnection::loopback_address(0);
+        bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        socklen_t size = sizeof address;
+        getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
+        port_ = ntohs(address.sin_port);
+        listen(fd_, 8);
+    }
+    TestListener(const TestListener&) = delete;
+    TestListener& operator=(const TestListener&) = delete;
+    ~TestListener() { ::close(fd_); }
+
+    std::string endpoint() const { return "127.0.0.1:" + std::to_string(port_); }
+    TestConnection accept_connection() const { return TestConnection(accept(fd_, nullptr, nullptr)); }
+
+  private:
+    int fd_;
+    uint16_t port_ = 0;
+};
+
 inline std::string http_message(const std::string& first, const std::string& body = "",
                                 const std::string& more = "")
 {
     return first + "\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// Acts as discovery for a list that does not change: answers a request for the full list, and no watch.
+inline void serve_unchanging_list(TestConnection& connection, const std::string& list)
+{
+    for (std::string request; !(request = connection.receive_message()).empty();) {
+        if (request.find("after=") != std::string::npos) return (void)connection.receives_eof();
+        connection.send(http_message("HTTP/1.1 200 OK", list));
+    }
+}
+
 inline std::string first_line(const std::string& message)
 {
     return message.empty() ? "(nothing)" : message.substr(0, message.find('\r'));
--- a/tests/upstream_responses.cpp
+++ b/tests/upstream_responses.cpp
@@ -80,12 +80,7 @@
 {
   protected:
     UpstreamResponses()
-        : discovery_([this](TestConnection& connection) {
-              for (std::string request; !(request = connection.receive_message()).empty();) {
-                  if (request.find("after=") != std::string::npos) return (void)connection.receives_eof();
-                  connection.send(http_message(status_line_ok, list_));
-              }
-          })
+        : discovery_([this](TestConnection& connection) { serve_unchanging_list(connection, list_); })
     {
         program_path = FIRTIDE_PROGRAM;
     }
@@ -182,17 +177,7 @@
           pool_(base_.get(), config_, net::ConnectionBudget(10, 10, [] { return size_t{0}; }),
                 [this](net::Event event) { events_.push_back(std::move(event)); })
     {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        auto address = TestConnection::loopback_address(0);
-        bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address);
-        socklen_t size = sizeof address;
-        getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-        endpoint_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-        listen(listener_, 8);
     }
-    ~UpstreamPoolTest() override { ::close(listener_); }
-
-    TestConnection accept_peer() { return TestConnection(accept(listener_, nullptr, nullptr)); }
 
     template <class Expected>
     const Expected* run_until()
@@ -210,8 +195,7 @@
     EventBasePtr base_;
     std::vector<net::Event> events_;
     net::UpstreamPool pool_;
-    int listener_ = -1;
-    std::string endpoint_;
+    TestListener listener_;
 };
 
 // Guards against a second copy that comes between the choice of a connection and the write of its request.
@@ -219,15 +203,15 @@
 {
     const auto request = http_message("POST /once/x HTTP/1.1", "b");
     const auto response = http_message(status_line_ok, "first");
-    pool_.start_attempt(ConnectUpstream{1, 1, endpoint_, seconds(1)});
-    auto peer = accept_peer();
+    pool_.start_attempt(ConnectUpstream{1, 1, listener_.endpoint(), seconds(1)});
+    auto peer = listener_.accept_connection();
     ASSERT_TRUE(run_until<UpstreamConnected>());
     pool_.write(WriteUpstream{1, request, false});
     peer.send(response);
     ASSERT_TRUE(run_until<ResponseReceived>());
     sleep_ms(100);
     events_.clear();
-    pool_.start_attempt(ConnectUpstream{2, 1, endpoint_, seconds(1)});
+    pool_.start_attempt(ConnectUpstream{2, 1, listener_.endpoint(), seconds(1)});
     ASSERT_TRUE(run_until<UpstreamConnected>());
     peer.send(response);
     sleep_ms(5);
