--- a/simulation/scale.cpp
+++ b/simulation/scale.cpp
@@ -157,7 +157,7 @@
 // Changes form a Poisson process, so that they aren't synchronized with the polling of discovery.
 Duration ScaleRun::until_next_change()
 {
-    return seconds(std::exponential_distribution<>(plan_.changes_per_second)(random_));
+    return seconds(exponential_random(random_, plan_.changes_per_second));
 }
 
 void ScaleRun::start_buckets()
--- a/simulation/scale.h
+++ b/simulation/scale.h
@@ -122,7 +122,7 @@
     std::vector<MemberState> members_;
     std::vector<TimePoint> changed_at_;  // time of each change, by version
     std::vector<uint32_t> latencies_us_;
-    std::ranlux24_base random_;  // draws the times of changes
+    RandomEngine random_;  // draws the times of changes
     TimePoint next_change_;
     bool changes_enabled_ = false;
     TimePoint bucket_start_;
--- a/simulation/simulated_cluster.cpp
+++ b/simulation/simulated_cluster.cpp
@@ -232,14 +232,13 @@
     n.last_fetched.reset();
     n.list_corrupted = false;
     n.freeze_at_effect.reset();
-    n.instance = uint64_t{random_()} << 24 | random_();
-    n.fleet =
-        std::make_unique<Fleet>(n.config, n.instance, ++n.incarnation, uint64_t{random_()} << 24 | random_());
+    n.instance = random_48_bits(random_);
+    n.fleet = std::make_unique<Fleet>(n.config, n.instance, ++n.incarnation, random_48_bits(random_));
     if (options_.configure_lease_manager) options_.configure_lease_manager(n.fleet->lease_manager());
     add_trace(n.config.id + " starts");
     if (n.config.members[node].is_voter) {
-        n.voter_agent = std::make_unique<VoterAgent>(n.config, n.disk, options_.voter_timing,
-                                                     uint64_t{random_()} << 24 | random_());
+        n.voter_agent =
+            std::make_unique<VoterAgent>(n.config, n.disk, options_.voter_timing, random_48_bits(random_));
         schedule_event({}, node, [this, node] {
             call_voter_agent(node, [this, node](TimePoint p) { return nodes_[node]->voter_agent->start(p); });
         });
--- a/simulation/simulated_cluster.h
+++ b/simulation/simulated_cluster.h
@@ -6,12 +6,12 @@
 #include <map>
 #include <memory>
 #include <queue>
-#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "src/base/random.h"
 #include "src/fleet/fleet.h"
 
 namespace firtide::simulation
@@ -86,8 +86,8 @@
 
     size_t size() const { return nodes_.size(); }
     TimePoint now() const { return now_; }
-    std::ranlux24_base& random() { return random_; }
-    double uniform() { return std::uniform_real_distribution<>(0, 1)(random_); }
+    RandomEngine& random() { return random_; }
+    double uniform() { return uniform_random(random_); }
 
     // Hooks for models that run alongside the members: the members' effects, and events on the same clock. An
     // event of no member has node SIZE_MAX.
@@ -201,7 +201,7 @@
 
     const Options options_;
     std::map<Term, DiskId> leader_of_term_;
-    std::ranlux24_base random_;
+    RandomEngine random_;
     TimePoint now_{1'000'000'000};
     uint64_t next_order_ = 0;
     std::vector<std::unique_ptr<Node>> nodes_;
--- a/simulation/subsets.cpp
+++ b/simulation/subsets.cpp
@@ -6,7 +6,8 @@
 #include <cmath>
 #include <functional>
 #include <numeric>
-#include <random>
+
+#include "src/base/random.h"
 
 namespace firtide::simulation
 {
@@ -110,12 +111,10 @@
     return select_subset(rule, f.members, self, f.upstreams, 1);
 }
 
-Topology make_topology(size_t members, size_t upstreams, bool unequal, std::ranlux24_base& random)
+Topology make_topology(size_t members, size_t upstreams, bool unequal, RandomEngine& random)
 {
     Topology f;
-    const auto draw_size = [&] {
-        return unequal ? 1 + 3 * std::uniform_real_distribution<>(0, 1)(random) : 1.0;
-    };
+    const auto draw_size = [&] { return unequal ? 1 + 3 * uniform_random(random) : 1.0; };
     const uint64_t salt = random();
     for (size_t i = 0; i < members; ++i) f.members.push_back({i + 1, true, draw_size()});
     for (size_t i = 0; i < upstreams; ++i) f.upstreams.push_back({hash(salt + 1, i), draw_size(), true});
@@ -170,7 +169,7 @@
         SubsetComparison c;
         c.algorithm = name;
         for (size_t seed = 0; seed < seeds; ++seed) {
-            std::ranlux24_base random(static_cast<uint32_t>(seed + 1));
+            RandomEngine random(static_cast<uint32_t>(seed + 1));
             const Topology f = make_topology(members, upstreams, false, random);
             const auto all = select_for_all(algorithm, f, size);
             for (const SubsetWeights& p : all)
@@ -182,9 +181,7 @@
 
             // Each member misses a random tenth of the other members and a twentieth of the upstreams.
             std::vector<SubsetWeights> differing;
-            const auto unseen = [&](double part) {
-                return std::uniform_real_distribution<>(0, 1)(random) < part;
-            };
+            const auto unseen = [&](double part) { return uniform_random(random) < part; };
             for (const SubsetPeer& s : f.members) {
                 Topology own = f;
                 std::erase_if(own.members,
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -6,11 +6,11 @@
 #include <array>
 #include <cmath>
 #include <numeric>
-#include <random>
 #include <unordered_map>
 #include <utility>
 
 #include "peer_message.h"
+#include "src/base/random.h"
 
 namespace firtide
 {
@@ -210,7 +210,7 @@
     State(Settings initial_settings, uint64_t seed, BalancerDelegate& balancer_delegate)
         : settings(std::move(initial_settings)),
           delegate(balancer_delegate),
-          random_engine(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 32)))
+          random_engine(static_cast<RandomEngine::result_type>(seed ^ (seed >> 32)))
     {
         carry_over({}, {});
         random_engine.discard(32);
@@ -218,7 +218,7 @@
 
     Settings settings;
     BalancerDelegate& delegate;
-    std::ranlux24_base random_engine;
+    RandomEngine random_engine;
     TimePoint now, started_at;
 
     std::vector<Invocation> invocations;
@@ -278,7 +278,7 @@
     std::vector<std::pair<UpstreamId, double>> candidates;
     double own_zone_preference = 1, own_zone_preference_with_peers = 1;  // the own zone's weight in the draw
 
-    double uniform_random() { return std::generate_canonical<double, 24>(random_engine); }
+    double uniform_random() { return uniform_random_24_bits(random_engine); }
 
     void schedule(TimePoint at, std::function<void()> callback)
     {
--- a/src/balance/decode_settings.cpp
+++ b/src/balance/decode_settings.cpp
@@ -43,6 +43,15 @@
         return integer;
     }
 
+    // Fractions are cut off.
+    uint32_t integer(const std::string& key, uint32_t default_value) const
+    {
+        const double value = number(key, default_value);
+        if (value > UINT32_MAX)
+            throw SettingError(key + ": must be " + std::to_string(UINT32_MAX) + " at most");
+        return static_cast<uint32_t>(value);
+    }
+
     Duration duration(const std::string& key, Duration default_value) const
     {
         return {static_cast<int64_t>(number(key, static_cast<double>(default_value.us)))};
@@ -153,10 +162,10 @@
     config.connect_timeout = decoder.duration("policy_limits.connect_timeout_us", config.connect_timeout);
     config.upstream_idle_timeout =
         decoder.duration("policy_limits.conn_idle_us", config.upstream_idle_timeout);
-    settings.balancer_count = static_cast<uint32_t>(decoder.number("balancers", settings.balancer_count));
-    settings.self_index = static_cast<uint32_t>(decoder.number("self_index", settings.self_index));
-    settings.tier = static_cast<uint32_t>(decoder.number("tier", settings.tier));
-    settings.zone = static_cast<uint32_t>(decoder.number("zone", settings.zone));
+    settings.balancer_count = decoder.integer("balancers", settings.balancer_count);
+    settings.self_index = decoder.integer("self_index", settings.self_index);
+    settings.tier = decoder.integer("tier", settings.tier);
+    settings.zone = decoder.integer("zone", settings.zone);
     settings.cross_zone_price = decoder.number("prices.cross_zone", settings.cross_zone_price);
     settings.probe_price = decoder.number("prices.probe", settings.probe_price);
     settings.peer_message_price = decoder.number("prices.peer", settings.peer_message_price);
@@ -168,8 +177,7 @@
     settings.may_overlap_forwards = decoder.flag("policy_limits.may_duplicate");
     settings.may_probe = decoder.flag("policy_limits.may_probe");
     settings.may_message_peers = decoder.flag("policy_limits.peers");
-    settings.max_forwards =
-        static_cast<uint32_t>(decoder.number("policy_limits.max_forwards", settings.max_forwards));
+    settings.max_forwards = decoder.integer("policy_limits.max_forwards", settings.max_forwards);
     if (decoder.flag("policy_limits.retry_after"))
         settings.max_retry_after =
             decoder.duration("policy_limits.max_retry_after_us", settings.max_retry_after);
--- a/src/fleet/consensus/raft_environment.h
+++ b/src/fleet/consensus/raft_environment.h
@@ -5,10 +5,10 @@
 
 #include <deque>
 #include <functional>
-#include <random>
 #include <vector>
 
 #include "raft_library.h"
+#include "src/base/random.h"
 #include "voter.h"
 
 namespace firtide::fleet
@@ -65,7 +65,7 @@
 
     Store& store_;
     std::vector<VoterEffect>& effects_;
-    std::ranlux24_base random_;
+    RandomEngine random_;
     raft_io io_{};
     raft_io_tick_cb on_tick_ = nullptr;
     raft_io_recv_cb on_receive_ = nullptr;
--- a/src/fleet/consensus/voter_agent.h
+++ b/src/fleet/consensus/voter_agent.h
@@ -7,9 +7,9 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <variant>
 
+#include "src/base/random.h"
 #include "src/fleet/config.h"
 #include "src/fleet/lease/lease_table.h"
 #include "voter.h"
@@ -139,7 +139,7 @@
     const FleetConfig& config_;
     FileSystem& files_;
     const VoterTiming timing_;
-    std::ranlux24_base random_;
+    RandomEngine random_;
     std::unique_ptr<Store> store_;
     OpenResult open_result_ = OpenResult::failed;
     std::unique_ptr<LeaseStateMachine> leases_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -89,7 +89,7 @@
     context_.membership.start(context_.now);
     context_.lease_client.start(context_.now);
     snapshots_.start();
-    endpoints_.start(std::uniform_real_distribution<>(0, 1)(random_));
+    endpoints_.start(uniform_random(random_));
 }
 
 void Fleet::on(const Tick&)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -8,7 +8,6 @@
 
 #include <map>
 #include <optional>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -17,6 +16,7 @@
 #include "duty_runner.h"
 #include "fleet_context.h"
 #include "shared_choices.h"
+#include "src/base/random.h"
 #include "src/fleet/endpoints/endpoint_list_service.h"
 #include "src/fleet/lease/lease_manager.h"
 #include "src/fleet/startup/snapshot_service.h"
@@ -123,7 +123,7 @@
     std::string duty_status(const Duty& duty) const;
 
     FleetContext context_;
-    std::ranlux24_base random_;
+    RandomEngine random_;
     LeaseManager lease_manager_;
     LeaseTable committed_table_;  // at a voter
     DutyBroadcasts broadcasts_;
--- a/src/fleet/lease/lease_client.h
+++ b/src/fleet/lease/lease_client.h
@@ -13,12 +13,12 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "lease_table.h"
+#include "src/base/random.h"
 #include "src/fleet/config.h"
 #include "src/fleet/transport/outgoing.h"
 
@@ -102,12 +102,12 @@
     bool must_return(const LeaseRecord& lease) const;
     void return_lease(const LeaseRecord& lease);
     void drop_lease(const std::string& duty, const std::string& reason);
-    double uniform_random() { return std::uniform_real_distribution<>(0, 1)(random_); }
+    double uniform_random() { return firtide::uniform_random(random_); }
 
     const FleetConfig& config_;
     const MemberKey own_key_;
     const InstanceId instance_;
-    std::ranlux24_base random_;
+    RandomEngine random_;
     std::vector<MemberIndex> voters_;  // in random order
     size_t next_voter_ = 0;
 
--- a/src/fleet/lease/lease_manager.cpp
+++ b/src/fleet/lease/lease_manager.cpp
@@ -1,10 +1,10 @@
 #include "lease_manager.h"
 
 #include <algorithm>
-#include <random>
 
 #include "lease_rank.h"
 #include "lease_timing.h"
+#include "src/base/random.h"
 
 namespace firtide::fleet
 {
@@ -23,7 +23,7 @@
 LeaseManager::LeaseManager(const FleetConfig& config, uint64_t seed) : config_(config), sessions_(config)
 {
     // A random start keeps a restarted leader from mistaking the result of an earlier proposal for its own.
-    std::ranlux24_base random(static_cast<uint32_t>(seed ^ seed >> 32));
+    RandomEngine random(static_cast<uint32_t>(seed ^ seed >> 32));
     last_proposal_id_ = uint64_t{random()} << 32;
 }
 
--- a/src/fleet/membership/membership.h
+++ b/src/fleet/membership/membership.h
@@ -9,11 +9,11 @@
 // No I/O and no clock of its own. Not thread-safe.
 #pragma once
 
-#include <random>
 #include <unordered_map>
 #include <vector>
 
 #include "member_view.h"
+#include "src/base/random.h"
 #include "src/fleet/config.h"
 #include "src/fleet/transport/outgoing.h"
 
@@ -125,7 +125,7 @@
     const FleetConfig& config_;
     const MemberIndex self_;
     const Duration period_;
-    std::ranlux24_base random_;
+    RandomEngine random_;
     MemberView view_;
     PingPayload payload_;
 
--- a/src/fleet/transport/peers.cpp
+++ b/src/fleet/transport/peers.cpp
@@ -300,7 +300,7 @@
 void Peers::reconnect_later(Outbound& outbound)
 {
     outbound.waiting_to_reconnect = true;
-    const double jitter = 0.5 + std::uniform_real_distribution<>(0, 1)(random_);
+    const double jitter = 0.5 + uniform_random(random_);
     const auto delay = to_timeval(outbound.reconnect_delay * jitter);
     outbound.reconnect_delay = std::min(max_reconnect_delay, outbound.reconnect_delay * 2);
     event_add(outbound.timer.get(), &delay);
--- a/src/fleet/transport/peers.h
+++ b/src/fleet/transport/peers.h
@@ -8,8 +8,8 @@
 #include <functional>
 #include <list>
 #include <map>
-#include <random>
 
+#include "src/base/random.h"
 #include "src/fleet/config.h"
 #include "src/io/event.h"
 #include "traffic.h"
@@ -66,7 +66,7 @@
     event_base* base_;
     const FleetConfig& config_;
     const InstanceId instance_;
-    std::ranlux24_base random_;
+    RandomEngine random_;
     std::function<void(MemberIndex, Message)> on_message_;
     std::unique_ptr<evconnlistener, void (*)(evconnlistener*)> listener_;
     std::list<Inbound> inbound_;
