--- /dev/null
+++ b/tests/memory_limits.cpp
@@ -0,0 +1,213 @@
+// Peak memory of the program beside crowds of clients, as the kernel reports it, against the limit in its
+// settings; and what ordinary callers get meanwhile.
+#include <gtest/gtest.h>
+
+#include "crowd.h"
+
+namespace firtide
+{
+namespace
+{
+
+constexpr size_t crowd_size = 900;
+constexpr size_t listed_upstreams = 3200;
+constexpr double crowd_seconds = 4;
+constexpr size_t mebibyte = 1024 * 1024;
+constexpr double served_share = 0.95;
+constexpr double client_timeout_seconds = 1;  // BalancerProcess's
+
+struct Limits {
+    size_t memory_mb, descriptors;
+    std::string json() const
+    {
+        return std::to_string(descriptors) + R"(,"memory_mb":)" + std::to_string(memory_mb);
+    }
+};
+
+constexpr Limits usual{32, 1024}, half{16, 512};
+
+std::string head(const std::string& first_line, size_t number)
+{
+    return first_line + " HTTP/1.1\r\nHost: a\r\nReq-Id: crowd-" + std::to_string(number) + "\r\n";
+}
+
+std::string repeat(const std::string& text, size_t times)
+{
+    std::string out;
+    for (size_t i = 0; i < times; ++i) out += text;
+    return out;
+}
+
+// ---- What clients of a crowd do ----
+
+using MakeClient = CrowdClient (*)(size_t number);
+
+CrowdClient short_fields(size_t n) { return {head("GET /safe/x", n) + repeat("a:\r\n", 3900) + "\r\n"}; }
+CrowdClient short_fields_without_end(size_t n) { return {head("GET /safe/x", n) + repeat("a:\r\n", 3900)}; }
+CrowdClient long_field_name(size_t n) { return {head("GET /safe/x", n) + std::string(16 * 1024 - 100, 'a')}; }
+CrowdClient half_body(size_t n, size_t announced, size_t sent)
+{
+    return {head("POST /once/x", n) + "Content-Length: " + std::to_string(announced) + "\r\n\r\n" +
+            std::string(sent, 'b')};
+}
+CrowdClient half_small_body(size_t n) { return half_body(n, 4000, 2000); }
+CrowdClient half_buffered_body(size_t n) { return half_body(n, 64 * 1024, 60 * 1024); }
+CrowdClient half_large_body(size_t n) { return half_body(n, 1024 * 1024, 500 * 1024); }
+CrowdClient half_chunked_body(size_t n)
+{
+    return {head("POST /once/x", n) + "Transfer-Encoding: chunked\r\n\r\n" +
+            repeat("400\r\n" + std::string(1024, 'b') + "\r\n", 200)};
+}
+CrowdClient unread_response(size_t n) { return {head("GET /safe/60000", n) + "\r\n"}; }
+CrowdClient unread_large_response(size_t n) { return {head("GET /safe/1000000", n) + "\r\n"}; }
+CrowdClient slowly_read_response(size_t n) { return {head("GET /safe/1000000", n) + "\r\n", false, 512}; }
+CrowdClient request_that_hangs(size_t n)
+{
+    return {head("POST /once/hang", n) + "Content-Length: 60000\r\n\r\n" + std::string(60000, 'b')};
+}
+CrowdClient lingering(size_t n) { return {head("GET /safe/x", n) + "Connection: close\r\n\r\n", true}; }
+CrowdClient pipelined(size_t n)
+{
+    return {repeat(head("GET /safe/x", n) + "X: " + std::string(3000, 'x') + "\r\n\r\n", 30)};
+}
+
+const std::vector<MakeClient> all_shapes = {short_fields,
+                                            short_fields_without_end,
+                                            long_field_name,
+                                            half_small_body,
+                                            half_buffered_body,
+                                            half_large_body,
+                                            half_chunked_body,
+                                            unread_response,
+                                            unread_large_response,
+                                            slowly_read_response,
+                                            request_that_hangs,
+                                            lingering,
+                                            pipelined};
+CrowdClient mixed(size_t n) { return all_shapes[n % all_shapes.size()](n); }
+
+// ---- The servers around the program ----
+
+// Answers with as many bytes as the path says, or never.
+void serve_sizes(TestConnection& connection)
+{
+    for (std::string head; connection.is_open() && !(head = connection.receive_head()).empty();) {
+        const auto length = head.find("Content-Length: ");
+        if (length != std::string::npos) connection.discard(std::stoul(head.substr(length + 16)));
+        if (head.find("chunked") != std::string::npos) connection.receive_chunked_body();
+        if (head.find("/hang") != std::string::npos) return (void)connection.receive_all();
+        const auto path = head.find("/safe/");
+        const size_t bytes = path == std::string::npos ? 0 : std::strtoul(&head[path + 6], nullptr, 10);
+        connection.send(http_message(status_line_ok, std::string(bytes, 'r')));
+    }
+}
+
+std::string list_of(size_t upstreams, const std::string& endpoint)
+{
+    std::string list = R"({"rev":2,"all":true,"targets":[)";
+    for (size_t i = 0; i < upstreams; ++i)
+        list += (i ? R"(,{"uid":"s-)" : R"({"uid":"s-)") + std::to_string(i) + R"(","endpoint":")" +
+                endpoint + R"(","az":"a","pod_group":0,"state":"ready","boot_ms":0})";
+    return list + "]}";
+}
+
+class MemoryLimits : public testing::TestWithParam<Limits>
+{
+  protected:
+    MemoryLimits()
+        : upstream_(serve_sizes),
+          list_(list_of(listed_upstreams, upstream_.endpoint())),
+          discovery_([this](TestConnection& connection) { serve_unchanging_list(connection, list_); })
+    {
+        program_path = FIRTIDE_PROGRAM;
+        rlimit descriptors{};
+        getrlimit(RLIMIT_NOFILE, &descriptors);
+        descriptors.rlim_cur = std::min<rlim_t>(descriptors.rlim_max, 4 * crowd_size);
+        setrlimit(RLIMIT_NOFILE, &descriptors);
+    }
+
+    BalancerProcess start(uint16_t port = 0)
+    {
+        return BalancerProcess(discovery_.endpoint(), GetParam().json(), "", {}, port);
+    }
+    CallResults call(uint16_t port, double for_seconds = crowd_seconds)
+    {
+        return call_evenly(port, for_seconds, [this](size_t) {
+            return head("GET /safe/100", next_call_++ + 1'000'000) + "\r\n";
+        });
+    }
+    void expect_within_limit(pid_t pid) const
+    {
+        const size_t peak = peak_resident_bytes(pid);
+        RecordProperty("peak_kb", std::to_string(peak / 1024));
+        std::printf("peak %zu kB of %zu kB\n", peak / 1024, GetParam().memory_mb * 1024);
+        EXPECT_GT(peak, 0u) << "the process is gone";
+        EXPECT_LE(peak, GetParam().memory_mb * mebibyte);
+    }
+    static void expect_served(const CallResults& results)
+    {
+        std::printf("%s, p99 %.3f s\n", results.text().c_str(), results.p99_seconds());
+        EXPECT_GE(results.served_share(), served_share) << results.text();
+        EXPECT_LE(results.p99_seconds(), client_timeout_seconds);
+    }
+    void expect_survives(MakeClient make_client)
+    {
+        BalancerProcess firtide = start();
+        CallResults results;
+        {
+            Crowd crowd(firtide.port, crowd_size, make_client);
+            results = call(firtide.port);
+        }
+        expect_within_limit(firtide.pid);
+        expect_served(results);
+        EXPECT_EQ(firtide.stop().status, 0);
+    }
+
+    TestServer upstream_;
+    std::string list_;
+    TestServer discovery_;
+    std::atomic<size_t> next_call_{0};
+};
+
+INSTANTIATE_TEST_SUITE_P(Settings, MemoryLimits, testing::Values(usual, half),
+                         [](const auto& limits) { return std::to_string(limits.param.memory_mb) + "MB"; });
+
+TEST_P(MemoryLimits, HoldWithoutACrowd)
+{
+    BalancerProcess firtide = start();
+    expect_served(call(firtide.port, 1));
+    expect_within_limit(firtide.pid);
+}
+
+TEST_P(MemoryLimits, HoldForHeadsOfManyShortFields) { expect_survives(short_fields); }
+TEST_P(MemoryLimits, HoldForHeadsOfManyShortFieldsWithoutEnd) { expect_survives(short_fields_without_end); }
+TEST_P(MemoryLimits, HoldForALongFieldName) { expect_survives(long_field_name); }
+TEST_P(MemoryLimits, HoldForSmallBodiesStoppedHalfWay) { expect_survives(half_small_body); }
+TEST_P(MemoryLimits, HoldForBufferedBodiesStoppedHalfWay) { expect_survives(half_buffered_body); }
+TEST_P(MemoryLimits, HoldForLargeBodiesStoppedHalfWay) { expect_survives(half_large_body); }
+TEST_P(MemoryLimits, HoldForChunkedBodiesStoppedHalfWay) { expect_survives(half_chunked_body); }
+TEST_P(MemoryLimits, HoldForResponsesThatAreNotRead) { expect_survives(unread_response); }
+TEST_P(MemoryLimits, HoldForLargeResponsesThatAreNotRead) { expect_survives(unread_large_response); }
+TEST_P(MemoryLimits, HoldForLargeResponsesThatAreReadSlowly) { expect_survives(slowly_read_response); }
+TEST_P(MemoryLimits, HoldForRequestsAtUpstreamsThatHang) { expect_survives(request_that_hangs); }
+TEST_P(MemoryLimits, HoldForConnectionsThatLinger) { expect_survives(lingering); }
+TEST_P(MemoryLimits, HoldForPipelinedRequests) { expect_survives(pipelined); }
+TEST_P(MemoryLimits, HoldForAMixedCrowd) { expect_survives(mixed); }
+
+TEST_P(MemoryLimits, HoldAfterARestartIntoACrowd)
+{
+    auto killed = std::make_unique<BalancerProcess>(discovery_.endpoint(), GetParam().json());
+    const uint16_t port = killed->port;
+    Crowd crowd(port, crowd_size, mixed);
+    sleep_ms(1000);
+    expect_within_limit(killed->pid);
+    kill(killed->pid, SIGKILL);
+    killed.reset();
+    BalancerProcess restarted = start(port);
+    const CallResults results = call(port);
+    expect_within_limit(restarted.pid);
+    expect_served(results);
+}
+
+}  // namespace
+}  // namespace firtide
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -287,7 +287,8 @@
     // in the child process before the program starts.
     explicit BalancerProcess(const std::string& discovery, const std::string& sockets = "1024",
                              const std::string& more = "", const std::function<void()>& in_child = {},
-                             uint16_t listen_port = 0, const std::string& settings = "")
+                             uint16_t listen_port = 0, const std::string& settings = "",
+                             int client_timeout_us = 1'000'000)
         : port(listen_port ? listen_port : free_port())
     {
         char path[] = "/tmp/firtide-test-XXXXXX";
@@ -295,8 +296,10 @@
         const auto config = R"({"listen":"127.0.0.1:)" + std::to_string(port) + R"(","discovery":")" +
                             discovery + "\"" + more + R"(,"seed":"1","limits":{"sockets":)" + sockets +
                             R"(},"settings":{)" + settings + R"("operations":[
-            {"name":"safe","repeat":"free","client_timeout_us":1000000},
-            {"name":"once","repeat":"single_shot","client_timeout_us":1000000}],
+            {"name":"safe","repeat":"free","client_timeout_us":)" +
+                            std::to_string(client_timeout_us) + R"(},
+            {"name":"once","repeat":"single_shot","client_timeout_us":)" +
+                            std::to_string(client_timeout_us) + R"(}],
             "policy_limits":{"max_forwards":3,"cancel":true,"conn_idle_us":400000,"connect_timeout_us":100000}}})";
         (void)!write(fd, config.data(), config.size());
         close(fd);
