Responses: one that pauses is awaited for as long as its client waits, as the module decides

Cause: UpstreamPool ended an attempt 0.5 s after the last byte of a response of under 64 KiB, whatever time its client had and whether another attempt was allowed: a retry decision outside of the decision module, made for spoilt responses that never end. The attempt's time was the class's objective, too, where the client waits longer.

Change: the pool reports ResponseBegun and, after 0.5 s and then each 0.1 s, ResponseStalled. The module gives a begun response the client's whole time, and gives one up only where another attempt is allowed by class, window, count and budget, and only when no more than the time of that attempt is left (twice what 19 in 20 responses take, 0.25 s at least). A relay's limit is the longer of 4 s and the client's time. responses_stalled and responses_given_up count them.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -70,6 +70,10 @@
 constexpr Duration max_list_request_spread = seconds(5.5);   // a change is in force after 6 s
 constexpr double retry_budget_share = 0.1;                   // retries per accepted invocation
 constexpr double max_retry_tokens = 5;
+// What is kept of an invocation's time for a retry, after a response that has begun does not go on: at least,
+// and as a multiple of the time that most responses take.
+constexpr Duration min_retry_time = seconds(0.25);
+constexpr double retry_time_factor = 2;
 constexpr uint32_t max_redirects = 3;  // after results that prove that nothing ran
 
 // The concurrency limit is adjusted after round_size responses, or after max_round_duration with at least
@@ -470,15 +474,19 @@
 
     // ---- Signals from responses ----
 
-    FailingKey* find_failing_key(uint64_t key)
+    const FailingKey* find_failing_key(uint64_t key) const
     {
         const auto found = std::find_if(failing_keys.begin(), failing_keys.end(),
                                         [&](auto& each) { return each.key == key; });
         return key && found != failing_keys.end() ? &*found : nullptr;
     }
+    FailingKey* find_failing_key(uint64_t key)
+    {
+        return const_cast<FailingKey*>(std::as_const(*this).find_failing_key(key));
+    }
 
     // The current reduction of a key: an expired entry falls by one step per second.
-    double key_reduction(uint64_t key)
+    double key_reduction(uint64_t key) const
     {
         const FailingKey* failing_key = find_failing_key(key);
         if (!failing_key || now < failing_key->entry.expires_at)
@@ -1062,6 +1070,44 @@
                 delegate.set_forward_timeout(id, i, attempt_timeout(invocations[id]));
     }
 
+    // A response that comes is worth waiting for as long as its client does.
+    void on_response_begun(InvocationId id, uint32_t forward_index)
+    {
+        delegate.set_forward_timeout(id, forward_index, invocations[id].deadline - now);
+    }
+
+    void on_response_stalled(InvocationId id, uint32_t forward_index)
+    {
+        if (!invocations[id].finished && is_better_retried(invocations[id], forward_index))
+            delegate.give_up_forward(id, forward_index);
+    }
+
+    // Whether a response that has begun and does not go on is better given up for another attempt: only where
+    // one is allowed, and only once no more time is left than that one needs. Until then, it may go on.
+    bool is_better_retried(const Invocation& invocation, uint32_t forward_index) const
+    {
+        if (invocation.operation.idempotency == Idempotency::non_idempotent ||
+            invocation.forwards.size() >= std::min(invocation.max_forwards, settings.max_forwards) ||
+            !has_retry_budget(invocation))
+            return false;
+        TimePoint latest = invocation.useful_until;
+        if (invocation.operation.idempotency == Idempotency::deduplicated)
+            latest = std::min(latest, invocation.forwards[forward_index].sent_at +
+                                          invocation.operation.deduplication_window);
+        const Duration retry_time =
+            std::max(min_retry_time, seconds(retry_time_factor * latency_high_quantile));
+        return latest - now <= retry_time;
+    }
+
+    // Whether the invocation may be sent again although its attempts may have run.
+    bool has_retry_budget(const Invocation& invocation) const
+    {
+        const double response_seconds = operation_statistics[invocation.operation_index].mean_seconds;
+        return invocation.operation.idempotency != Idempotency::non_idempotent && retry_tokens >= 1 &&
+               key_reduction(invocation.subject_key) <= 0 &&
+               (invocation.useful_until - now).seconds() > response_seconds;
+    }
+
     void route(InvocationId id)
     {
         const auto upstream_id = pick_upstream(invocations[id]);
@@ -1083,10 +1129,7 @@
             return route(id);
         }
         if (result == AttemptResult::invalid_request) return finish(id, false);
-        const double response_seconds = operation_statistics[invocation.operation_index].mean_seconds;
-        if (invocation.operation.idempotency != Idempotency::non_idempotent && retry_tokens >= 1 &&
-            key_reduction(invocation.subject_key) <= 0 &&
-            (invocation.useful_until - now).seconds() > response_seconds) {
+        if (has_retry_budget(invocation)) {
             retry_tokens -= 1;
             return route(id);
         }
@@ -1472,6 +1515,16 @@
     state_at(now).on_request_complete(invocation, time_left);
 }
 
+void Balancer::on_response_begun(TimePoint now, InvocationId invocation, uint32_t forward)
+{
+    state_at(now).on_response_begun(invocation, forward);
+}
+
+void Balancer::on_response_stalled(TimePoint now, InvocationId invocation, uint32_t forward)
+{
+    state_at(now).on_response_stalled(invocation, forward);
+}
+
 double Balancer::reduction(TimePoint now, UpstreamId upstream_id)
 {
     return upstream_id < state_->upstreams.size() ? state_at(now).reduction(state_->upstreams[upstream_id])
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -89,6 +89,8 @@
     virtual void cancel_forward(InvocationId invocation, uint32_t forward) = 0;
     // Replaces the timeout of a forward in flight.
     virtual void set_forward_timeout(InvocationId invocation, uint32_t forward, Duration timeout) = 0;
+    // Ends a forward whose response has begun and does not go on. It ends as reset: it may have run.
+    virtual void give_up_forward(InvocationId, uint32_t) {}
     virtual void release_invocation(InvocationId invocation) = 0;
     virtual void start_timer(TimePoint at, uint64_t timer_id) = 0;
     virtual void probe(UpstreamId upstream_id) = 0;
@@ -115,6 +117,11 @@
     void accept(TimePoint now, InvocationId invocation, const InvocationRequest& request);
     // The last byte of the request has arrived.
     void on_request_complete(TimePoint now, InvocationId invocation, Duration time_left);
+    // The first bytes of a response that is not complete have come. For hosts whose responses take time to
+    // come.
+    void on_response_begun(TimePoint now, InvocationId invocation, uint32_t forward);
+    // No more of a response that has begun has come for a while. To be repeated for as long as that is so.
+    void on_response_stalled(TimePoint now, InvocationId invocation, uint32_t forward);
     // answered: the invocation has been answered and needs no further reply.
     void on_forward_ended(TimePoint now, InvocationId invocation, uint32_t forward, AttemptResult result,
                           Duration duration, bool answered, const LoadReport& report);
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -223,6 +223,30 @@
     end_attempt(event.attempt, result, &event.response);
 }
 
+void Reducer::on(ResponseBegun event)
+{
+    const auto found = attempts_.find(event.attempt);
+    if (found == attempts_.end() || !found->second.invocation_id) return;
+    balancer_.on_response_begun(now_, *found->second.invocation_id, found->second.forward_index);
+}
+
+void Reducer::on(ResponseStalled event)
+{
+    const auto found = attempts_.find(event.attempt);
+    if (found == attempts_.end() || !found->second.invocation_id) return;
+    responses_stalled_ += !std::exchange(found->second.counted_as_stalled, true);
+    balancer_.on_response_stalled(now_, *found->second.invocation_id, found->second.forward_index);
+}
+
+void Reducer::give_up_forward(InvocationId invocation_id, uint32_t forward)
+{
+    const AttemptId id = invocations_[invocation_id].attempts[forward];
+    if (!attempts_.count(id)) return;
+    ++responses_given_up_;
+    effects_.push_back(CloseUpstream{id});
+    unreported_results_.emplace_back(id, AttemptResult::reset);
+}
+
 void Reducer::on(AttemptFailed event)
 {
     if (const auto found = relays_.find(event.attempt); found != relays_.end()) {
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -107,6 +107,12 @@
     AttemptId attempt;
     Response response;
 };
+struct ResponseBegun {  // the first bytes of a response that is not complete
+    AttemptId attempt;
+};
+struct ResponseStalled {  // nothing more has come for a while; repeated for as long as that is so
+    AttemptId attempt;
+};
 struct ResponseChunkReceived {  // more of the body of a response that is relayed
     AttemptId attempt;
     std::string bytes;
@@ -171,10 +177,11 @@
 using Event =
     std::variant<ServiceStarted, EndpointListUpdated, EndpointListRestored, EndpointListFetchFailed,
                  RequestReceived, DownstreamDisconnected, DownstreamHalfClosed, RequestChunkReceived,
-                 ResponseDrained, UpstreamConnected, ResponseReceived, ResponseChunkReceived, AttemptFailed,
-                 RequestWritten, RequestRejected, AdminCommandReceived, TimerFired, ProcessCountChanged,
-                 ShutdownStarted, ConfigReloaded, ProbesDue, ProbeReportReceived, SubsetPeersUpdated,
-                 OutlierReportsUpdated, QuotasUpdated, SnapshotRestored, FleetStateUpdated, Tick>;
+                 ResponseBegun, ResponseStalled, ResponseDrained, UpstreamConnected, ResponseReceived,
+                 ResponseChunkReceived, AttemptFailed, RequestWritten, RequestRejected, AdminCommandReceived,
+                 TimerFired, ProcessCountChanged, ShutdownStarted, ConfigReloaded, ProbesDue,
+                 ProbeReportReceived, SubsetPeersUpdated, OutlierReportsUpdated, QuotasUpdated,
+                 SnapshotRestored, FleetStateUpdated, Tick>;
 
 // Effects.
 struct SendResponse {
@@ -333,6 +340,7 @@
         uint64_t fencing_token = 0;  // of a fleet duty's probe
         // For its first byte; later, upstreams do not recognise it as a repeat.
         std::optional<TimePoint> write_deadline = {};
+        bool counted_as_stalled = false;
     };
     // Its slot is reused for another upstream once it has gone and nothing refers to it any more.
     struct Upstream {
@@ -349,6 +357,8 @@
     void on(DownstreamDisconnected event);
     void on(DownstreamHalfClosed event);
     void on(RequestChunkReceived& event);
+    void on(ResponseBegun event);
+    void on(ResponseStalled event);
     void on(ResponseDrained event);
     void on(UpstreamConnected event);
     void on(ResponseReceived& event);
@@ -406,6 +416,7 @@
     void fail(InvocationId invocation_id) override;
     void cancel_forward(InvocationId invocation_id, uint32_t forward) override;
     void set_forward_timeout(InvocationId invocation_id, uint32_t forward, Duration timeout) override;
+    void give_up_forward(InvocationId invocation_id, uint32_t forward) override;
     void release_invocation(InvocationId invocation_id) override;
     void start_timer(TimePoint time, uint64_t timer_id) override;
     void probe(UpstreamId upstream_id) override;
@@ -437,6 +448,7 @@
     std::optional<TimePoint> stopped_at_, drained_at_;
     bool other_process_listening_ = false;
     std::map<std::string, OutcomeCounts> outcomes_;
+    uint64_t responses_stalled_ = 0, responses_given_up_ = 0;
     uint64_t backend_calls_ = 0, requests_received_ = 0, requests_abandoned_ = 0;
     std::string discovery_address_;
     std::optional<fleet::EndpointView> view_;      // only as a member of a fleet
--- a/src/net/reducer_admin.cpp
+++ b/src/net/reducer_admin.cpp
@@ -80,6 +80,8 @@
     result.add_counter("throttled.all_reduced", throttled.all_reduced);
     result.add_counter("throttled.no_upstream", throttled.no_upstream);
     result.add_counter("throttled.attempts_ended", throttled.attempts_ended);
+    result.add_counter("responses_stalled", responses_stalled_);
+    result.add_counter("responses_given_up", responses_given_up_);
     result.add_gauge("requests", invocation_of_.size());
     result.add_gauge("attempts", attempts_.size());
     result.add_gauge("relays", relays_.size());
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -22,11 +22,10 @@
 // no request crosses the close.
 constexpr double idle_timeout_share = 0.75;
 
-// Longest gap within a response that has begun. Waiting for one whose head or body never ends would use up
-// the time that another forward needs.
-constexpr Duration response_gap_timeout = seconds(0.5);
-// The same where the caller already has part of the response, and for a request that is being sent: giving
-// up earlier would gain nothing.
+// A gap of this length within a response that has begun is reported, and then again at this interval.
+constexpr Duration response_gap = seconds(0.5), stalled_report_interval = seconds(0.1);
+// Longest gap where the caller already has part of the response, if its own time is over by then, and within
+// a request that is being sent: giving up earlier would gain nothing.
 constexpr Duration streaming_gap_timeout = seconds(4);
 constexpr size_t body_read_watermark_bytes = 16 * 1024;
 // Beyond it, a response is relayed rather than collected where memory is short.
@@ -281,12 +280,18 @@
     it->response_timer = make_timeout_timer(*it, wait);
 }
 
+void UpstreamPool::restart_streaming_timeout(ConnectionIterator it)
+{
+    restart_timeout(it, std::max(streaming_gap_timeout, it->deadline - monotonic_now()));
+}
+
 void UpstreamPool::set_timeout(const SetAttemptTimeout& change)
 {
     const auto it = connection_of_.find(change.attempt);
-    if (it == connection_of_.end() || it->second->response_begun) return;
+    if (it == connection_of_.end() || it->second->streaming_response) return;
     it->second->deadline = monotonic_now() + change.timeout;
-    restart_timeout(it->second, change.timeout);
+    restart_timeout(it->second,
+                    it->second->response_begun ? std::min(response_gap, change.timeout) : change.timeout);
 }
 
 // Pauses reading when the caller is slower than the upstream, and resumes once it has caught up.
@@ -301,7 +306,7 @@
         bufferevent_disable(it->stream.get(), EV_READ);
         return;
     }
-    restart_timeout(it, streaming_gap_timeout);
+    restart_streaming_timeout(it);
     if (!it->paused_for_memory) bufferevent_enable(it->stream.get(), EV_READ);
     bufferevent_trigger(it->stream.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
@@ -401,7 +406,11 @@
         event_add(timer.get(), &soon);
         return;
     }
-    fail(it, it->response_begun ? FailureCause::invalid_response : FailureCause::timed_out);
+    const Duration left = it->deadline - monotonic_now();
+    if (!it->response_begun || it->streaming_response || left <= Duration{})
+        return fail(it, it->response_begun ? FailureCause::invalid_response : FailureCause::timed_out);
+    restart_timeout(it, std::min(stalled_report_interval, left));
+    post_event_(ResponseStalled{it->attempt});
 }
 
 void UpstreamPool::on_readable(ConnectionIterator it)
@@ -425,18 +434,21 @@
 // Handles more of a response that is not complete: passes it on, begins to, or waits for its rest.
 void UpstreamPool::on_response_progress(ConnectionIterator it)
 {
-    it->response_begun = true;
+    const bool is_first = !std::exchange(it->response_begun, true);
     if (it->streaming_response) {
-        restart_timeout(it, streaming_gap_timeout);
+        restart_streaming_timeout(it);
         auto piece = it->reader.take_body();
         it->update_memory();
         if (!piece.empty()) post_event_(ResponseChunkReceived{it->attempt, std::move(piece), false});
         return;
     }
-    if (!should_stream(it))
-        return restart_timeout(it, std::min(response_gap_timeout, it->deadline - monotonic_now()));
+    if (!should_stream(it)) {
+        restart_timeout(it, std::min(response_gap, it->deadline - monotonic_now()));
+        if (is_first) post_event_(ResponseBegun{it->attempt});
+        return;
+    }
     it->streaming_response = true;
-    restart_timeout(it, streaming_gap_timeout);
+    restart_streaming_timeout(it);
     auto first = std::exchange(it->reader.response(), {});
     it->update_memory();
     first.body_incomplete = true;
--- a/src/net/upstream_pool.h
+++ b/src/net/upstream_pool.h
@@ -53,6 +53,7 @@
     void resume_after_memory_pause();
     void on_response_complete(ConnectionIterator it, bool trailing_bytes);
     void restart_timeout(ConnectionIterator it, Duration wait);
+    void restart_streaming_timeout(ConnectionIterator it);
     void close_connection(ConnectionIterator it);
     void on_readable(ConnectionIterator it);
     void on_written(ConnectionIterator it);
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -601,6 +601,64 @@
                      "op: 0 succeeded, 1 throttled, 0 errored; 0 written, 0 in flight, 0 listed, 0 down"}));
 }
 
+// ---- responses that have begun and do not go on ----
+
+// Reports the stall at each of these times after the response began.
+void stall_response(ReducerDriver& driver, const std::vector<double>& at_seconds)
+{
+    driver.send(ResponseBegun{driver.last_attempt});
+    double now = 0;
+    for (const double at : at_seconds) {
+        driver.advance(at - std::exchange(now, at));
+        driver.send(ResponseStalled{driver.last_attempt});
+    }
+}
+
+TEST(StalledResponse, ToANonIdempotentRequestIsAwaited)
+{
+    ReducerDriver driver(Idempotency::non_idempotent);
+    driver.update_list(false, {endpoint_b()});
+    driver.receive_request();
+    driver.connect();
+    stall_response(driver, {0.5, 1, 1.5, 1.9});
+    driver.respond(200);
+    EXPECT_EQ(driver.finish(),
+              (Lines{"connect to 2.2.2.2:2 for attempt 1 within 2.00 s", "write POST /op/x?y HTTP/1.1",
+                     "timeout 1.98 s", "respond to caller 1: 200",
+                     "op: 1 succeeded, 0 throttled, 0 errored; 1 written, 0 in flight, 2 listed, 0 down"}));
+}
+
+TEST(StalledResponse, ToAnIdempotentRequestIsGivenUpOnlyWhileARetryIsInTime)
+{
+    ReducerDriver driver(Idempotency::idempotent);
+    driver.update_list(false, {endpoint_b()});
+    driver.receive_request();
+    driver.connect();
+    stall_response(driver, {0.5});
+    driver.note("after 0.5 s");
+    stall_response(driver, {0.3});
+    EXPECT_EQ(driver.finish(),
+              (Lines{"connect to 2.2.2.2:2 for attempt 1 within 1.00 s", "write POST /op/x?y HTTP/1.1",
+                     "timeout 1.98 s", "after 0.5 s", "timeout 1.46 s", "close the attempt's connection",
+                     "connect to 1.1.1.1:1 for attempt 2 within 0.15 s",
+                     "op: 0 succeeded, 0 throttled, 0 errored; 0 written, 1 in flight, 2 listed, 0 down"}));
+}
+
+TEST(StalledResponse, IsNotGivenUpWithoutAnotherForward)
+{
+    ReducerDriver driver(Idempotency::idempotent);
+    driver.update_list(false, {endpoint_b()});
+    driver.receive_request();
+    driver.connect();
+    driver.fail(AttemptProgress::written, FailureCause::connection_lost);
+    driver.connect();
+    driver.lines.clear();
+    stall_response(driver, {0.5, 0.9, 1.5, 1.8});
+    EXPECT_EQ(driver.finish(),
+              (Lines{"timeout 1.96 s",
+                     "op: 0 succeeded, 0 throttled, 0 errored; 1 written, 1 in flight, 2 listed, 0 down"}));
+}
+
 // ---- the shutdown ----
 
 void start_shutdown(ReducerDriver& driver, Duration client_timeout)
