Requests: one that its upstream does not take is answered within its client's time

Callers saw: the final answer 4.04 s after the last byte of a request, where they wait for 2.5 s.

Cause: a client's time counts from its last byte, and that byte was looked at only when it was read. While an upstream takes nothing, reading is paused, so nobody knew that the request was complete in the kernel's buffer; the only limit was 4 s between two writes to the upstream.

Change: DownstreamServer reports RequestStalled with the time since the last byte came, read or not, of each request whose reading is paused. Once that is all the time that the client has, the reducer takes the request for complete and the module ends it as overdue: nothing has run, for not all of it was written. A client that goes on sending has its time anew with each byte. requests_not_taken_in_time counts it.

--- a/src/net/downstream_connection.h
+++ b/src/net/downstream_connection.h
@@ -2,7 +2,10 @@
 #pragma once
 
 #include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/socket.h>
 
 #include "downstream_server.h"
 
@@ -49,6 +52,16 @@
     }
 };
 
+// Time since the last byte arrived. For requests that waited unread while this process stood still, time
+// counts from when their callers sent them.
+inline Duration time_since_last_byte(int fd)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return {};
+    return Duration{int64_t{info.tcpi_last_data_recv} * 1000};
+}
+
 // Whether poll() reports one of these events on the socket now.
 inline bool has_poll_event(int fd, short events)
 {
--- a/src/net/downstream_limits.cpp
+++ b/src/net/downstream_limits.cpp
@@ -43,6 +43,7 @@
     if (skipped_check_) return;
     end_overdue_connections(now);
     detect_closed_callers();
+    report_stalled_requests();
     if (waits_until_ready_ && listener_ && ready_())
         waits_until_ready_ = false, evconnlistener_enable(listener_.get());
     if (!accepting_paused_ || !listener_) return (void)(eviction_batch_ = min_eviction_batch);
@@ -105,6 +106,16 @@
     }
 }
 
+// Of requests that are forwarded while they come, those whose upstream does not take them.
+void DownstreamServer::report_stalled_requests()
+{
+    std::vector<RequestStalled> stalled;
+    for (const Connection& connection : connections_[awaiting_response])
+        if (!connection.reader.is_complete())
+            stalled.push_back({connection.caller, time_since_last_byte(connection.fd())});
+    for (const RequestStalled& request : stalled) post_event_(request);
+}
+
 void DownstreamServer::close_idle(Duration idle_for, Duration silent_for)
 {
     const TimePoint now = monotonic_now();
--- a/src/net/downstream_server.cpp
+++ b/src/net/downstream_server.cpp
@@ -24,16 +24,6 @@
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr uint32_t max_pipelined_requests = 16;  // requests sent before the response to the previous one
 
-// Time since the last byte arrived. For requests that waited unread while this process stood still, time
-// counts from when their callers sent them.
-Duration time_since_last_byte(int fd)
-{
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return {};
-    return Duration{int64_t{info.tcpi_last_data_recv} * 1000};
-}
-
 }  // namespace
 
 DownstreamServer::DownstreamServer(event_base* base, const Config& config, ConnectionBudget budget,
--- a/src/net/downstream_server.h
+++ b/src/net/downstream_server.h
@@ -86,6 +86,7 @@
     bool has_request_bytes(ConnectionIterator it) const;
     bool handle_half_close(ConnectionIterator it);
     void detect_closed_callers();
+    void report_stalled_requests();
     void on_disconnect(ConnectionIterator it);
     void close_connection(ConnectionIterator it);
     template <class End>
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -95,6 +95,10 @@
     bool is_last = false;
     Duration read_delay = {};  // how long the last byte waited to be read
 };
+struct RequestStalled {  // it is incomplete and not being read; repeated for as long as that is so
+    RequestId caller;
+    Duration silent_for;  // since its last byte came, read or not
+};
 // Nearly all bytes handed over for the caller have been sent; of a response that was handed over completely,
 // all.
 struct ResponseDrained {
@@ -177,10 +181,10 @@
 using Event =
     std::variant<ServiceStarted, EndpointListUpdated, EndpointListRestored, EndpointListFetchFailed,
                  RequestReceived, DownstreamDisconnected, DownstreamHalfClosed, RequestChunkReceived,
-                 ResponseBegun, ResponseStalled, ResponseDrained, UpstreamConnected, ResponseReceived,
-                 ResponseChunkReceived, AttemptFailed, RequestWritten, RequestRejected, AdminCommandReceived,
-                 TimerFired, ProcessCountChanged, ShutdownStarted, ConfigReloaded, ProbesDue,
-                 ProbeReportReceived, SubsetPeersUpdated, OutlierReportsUpdated, QuotasUpdated,
+                 RequestStalled, ResponseBegun, ResponseStalled, ResponseDrained, UpstreamConnected,
+                 ResponseReceived, ResponseChunkReceived, AttemptFailed, RequestWritten, RequestRejected,
+                 AdminCommandReceived, TimerFired, ProcessCountChanged, ShutdownStarted, ConfigReloaded,
+                 ProbesDue, ProbeReportReceived, SubsetPeersUpdated, OutlierReportsUpdated, QuotasUpdated,
                  SnapshotRestored, FleetStateUpdated, Tick>;
 
 // Effects.
@@ -357,6 +361,7 @@
     void on(DownstreamDisconnected event);
     void on(DownstreamHalfClosed event);
     void on(RequestChunkReceived& event);
+    void on(RequestStalled event);
     void on(ResponseBegun event);
     void on(ResponseStalled event);
     void on(ResponseDrained event);
@@ -448,7 +453,7 @@
     std::optional<TimePoint> stopped_at_, drained_at_;
     bool other_process_listening_ = false;
     std::map<std::string, OutcomeCounts> outcomes_;
-    uint64_t responses_stalled_ = 0, responses_given_up_ = 0;
+    uint64_t responses_stalled_ = 0, responses_given_up_ = 0, requests_stalled_ = 0;
     uint64_t backend_calls_ = 0, requests_received_ = 0, requests_abandoned_ = 0;
     std::string discovery_address_;
     std::optional<fleet::EndpointView> view_;      // only as a member of a fleet
--- a/src/net/reducer_admin.cpp
+++ b/src/net/reducer_admin.cpp
@@ -82,6 +82,7 @@
     result.add_counter("throttled.attempts_ended", throttled.attempts_ended);
     result.add_counter("responses_stalled", responses_stalled_);
     result.add_counter("responses_given_up", responses_given_up_);
+    result.add_counter("requests_not_taken_in_time", requests_stalled_);
     result.add_gauge("requests", invocation_of_.size());
     result.add_gauge("attempts", attempts_.size());
     result.add_gauge("relays", relays_.size());
--- a/src/net/reducer_relay.cpp
+++ b/src/net/reducer_relay.cpp
@@ -53,6 +53,19 @@
     return memory_.has_room_for_large(max_window_bytes) ? max_window_bytes : min_window_bytes;
 }
 
+// A client's time counts from its last byte. While its upstream does not take what has come, the bytes that
+// wait unread may be the last: once its whole time has passed since they came, the request is taken for
+// complete and overdue.
+void Reducer::on(RequestStalled event)
+{
+    const auto found = invocation_of_.find(event.caller);
+    if (found == invocation_of_.end() || invocations_[found->second].finished) return;
+    const Invocation& invocation = invocations_[found->second];
+    if (!invocation.request.body_incomplete || event.silent_for < invocation.request.time_left) return;
+    ++requests_stalled_;
+    balancer_.on_request_complete(now_, found->second, Duration{});
+}
+
 // Reads from the caller only while its bytes have somewhere to go.
 void Reducer::resume_request_reading(const Invocation& invocation)
 {
