Requests: what may have run under an id is not run again when the id comes again

Cause: the ids of open requests were forgotten with the answer or with the client's leaving, when a forward that may have run, or may yet run, was out.

Change: RecentRequestIds holds a keyed 64-bit hash of each id of a class that is not free to repeat, from the first byte that is written for it: at least the last 8,192 and at most 16,384 ids of this process, in 256 KiB allocated at the start, without a time limit. What never left is not remembered, and classes that are free to repeat are not concerned. recent_request_ids and repeated_request_ids count it.

Open: the other process of an upgrade does not know these ids.

--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -26,6 +26,7 @@
     : config_(config),
       memory_(memory ? *memory : unlimited_memory_),
       endpoint_memory_(memory_, MemoryPurpose::endpoint_list),
+      recent_request_ids_(seed),
       discovery_address_(std::move(discovery_address)),
       balancer_(config.settings, seed, *this)
 {
@@ -76,9 +77,19 @@
         effects_.push_back(SendResponse{event.caller, plain_response(503, "throttled\n"), true});
         return;
     }
+    // Each request has an id of its own, a client's retry too. What may have run under an id, for a client
+    // that has left or was answered, is not run again.
+    if (!may_run_twice(event.request) && recent_request_ids_.contains(event.request.id)) {
+        ++outcomes.failure;
+        ++repeated_ids_;
+        effects_.push_back(
+            SendResponse{event.caller, plain_response(409, "this id was used before\n"), true});
+        return;
+    }
     // Of two forwards with one id, an upstream would take the second for a copy of the first.
     if (!open_request_ids_.insert(event.request.id).second) {
         ++outcomes.failure;
+        ++repeated_ids_;
         effects_.push_back(SendResponse{event.caller, plain_response(409, "this id is open\n"), true});
         return;
     }
@@ -144,6 +155,11 @@
     return !invocation.finished && !invocation.body_discarded && may_start_attempt(invocation);
 }
 
+bool Reducer::may_run_twice(const Request& request) const
+{
+    return config_.settings.operations[request.operation].idempotency == Idempotency::idempotent;
+}
+
 bool Reducer::may_start_attempt(const Invocation& invocation) const
 {
     return !invocation.half_closed_at || now_ - *invocation.half_closed_at < half_closed_grace;
@@ -164,6 +180,7 @@
         return effects_.push_back(WriteUpstream{event.attempt, probe, false, attempt.fencing_token});
     }
     Invocation& invocation = invocations_[*attempt.invocation_id];
+    if (!may_run_twice(invocation.request)) recent_request_ids_.add(invocation.request.id);
     const Duration time_left =
         invocation.request.body_incomplete ? invocation.request.time_left : attempt.deadline - now_;
     effects_.push_back(WriteUpstream{event.attempt, encode_request(invocation.request, host, time_left),
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "memory_budget.h"
+#include "recent_request_ids.h"
 #include "src/fleet/endpoints/endpoint_view.h"
 #include "src/fleet/startup/startup_sequencer.h"
 #include "src/http/message.h"
@@ -401,6 +402,7 @@
     std::vector<EndpointState> update_upstreams(const std::vector<ListedEndpoint>& entries, bool is_full);
     void start_attempt(AttemptId id, Attempt attempt);
     bool may_write(const Attempt& attempt) const;
+    bool may_run_twice(const Request& request) const;
     bool may_start_attempt(const Invocation& invocation) const;
     void limit_time_left_at_shutdown(Request& request) const;
     OutcomeCounts& outcomes_of(uint32_t operation);
@@ -443,6 +445,7 @@
     std::vector<InvocationId> free_invocations_;
     std::unordered_map<RequestId, InvocationId> invocation_of_;
     std::unordered_set<std::string> open_request_ids_;  // of unanswered requests
+    RecentRequestIds recent_request_ids_;               // of those that may have run and must not run twice
     std::unordered_map<AttemptId, Attempt> attempts_;
     std::unordered_map<AttemptId, Relay> relays_;
     std::unordered_map<RequestId, AttemptId> relay_of_;
@@ -453,7 +456,7 @@
     std::optional<TimePoint> stopped_at_, drained_at_;
     bool other_process_listening_ = false;
     std::map<std::string, OutcomeCounts> outcomes_;
-    uint64_t responses_stalled_ = 0, responses_given_up_ = 0, requests_stalled_ = 0;
+    uint64_t repeated_ids_ = 0, responses_stalled_ = 0, responses_given_up_ = 0, requests_stalled_ = 0;
     uint64_t backend_calls_ = 0, requests_received_ = 0, requests_abandoned_ = 0;
     std::string discovery_address_;
     std::optional<fleet::EndpointView> view_;      // only as a member of a fleet
--- a/src/net/reducer_admin.cpp
+++ b/src/net/reducer_admin.cpp
@@ -80,6 +80,8 @@
     result.add_counter("throttled.all_reduced", throttled.all_reduced);
     result.add_counter("throttled.no_upstream", throttled.no_upstream);
     result.add_counter("throttled.attempts_ended", throttled.attempts_ended);
+    result.add_gauge("recent_request_ids", recent_request_ids_.size());
+    result.add_counter("repeated_request_ids", repeated_ids_);
     result.add_counter("responses_stalled", responses_stalled_);
     result.add_counter("responses_given_up", responses_given_up_);
     result.add_counter("requests_not_taken_in_time", requests_stalled_);
