Upstreams: a new process under a known uid gets nothing on connections to the one before

Change: the reducer counts the processes of each uid. When boot_ms changes, idle connections close, and an attempt whose connection was being made is not written but routed again, as for an upstream that has moved: nothing has run.

Test: Upstreams.ThatHaveRestartedGetNothingOnConnectionsToTheProcessBefore failed before (1 of 1: written, and nothing closed) and passes; 52 of 52 cases of reducer.

--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -148,7 +148,8 @@
 {
     const Upstream& upstream = upstreams_[attempt.upstream_id];
     if (upstream.phase != EndpointPhase::ready || upstream.endpoint != attempt.endpoint ||
-        now_ >= attempt.deadline || (attempt.write_deadline && now_ >= *attempt.write_deadline))
+        upstream.incarnation != attempt.upstream_incarnation || now_ >= attempt.deadline ||
+        (attempt.write_deadline && now_ >= *attempt.write_deadline))
         return false;
     if (!attempt.invocation_id) return true;
     const Invocation& invocation = invocations_[*attempt.invocation_id];
@@ -338,6 +339,7 @@
 
 void Reducer::start_attempt(AttemptId id, Attempt attempt)
 {
+    attempt.upstream_incarnation = upstreams_[attempt.upstream_id].incarnation;
     effects_.push_back(
         ConnectUpstream{id, attempt.upstream_id, attempt.endpoint, attempt.deadline - attempt.started_at});
     attempts_.emplace(id, std::move(attempt));
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -346,12 +346,15 @@
         // For its first byte; later, upstreams do not recognise it as a repeat.
         std::optional<TimePoint> write_deadline = {};
         bool counted_as_stalled = false;
+        uint32_t upstream_incarnation = 0;
     };
     // Its slot is reused for another upstream once it has gone and nothing refers to it any more.
     struct Upstream {
         std::string uid, endpoint;
         size_t reference_count = 0;  // invocations and probes
         EndpointPhase phase = EndpointPhase::gone;
+        std::optional<TimePoint> started_at;
+        uint32_t incarnation = 0;  // counts the processes that were known under this uid
     };
 
     void on(ServiceStarted);
--- a/src/net/reducer_endpoints.cpp
+++ b/src/net/reducer_endpoints.cpp
@@ -45,19 +45,24 @@
         if (const auto found = upstream_of_.find(entry.uid); found != upstream_of_.end())
             upstreams_[found->second].phase = entry.phase;
     std::vector<EndpointState> endpoints;
+    bool any_left = false;  // a process that requests may be on their way to
     for (const ListedEndpoint& entry : entries) {
         const UpstreamId upstream_id = find_or_add_upstream(entry.uid);
         previous_phases.resize(upstreams_.size(), EndpointPhase::gone);
         Upstream& upstream = upstreams_[upstream_id];
-        if (!upstream.endpoint.empty() && upstream.endpoint != entry.endpoint)
+        const bool is_known = !upstream.endpoint.empty();
+        const bool has_restarted = is_known && entry.started_at && entry.started_at != upstream.started_at;
+        if (has_restarted || (is_known && upstream.endpoint != entry.endpoint))
             effects_.push_back(CloseIdle{upstream_id});
+        upstream.incarnation += has_restarted;
+        any_left = any_left || has_restarted;
+        upstream.started_at = entry.started_at;
         upstream.endpoint = entry.endpoint;
         upstream.phase = entry.phase;
         endpoints.push_back(
             {upstream_id, hash_uid(entry.uid), entry.phase, entry.zone, entry.cell, 1, entry.started_at});
         if (config_.capacities_listed && entry.capacity > 0) endpoints.back().capacity = entry.capacity;
     }
-    bool any_left = false;
     for (UpstreamId upstream_id = 0; upstream_id < upstreams_.size(); ++upstream_id)
         if (previous_phases[upstream_id] == EndpointPhase::ready &&
             upstreams_[upstream_id].phase != EndpointPhase::ready)
@@ -65,7 +70,8 @@
     // A request may have passed may_write() before this list and not have been sent yet.
     if (any_left)
         for (const auto& [id, attempt] : attempts_)
-            if (upstreams_[attempt.upstream_id].phase != EndpointPhase::ready)
+            if (upstreams_[attempt.upstream_id].phase != EndpointPhase::ready ||
+                upstreams_[attempt.upstream_id].incarnation != attempt.upstream_incarnation)
                 effects_.push_back(CancelWrite{id});
     has_listed_upstreams_ = has_listed_upstreams_ || !endpoints.empty();
     endpoint_memory_.resize(upstreams_.size() * endpoint_memory_bytes);
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -880,6 +880,30 @@
                "0 succeeded, 0 throttled, 0 errored; 1 written, 1 in flight, 1 listed, 0 down"}));
 }
 
+ListedEndpoint started(ListedEndpoint endpoint, TimePoint started_at)
+{
+    endpoint.started_at = started_at;
+    return endpoint;
+}
+
+// Connections belong to a process, not to its address.
+TEST(Upstreams, ThatHaveRestartedGetNothingOnConnectionsToTheProcessBefore)
+{
+    ReducerDriver driver(Idempotency::non_idempotent);
+    const auto upstream = endpoint_a(EndpointPhase::ready);
+    driver.update_list(false, {started(upstream, TimePoint{1'000'000})});
+    driver.lines.clear();
+    driver.update_list(false, {started(upstream, TimePoint{1'000'000})});
+    EXPECT_EQ(driver.lines, Lines{});
+    driver.receive_request(1);
+    driver.update_list(false, {started(upstream, TimePoint{2'000'000})});
+    driver.connect();
+    EXPECT_EQ(driver.lines,
+              (Lines{"connect to 1.1.1.1:1 for attempt 1 within 2.00 s", "close idle connections of u0",
+                     "cancel the write of attempt 1", "close the attempt's connection",
+                     "connect to 1.1.1.1:1 for attempt 2 within 1.98 s"}));
+}
+
 TEST(UpstreamSlots, AreReusedButNotUnderAnOpenInvocation)
 {
     ReducerDriver driver(Idempotency::non_idempotent);
