--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -248,8 +248,9 @@
         sleep_ms(30);
     caller.send(whole.substr(whole.size() - 1));
     print_response("in pieces", caller.receive_message());
-    const auto expecting = http_message("POST /once/x HTTP/1.1", "b",
-                                        "Req-Id: continued-1\r\nReq-Deadline-Ms: 600\r\nExpect: 100-continue\r\n");
+    const auto expecting =
+        http_message("POST /once/x HTTP/1.1", "b",
+                     "Req-Id: continued-1\r\nReq-Deadline-Ms: 600\r\nExpect: 100-continue\r\n");
     std::printf("Expect: 100-continue: %s",
                 first_line(caller.send_and_receive(expecting.substr(0, expecting.size() - 1))).c_str());
     print_response(", and then", caller.send_and_receive("b"));
