Requests: an overdue one ends once, not anew with each report

RequestStalled is repeated each 20 ms, and each time the module was told that the request is complete with no time left. Now the first report counts.

Test: LargeRequest.ThatIsNotTakenEndsOnceItsClientsTimeIsOver failed before (ten timeouts for ten reports) and passes.

--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -317,6 +317,7 @@
         std::optional<AttemptId> streaming_attempt;
         size_t unwritten_bytes = 0;
         TimePoint chunk_received_at;
+        bool overdue = false;         // its client's time is over before all of it was read
         bool body_discarded = false;  // bytes were sent that are no longer held: it cannot be sent again
         bool has_relay = false;       // the response of one of its attempts is being relayed
         std::optional<TimePoint> half_closed_at;  // its caller sends nothing more
--- a/src/net/reducer_relay.cpp
+++ b/src/net/reducer_relay.cpp
@@ -60,8 +60,9 @@
 {
     const auto found = invocation_of_.find(event.caller);
     if (found == invocation_of_.end() || invocations_[found->second].finished) return;
-    const Invocation& invocation = invocations_[found->second];
+    Invocation& invocation = invocations_[found->second];
     if (!invocation.request.body_incomplete || event.silent_for < invocation.request.time_left) return;
+    if (std::exchange(invocation.overdue, true)) return;
     ++requests_stalled_;
     balancer_.on_request_complete(now_, found->second, Duration{});
 }
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -1038,6 +1038,20 @@
                "op: 1 succeeded, 0 throttled, 0 errored; 1 written, 0 in flight, 1 listed, 0 down"}));
 }
 
+// Its upstream takes nothing, and the clocks of clients may differ by the margin.
+TEST(LargeRequest, ThatIsNotTakenEndsOnceItsClientsTimeIsOver)
+{
+    ReducerDriver driver(Idempotency::non_idempotent);
+    driver.set_time_left_margin(seconds(0.2));
+    driver.begin_large_request(1);
+    driver.connect();
+    driver.lines.clear();
+    driver.send(RequestStalled{1, seconds(1.9)});
+    EXPECT_EQ(driver.lines, Lines{});
+    for (int report = 0; report < 10; ++report) driver.send(RequestStalled{1, seconds(2.1)});
+    EXPECT_EQ(driver.lines, (Lines{"timeout 0.20 s"}));
+}
+
 TEST(LargeRequest, IsForwardedAgainWhileAllOfItIsBuffered)
 {
     ReducerDriver driver(Idempotency::non_idempotent);
