Requests: whether one may run twice is kept from its acceptance

As the first byte was written, the class was looked up by the request's index in the settings of that moment: after a new configuration that is another class, or none, which would have read outside of the list.

Test: Request.IsRememberedByTheSettingsThatItCameUnder failed before (the id was forwarded again) and passes; 54 of 54 cases.

--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -106,6 +106,7 @@
     Invocation& invocation = invocations_[invocation_id];
     invocation.caller = event.caller;
     invocation.finished = false;
+    invocation.may_run_twice = may_run_twice(event.request);
     invocation.request = std::move(event.request);
     invocation.memory = MemoryReservation(memory_, MemoryPurpose::requests_in_flight,
                                           sizeof(Invocation) + invocation.request.memory_bytes());
@@ -181,7 +182,7 @@
         return effects_.push_back(WriteUpstream{event.attempt, probe, false, attempt.fencing_token});
     }
     Invocation& invocation = invocations_[*attempt.invocation_id];
-    if (!may_run_twice(invocation.request)) recent_request_ids_.add(invocation.request.id);
+    if (!invocation.may_run_twice) recent_request_ids_.add(invocation.request.id);
     const Duration time_left =
         invocation.request.body_incomplete ? invocation.request.time_left : attempt.deadline - now_;
     effects_.push_back(WriteUpstream{event.attempt, encode_request(invocation.request, host, time_left),
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -318,6 +318,7 @@
         size_t unwritten_bytes = 0;
         TimePoint chunk_received_at;
         bool overdue = false;         // its client's time is over before all of it was read
+        bool may_run_twice = false;   // as it was on acceptance
         bool body_discarded = false;  // bytes were sent that are no longer held: it cannot be sent again
         bool has_relay = false;       // the response of one of its attempts is being relayed
         std::optional<TimePoint> half_closed_at;  // its caller sends nothing more
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -191,6 +191,12 @@
         send(ConfigReloaded{"here:1", config_});
         ++config_version;
     }
+    void set_idempotency(Idempotency idempotency)
+    {
+        config_.settings.operations[0].idempotency = idempotency;
+        send(ConfigReloaded{"here:1", config_});
+        ++config_version;
+    }
     void note(std::string line) { lines.push_back(std::move(line)); }
 
     // In all cases, every received request is answered, in flight or abandoned.
@@ -1052,6 +1058,20 @@
     EXPECT_EQ(driver.lines, (Lines{"timeout 0.20 s"}));
 }
 
+// The operation's index means another one, or none, in the new settings.
+TEST(Request, IsRememberedByTheSettingsThatItCameUnder)
+{
+    ReducerDriver driver(Idempotency::non_idempotent);
+    driver.receive_request(1, "x");
+    driver.set_idempotency(Idempotency::idempotent);
+    driver.connect();
+    driver.disconnect(1);
+    driver.set_idempotency(Idempotency::non_idempotent);
+    driver.lines.clear();
+    driver.receive_request(2, "x");
+    EXPECT_EQ(driver.lines, (Lines{"respond to caller 2: 409, close the connection"}));
+}
+
 TEST(LargeRequest, IsForwardedAgainWhileAllOfItIsBuffered)
 {
     ReducerDriver driver(Idempotency::non_idempotent);
