--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -69,7 +69,7 @@
     }
     void open(Client& client)
     {
-        client.fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        client.fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
         const int receive_buffer = 4096;
         setsockopt(client.fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
         const auto address = TestConnection::loopback_address(port_);
--- a/tests/memory_limits.cpp
+++ b/tests/memory_limits.cpp
@@ -167,7 +167,9 @@
         const size_t peak = peak_resident_bytes(pid);
         RecordProperty("peak_kb", std::to_string(peak / 1024));
         std::printf("peak %zu kB of %zu kB\n", peak / 1024, limits_.memory_mb * 1024);
-        EXPECT_GT(peak, 0u) << "the process is gone";
+        int status = 0;
+        if (peak == 0) waitpid(pid, &status, WNOHANG);
+        EXPECT_GT(peak, 0u) << "the process is gone, with wait status " << status;
         EXPECT_LE(peak, limits_.memory_mb * mebibyte);
     }
     // By the program's own count.
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -56,7 +56,7 @@
 {
   public:
     explicit TestConnection(int fd) : fd_(fd) {}
-    explicit TestConnection(uint16_t port) : fd_(socket(AF_INET, SOCK_STREAM, 0))
+    explicit TestConnection(uint16_t port) : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         const auto address = loopback_address(port);
         if (connect(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) close();
@@ -196,7 +196,7 @@
   public:
     explicit TestServer(std::function<void(TestConnection&)> handle) : handle_connection_(std::move(handle))
     {
-        fd_ = socket(AF_INET, SOCK_STREAM, 0);
+        fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         auto address = TestConnection::loopback_address(0);
         bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address);
         socklen_t size = sizeof address;
@@ -204,7 +204,7 @@
         port = ntohs(address.sin_port);
         listen(fd_, 64);
         accept_thread_ = std::thread([this] {
-            for (int fd; (fd = accept(fd_, nullptr, nullptr)) >= 0;)
+            for (int fd; (fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC)) >= 0;)
                 connection_threads_.emplace_back([this, fd] {
                     TestConnection connection(fd);
                     handle_connection_(connection);
@@ -232,7 +232,7 @@
 class TestListener
 {
   public:
-    TestListener() : fd_(socket(AF_INET, SOCK_STREAM, 0))
+    TestListener() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         auto address = TestConnection::loopback_address(0);
         bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address);
@@ -246,7 +246,10 @@
     ~TestListener() { ::close(fd_); }
 
     std::string endpoint() const { return "127.0.0.1:" + std::to_string(port_); }
-    TestConnection accept_connection() const { return TestConnection(accept(fd_, nullptr, nullptr)); }
+    TestConnection accept_connection() const
+    {
+        return TestConnection(accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
+    }
 
   private:
     int fd_;
