Readers of ended requests free what had arrived of them

What callers saw: beside a crowd that sends field names of 16 KB, with 16 MB in its settings, the process could pass its memory limit. Cause: MessageReader declares its destructor, so it had no move; the swap of replace_and_free() copied it, and a copied empty string keeps the memory of the old value. Each rejected connection held up to 16 KB until it was closed. Failed before: both ReplacedReader cases (8,252 bytes kept in place of 75, 8,222 in place of 45). Why it works: readers move; and replace_and_free() no longer compiles for types whose swap may copy.

--- a/src/base/replace.h
+++ b/src/base/replace.h
@@ -1,6 +1,7 @@
 // Frees what an object holds.
 #pragma once
 
+#include <type_traits>
 #include <utility>
 
 namespace firtide
@@ -10,6 +11,7 @@
 template <class T>
 void replace_and_free(T& object, T next = {})
 {
+    static_assert(std::is_nothrow_swappable_v<T>, "a swap that copies keeps the memory of the old value");
     std::swap(object, next);
 }
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -94,6 +94,9 @@
   public:
     enum class State { incomplete, complete, malformed };
 
+    MessageReader() = default;
+    MessageReader(MessageReader&&) = default;
+    MessageReader& operator=(MessageReader&&) = default;
     virtual ~MessageReader() = default;
 
     // consumed_bytes() says how many of the bytes belong to this message.
--- a/tests/message.cpp
+++ b/tests/message.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "balancer_host.h"
+#include "src/base/replace.h"
 #include "src/net/config.h"
 #include "src/net/discovery.h"
 
@@ -441,6 +442,29 @@
     expect_entry(list->update.entries[1], "b", "e", EndpointPhase::draining, 2, 0, std::nullopt);
 }
 
+// Guards against readers of ended requests that keep what had arrived of them.
+TEST(ReplacedReader, FreesWhatHadArrivedOfARequest)
+{
+    const ServiceConfig config = service_config();
+    RequestReader reader(config);
+    const size_t bytes_when_new = reader.head_memory_bytes();
+    reader.parse("GET /op/a HTTP/1.1\r\n" + std::string(8 * 1024, 'a'));
+    ASSERT_GT(reader.head_memory_bytes(), size_t{8 * 1024});
+    replace_and_free(reader, RequestReader(config));
+    EXPECT_EQ(reader.head_memory_bytes(), bytes_when_new);
+}
+
+TEST(ReplacedReader, FreesWhatHadArrivedOfAResponse)
+{
+    const ServiceConfig config = service_config();
+    ResponseReader reader(config);
+    const size_t bytes_when_new = reader.memory_bytes();
+    reader.parse(ok_line + std::string(8 * 1024, 'a'));
+    ASSERT_GT(reader.memory_bytes(), size_t{8 * 1024});
+    replace_and_free(reader, ResponseReader(config));
+    EXPECT_EQ(reader.memory_bytes(), bytes_when_new);
+}
+
 TEST(EndpointList, HasChanges)
 {
     const auto gone = decode_with_config(R"({"rev":8,"all":false,"targets":[{"uid":"a","state":"gone"}]})");
