Input behind a connection's last request is dropped at once, not held until the response is out

What callers saw: beside a crowd of field names of 16 KB the program counted more memory than its limit, so that ordinary requests were rejected for memory that only rejected connections held. Cause: a connection that was sent its last response read on up to 4 KB and held it until the response was written; in lingering close it dropped the bytes but went on counting them. Why it works: nothing behind the last request is ever parsed, so it is dropped while the response is sent too, up to the same limit, and the count follows.

--- a/src/net/downstream_server.cpp
+++ b/src/net/downstream_server.cpp
@@ -154,7 +154,8 @@
 {
     auto* input = bufferevent_get_input(it->stream.get());
     const size_t size = evbuffer_get_length(input);
-    if (it->phase == lingering) return discard_input(it);
+    const bool ends = it->phase == sending_response && it->close_after_response;
+    if (it->phase == lingering || (ends && it->ignored_bytes <= max_ignored_bytes)) return discard_input(it);
     // Pipelined input stays unread, and bounded, until the response before it is written.
     if (size == 0 || it->phase == awaiting_response || it->phase == sending_response)
         return it->update_memory();
@@ -184,13 +185,14 @@
     }
 }
 
-// Reads and drops what comes after the last response on a connection.
+// Reads and drops what comes after the last request on a connection.
 void DownstreamServer::discard_input(ConnectionIterator it)
 {
-    auto* input = bufferevent_get_input(it->stream.get());
-    const size_t size = evbuffer_get_length(input);
-    evbuffer_drain(input, size);
+    const size_t size = it->unparsed_bytes();
+    evbuffer_drain(bufferevent_get_input(it->stream.get()), size);
     it->ignored_bytes += size;
+    it->update_memory();
+    if (it->phase != lingering) return;
     if (it->ignored_bytes > max_ignored_bytes + it->body_bytes_due) return close_connection(it);
     if (it->body_bytes_due == 0) return;
     // A caller may read its response only after sending all of its request: it is not cut off while it sends.
@@ -360,7 +362,7 @@
 void DownstreamServer::close_lingering(ConnectionIterator it)
 {
     enter_phase(it, lingering);
-    if (it->body_bytes_due == 0) shutdown(bufferevent_getfd(it->stream.get()), SHUT_WR);
+    if (it->ignored_bytes >= it->body_bytes_due) shutdown(bufferevent_getfd(it->stream.get()), SHUT_WR);
 }
 
 // Whether bytes of a request have arrived, read or not.
--- a/src/net/memory_budget.cpp
+++ b/src/net/memory_budget.cpp
@@ -1,5 +1,6 @@
 #include "memory_budget.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace firtide::net
@@ -17,6 +18,14 @@
     }
 }
 
+void MemoryBudget::change_used(MemoryPurpose purpose, size_t old_bytes, size_t new_bytes)
+{
+    size_t& used = used_by_purpose_[index(purpose)];
+    used = used - old_bytes + new_bytes;
+    used_ = used_ - old_bytes + new_bytes;
+    peak_used_ = std::max(peak_used_, used_);
+}
+
 MemoryReservation::MemoryReservation(MemoryBudget& budget, MemoryPurpose purpose, size_t bytes)
     : budget_(&budget), purpose_(purpose)
 {
@@ -40,11 +49,7 @@
 
 void MemoryReservation::resize(size_t bytes)
 {
-    if (budget_) {
-        auto& used = budget_->used_by_purpose_[MemoryBudget::index(purpose_)];
-        used = used - bytes_ + bytes;
-        budget_->used_ = budget_->used_ - bytes_ + bytes;
-    }
+    if (budget_) budget_->change_used(purpose_, bytes_, bytes);
     bytes_ = bytes;
 }
 
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -38,6 +38,7 @@
     void set_process_count(size_t process_count) { process_count_ = process_count; }
     size_t limit() const { return limit_ / process_count_; }
     size_t used() const { return used_; }
+    size_t peak_used() const { return peak_used_; }  // the most that was ever used
     size_t used(MemoryPurpose purpose) const { return used_by_purpose_[index(purpose)]; }
 
     bool has_room(size_t more_bytes = 0) const { return used_ + more_bytes <= limit(); }
@@ -55,9 +56,10 @@
 
   private:
     friend class MemoryReservation;
+    void change_used(MemoryPurpose purpose, size_t old_bytes, size_t new_bytes);
     static size_t index(MemoryPurpose purpose) { return static_cast<size_t>(purpose); }
 
-    size_t limit_, process_count_ = 1, used_ = 0;
+    size_t limit_, process_count_ = 1, used_ = 0, peak_used_ = 0;
     std::array<size_t, memory_purpose_count> used_by_purpose_{};
     std::array<uint64_t, memory_purpose_count> rejections_{};
 };
--- a/src/net/reducer_admin.cpp
+++ b/src/net/reducer_admin.cpp
@@ -69,6 +69,7 @@
     ResourceStatistics result;
     result.add_gauge("memory.limit", memory_.limit());
     result.add_gauge("memory.used", memory_.used());
+    result.add_gauge("memory.peak", memory_.peak_used());
     for (size_t i = 0; i < memory_purpose_count; ++i) {
         const auto purpose = static_cast<MemoryPurpose>(i);
         result.add_gauge(std::string("memory.") + name_of(purpose), memory_.used(purpose));
