--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -71,19 +71,27 @@
 
 std::optional<EndpointList> decode_list(const ServiceConfig& setup, const std::string& text, TimePoint epoch)
 {
-    const auto in = json::parse(text, nullptr, false);
+    EndpointList list;
+    bool in_targets = false, all_valid = true;
+    // Each target is decoded and dropped as it is parsed: the parsed form of a long list would take several
+    // times the memory of the list.
+    const auto take_target = [&](int depth, json::parse_event_t event, json& parsed) {
+        if (depth == 1 && event == json::parse_event_t::key) in_targets = parsed == "targets";
+        if (depth == 1 && event == json::parse_event_t::array_start) list.update.entries.clear();
+        if (!in_targets || depth != 2 || event != json::parse_event_t::object_end) return true;
+        auto entry = decode_entry(setup, parsed, epoch);
+        all_valid = all_valid && entry;
+        if (entry) list.update.entries.push_back(std::move(*entry));
+        return false;
+    };
+    const auto in = json::parse(text, take_target, false);
     if (!in.is_object()) return {};
     const auto targets = in.find("targets");
-    if (targets == in.end() || !targets->is_array()) return {};
-    EndpointList list;
+    // What is left of the targets are those that are no objects.
+    if (targets == in.end() || !targets->is_array() || !targets->empty() || !all_valid) return {};
     list.version = value_or<uint64_t>(in, "rev", 0);
     const auto all = in.find("all");
     list.update.is_full = all != in.end() && all->is_boolean() && all->get<bool>();
-    for (const auto& target : *targets) {
-        auto entry = decode_entry(setup, target, epoch);
-        if (!entry) return {};
-        list.update.entries.push_back(std::move(*entry));
-    }
     return list;
 }
 
--- a/tests/memory_limits.cpp
+++ b/tests/memory_limits.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "crowd.h"
+#include "upgrade.h"
 
 namespace firtide
 {
@@ -277,5 +278,56 @@
             [](const BalancerProcess&, const CallResults& results) { expect_served(results); });
 }
 
+class Upgrades : public MemoryLimits, public testing::WithParamInterface<Limits>
+{
+  protected:
+    Upgrades() : MemoryLimits(GetParam()) {}
+
+    BalancerProcess start_process()
+    {
+        return BalancerProcess(discovery_.endpoint(), limits_.json(), "", listener_.pass_on(),
+                               listener_.port());
+    }
+    SharedListener listener_;
+};
+
+INSTANTIATE_TEST_SUITE_P(Limits, Upgrades, testing::Values(usual, half),
+                         [](const auto& limits) { return std::to_string(limits.param.memory_mb) + "MB"; });
+
+TEST_P(Upgrades, WithoutACrowdServeWithinTheLimit)
+{
+    BalancerProcess old_process = start_process();
+    BalancerProcess new_process = start_process();
+    sleep_ms(500);  // each knows of the other
+    SharedMemoryPeak both(old_process.pid, new_process.pid);
+    expect_served(call(listener_.port(), 1));
+    EXPECT_LE(both.stop(), limits_.memory_mb * mebibyte);
+}
+
+TEST_P(Upgrades, IntoACrowdStayWithinTheMemoryLimitTogether)
+{
+    BalancerProcess old_process = start_process();
+    Crowd crowd(listener_.port(), crowd_size, mixed);
+    sleep_ms(1000);
+    BalancerProcess new_process = start_process();
+    SharedMemoryPeak both(old_process.pid, new_process.pid);
+    call(listener_.port(), 2);
+    EXPECT_EQ(old_process.stop().status, 0);
+    const size_t peak = both.stop();
+    std::printf("both %zu kB of %zu kB\n", peak / 1024, limits_.memory_mb * 1024);
+    EXPECT_LE(peak, limits_.memory_mb * mebibyte);
+    expect_within_limit(new_process.pid);
+}
+
+TEST_P(Upgrades, IntoACrowdLeaveOrdinaryCallersTheirResponses)
+{
+    BalancerProcess old_process = start_process();
+    Crowd crowd(listener_.port(), crowd_size, mixed);
+    sleep_ms(1000);
+    BalancerProcess new_process = start_process();
+    expect_served(call(listener_.port(), 2));
+    EXPECT_EQ(old_process.stop().status, 0);
+}
+
 }  // namespace
 }  // namespace firtide
--- a/tests/message.cpp
+++ b/tests/message.cpp
@@ -483,6 +483,26 @@
     expect_entry(unknown->update.entries[0], "a", "", EndpointPhase::draining, 2, 0, std::nullopt);
 }
 
+TEST(EndpointList, IsNoneWithATargetThatIsNoObjectOrHasNoUid)
+{
+    for (const std::string target : {"7", "null", R"("a")", "[]", "{}", R"({"uid":""})"}) {
+        EXPECT_FALSE(
+            decode_with_config(R"({"rev":8,"targets":[{"uid":"a","state":"ready"},)" + target + "]}"))
+            << target;
+        EXPECT_FALSE(decode_with_config(R"({"rev":8,"targets":[)" + target + "]}")) << target;
+    }
+}
+
+TEST(EndpointList, MayStandBeforeItsVersionAndBesideUnknownKeys)
+{
+    const auto list = decode_with_config(
+        R"({"x":[{"uid":"b"}],"targets":[{"uid":"a","state":"ready","more":{"k":[{}]}}],"y":{"uid":"c"},"rev":8,"all":true})");
+    ASSERT_TRUE(list && list->update.entries.size() == 1);
+    EXPECT_EQ(list->version, 8u);
+    EXPECT_TRUE(list->update.is_full);
+    EXPECT_EQ(list->update.entries[0].uid, "a");
+}
+
 TEST(EndpointList, IsNoneWithoutTargetsOrJson)
 {
     EXPECT_FALSE(decode_with_config(R"({"rev":8})"));
--- /dev/null
+++ b/tests/upgrade.h
@@ -0,0 +1,94 @@
+// What the two processes of an upgrade share: a listening socket and a folder.
+#pragma once
+
+#include <filesystem>
+#include <fstream>
+
+#include "trace.h"
+
+namespace firtide
+{
+
+class SharedListener
+{
+  public:
+    SharedListener()
+        : descriptor_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)),
+          folder_((std::filesystem::temp_directory_path() / "firtide-test-XXXXXX").string())
+    {
+        auto address = TestConnection::loopback_address(0);
+        auto* socket_address = reinterpret_cast<sockaddr*>(&address);
+        socklen_t size = sizeof address;
+        const bool listens = bind(descriptor_, socket_address, size) == 0 &&
+                             ::listen(descriptor_, 1024) == 0 &&
+                             getsockname(descriptor_, socket_address, &size) == 0;
+        if (!listens || !mkdtemp(folder_.data())) throw std::runtime_error("no shared listener");
+        port_ = ntohs(address.sin_port);
+    }
+    ~SharedListener()
+    {
+        ::close(descriptor_);
+        std::error_code ignored;
+        std::filesystem::remove_all(folder_, ignored);
+    }
+    SharedListener(const SharedListener&) = delete;
+    SharedListener& operator=(const SharedListener&) = delete;
+
+    uint16_t port() const { return port_; }
+    // For BalancerProcess, to be run in the child.
+    std::function<void()> pass_on() const
+    {
+        return [this] {
+            dup2(descriptor_, passed_descriptor);
+            setenv("NODE_PASSED_SOCKET", std::to_string(passed_descriptor).c_str(), 1);
+            setenv("TMPDIR", folder_.c_str(), 1);
+        };
+    }
+
+  private:
+    static constexpr int passed_descriptor = 200;  // not one that the test has
+    int descriptor_;
+    std::string folder_;
+    uint16_t port_ = 0;
+};
+
+// Resident memory of both processes together in bytes, pages that they share counted once. The most of it
+// since construction.
+class SharedMemoryPeak
+{
+  public:
+    SharedMemoryPeak(pid_t first, pid_t second) : thread_([this, first, second] { run(first, second); }) {}
+    ~SharedMemoryPeak()
+    {
+        if (thread_.joinable()) stop();
+    }
+    SharedMemoryPeak(const SharedMemoryPeak&) = delete;
+    SharedMemoryPeak& operator=(const SharedMemoryPeak&) = delete;
+
+    size_t stop()
+    {
+        stopping_ = true;
+        thread_.join();
+        return peak_;
+    }
+
+  private:
+    void run(pid_t first, pid_t second)
+    {
+        for (; !stopping_; sleep_ms(10))
+            peak_ = std::max(peak_, proportional_bytes(first) + proportional_bytes(second));
+    }
+    static size_t proportional_bytes(pid_t pid)
+    {
+        std::ifstream totals("/proc/" + std::to_string(pid) + "/smaps_rollup");
+        for (std::string line; std::getline(totals, line);)
+            if (line.rfind("Pss:", 0) == 0) return std::stoul(line.substr(4)) * 1024;
+        return 0;
+    }
+
+    size_t peak_ = 0;
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+};
+
+}  // namespace firtide
