A list keeps its targets where another array follows them

What callers would have seen: with a list whose targets are followed by any other array, all upstreams are gone; with "all" no request is served. Cause: the targets gathered so far were dropped at the start of every array of the list's top level, not only at that of "targets". Evidence: found on reading again; EndpointList.MayStandBeforeOtherArrays and MayHaveItsTargetsTwice failed before (0 and no targets), and pass. Why it works: they are dropped where the key "targets" comes, so that of two the last counts, as before.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -76,8 +76,11 @@
     // Each target is decoded and dropped as it is parsed: the parsed form of a long list would take several
     // times the memory of the list.
     const auto take_target = [&](int depth, json::parse_event_t event, json& parsed) {
-        if (depth == 1 && event == json::parse_event_t::key) in_targets = parsed == "targets";
-        if (depth == 1 && event == json::parse_event_t::array_start) list.update.entries.clear();
+        if (depth == 1 && event == json::parse_event_t::key) {
+            in_targets = parsed == "targets";
+            // Of keys that come twice, the last one counts.
+            if (in_targets) list.update.entries.clear(), all_valid = true;
+        }
         if (!in_targets || depth != 2 || event != json::parse_event_t::object_end) return true;
         auto entry = decode_entry(setup, parsed, epoch);
         all_valid = all_valid && entry;
--- a/tests/message.cpp
+++ b/tests/message.cpp
@@ -503,6 +503,23 @@
     EXPECT_EQ(list->update.entries[0].uid, "a");
 }
 
+// Guards against a list that loses its targets to an array that follows them.
+TEST(EndpointList, MayStandBeforeOtherArrays)
+{
+    const auto list = decode_with_config(
+        R"({"rev":8,"all":true,"targets":[{"uid":"a","state":"ready"}],"x":[{"uid":"b"},1]})");
+    ASSERT_TRUE(list && list->update.entries.size() == 1);
+    EXPECT_EQ(list->update.entries[0].uid, "a");
+}
+
+// As with any key that comes twice, the last one counts.
+TEST(EndpointList, MayHaveItsTargetsTwice)
+{
+    const auto list = decode_with_config(R"({"targets":[{"uid":"b"},{"uid":""}],"targets":[{"uid":"a"}]})");
+    ASSERT_TRUE(list && list->update.entries.size() == 1);
+    EXPECT_EQ(list->update.entries[0].uid, "a");
+}
+
 TEST(EndpointList, IsNoneWithoutTargetsOrJson)
 {
     EXPECT_FALSE(decode_with_config(R"({"rev":8})"));
