Tests: memory of two processes counts the pages of files once, whoever else uses them

The measure of the upgrade cases was the sum of both processes' proportional set sizes. That divides the pages of shared files among all programs of the machine, so it fell with whatever else ran: the check was up to some MB weaker than it said. And it was 0, and passed, for a process that had gone. Now: the own pages of both and once the pages of files; 0 fails.

--- a/tests/memory_limits.cpp
+++ b/tests/memory_limits.cpp
@@ -288,6 +288,12 @@
         return BalancerProcess(discovery_.endpoint(), limits_.json(), "", listener_.pass_on(),
                                listener_.port());
     }
+    void expect_within_limit_together(size_t peak) const
+    {
+        std::printf("both %zu kB of %zu kB\n", peak / 1024, limits_.memory_mb * 1024);
+        EXPECT_GT(peak, 0u) << "never did both processes run";
+        EXPECT_LE(peak, limits_.memory_mb * mebibyte);
+    }
     SharedListener listener_;
 };
 
@@ -301,7 +307,7 @@
     sleep_ms(500);  // each knows of the other
     SharedMemoryPeak both(old_process.pid, new_process.pid);
     expect_served(call(listener_.port(), 1));
-    EXPECT_LE(both.stop(), limits_.memory_mb * mebibyte);
+    expect_within_limit_together(both.stop());
 }
 
 TEST_P(Upgrades, IntoACrowdStayWithinTheMemoryLimitTogether)
@@ -313,9 +319,7 @@
     SharedMemoryPeak both(old_process.pid, new_process.pid);
     call(listener_.port(), 2);
     EXPECT_EQ(old_process.stop().status, 0);
-    const size_t peak = both.stop();
-    std::printf("both %zu kB of %zu kB\n", peak / 1024, limits_.memory_mb * 1024);
-    EXPECT_LE(peak, limits_.memory_mb * mebibyte);
+    expect_within_limit_together(both.stop());
     expect_within_limit(new_process.pid);
 }
 
--- a/tests/upgrade.h
+++ b/tests/upgrade.h
@@ -52,8 +52,8 @@
     uint16_t port_ = 0;
 };
 
-// Resident memory of both processes together in bytes, pages that they share counted once. The most of it
-// since construction.
+// Resident memory of both processes together in bytes: their own pages, and once the pages of files, which
+// both use. The most of it since construction; 0 if one of them was gone all the time.
 class SharedMemoryPeak
 {
   public:
@@ -75,15 +75,25 @@
   private:
     void run(pid_t first, pid_t second)
     {
-        for (; !stopping_; sleep_ms(10))
-            peak_ = std::max(peak_, proportional_bytes(first) + proportional_bytes(second));
+        for (; !stopping_; sleep_ms(10)) {
+            const Resident a = resident(first), b = resident(second);
+            if (a.own_bytes > 0 && b.own_bytes > 0)
+                peak_ = std::max(peak_, a.own_bytes + b.own_bytes + std::max(a.file_bytes, b.file_bytes));
+        }
     }
-    static size_t proportional_bytes(pid_t pid)
+    struct Resident {
+        size_t own_bytes = 0, file_bytes = 0;
+    };
+    static Resident resident(pid_t pid)
     {
-        std::ifstream totals("/proc/" + std::to_string(pid) + "/smaps_rollup");
-        for (std::string line; std::getline(totals, line);)
-            if (line.rfind("Pss:", 0) == 0) return std::stoul(line.substr(4)) * 1024;
-        return 0;
+        Resident out;
+        std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+        for (std::string line; std::getline(status, line);) {
+            if (line.rfind("RssAnon:", 0) == 0) out.own_bytes += std::stoul(line.substr(8)) * 1024;
+            if (line.rfind("RssShmem:", 0) == 0) out.own_bytes += std::stoul(line.substr(9)) * 1024;
+            if (line.rfind("RssFile:", 0) == 0) out.file_bytes = std::stoul(line.substr(8)) * 1024;
+        }
+        return out;
     }
 
     size_t peak_ = 0;
