A list of upstreams is counted with the bytes of its names

What callers saw: nothing yet. A list of names longer than those of the tests takes more memory than is counted for it, by as much as discovery likes to write; memory_mb is then no bound. Cause: each upstream counted a fixed 900 bytes, taken from a list of short names. Evidence: by hand, 3,200 upstreams with uids of 36 bytes and endpoints of 21: 3,948 to 4,048 kB of anonymous memory, 644 without a list: 1,064 bytes each; 3,024 to 3,564 kB with short ones. Failed before: reducer Upstreams.AreCountedWithTheBytesOfTheirNames (900 bytes for names of 10,000). Why it works: 1,000 bytes for its state, and its names twice as they are: 1,042 and 1,114 bytes for these lists. Seen once, not traced: upstream_responses OfAnEarlierRequestAreNotGivenToTheNext failed in the first run of the quick tests on this change (202 of 203; its output was lost); then 0 of 48, 0 of 120 and 0 of 48 at a time, with 8, 24 and 16 side by side, the last beside 16 busy loops.

--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -24,8 +24,9 @@
 
 // Of one connection without what it carries: its state, its stream and its events.
 inline constexpr size_t connection_memory_bytes = 2560;
-// Of one upstream of the list: its state everywhere, and its part of a list that is being decoded.
-inline constexpr size_t endpoint_memory_bytes = 900;
+// Of one upstream of the list without its names: its state everywhere, and its part of a list that is being
+// decoded.
+inline constexpr size_t endpoint_memory_bytes = 1000;
 
 class MemoryBudget
 {
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -405,6 +405,7 @@
     void apply_config(ServiceConfig config);
     UpstreamId find_or_add_upstream(const std::string& uid);
     std::vector<EndpointState> update_upstreams(const std::vector<ListedEndpoint>& entries, bool is_full);
+    size_t endpoint_bytes() const;
     void start_attempt(AttemptId id, Attempt attempt);
     bool may_write(const Attempt& attempt) const;
     bool may_run_twice(const Request& request) const;
--- a/src/net/reducer_endpoints.cpp
+++ b/src/net/reducer_endpoints.cpp
@@ -74,10 +74,19 @@
                 upstreams_[attempt.upstream_id].incarnation != attempt.upstream_incarnation)
                 effects_.push_back(CancelWrite{id});
     has_listed_upstreams_ = has_listed_upstreams_ || !endpoints.empty();
-    endpoint_memory_.resize(upstreams_.size() * endpoint_memory_bytes);
+    endpoint_memory_.resize(endpoint_bytes());
     return endpoints;
 }
 
+size_t Reducer::endpoint_bytes() const
+{
+    size_t bytes = 0;
+    // Names stand twice: in their slots, and in the index or an update.
+    for (const Upstream& upstream : upstreams_)
+        bytes += endpoint_memory_bytes + 2 * (upstream.uid.size() + upstream.endpoint.size());
+    return bytes;
+}
+
 void Reducer::on(EndpointListUpdated& event)
 {
     // A discovery service that has lost its state sends an empty list: it does not replace a good one.
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -910,6 +910,23 @@
                      "connect to 1.1.1.1:1 for attempt 2 within 1.98 s"}));
 }
 
+// Guards against a list of long names that takes more memory than is counted for it.
+TEST(Upstreams, AreCountedWithTheBytesOfTheirNames)
+{
+    const auto counted_bytes = [](const std::string& uid, const std::string& endpoint) {
+        ServiceConfig config = service_config(Idempotency::idempotent);
+        MemoryBudget memory(SIZE_MAX);
+        Reducer reducer(config, 1, "here:1", &memory);
+        reducer.reduce(TimePoint{1},
+                       EndpointListUpdated{true, {{uid, endpoint, EndpointPhase::ready, 0, 0, 1, {}}}});
+        return memory.used(MemoryPurpose::endpoint_list);
+    };
+    const size_t bytes = counted_bytes("a", "1.1.1.1:1");
+    EXPECT_GE(bytes, endpoint_memory_bytes);
+    EXPECT_GE(counted_bytes(std::string(10'000, 'a'), "1.1.1.1:1"), bytes + 2 * 9'999);
+    EXPECT_GE(counted_bytes("a", std::string(10'000, 'e')), bytes + 9'990);
+}
+
 TEST(UpstreamSlots, AreReusedButNotUnderAnOpenInvocation)
 {
     ReducerDriver driver(Idempotency::non_idempotent);
