Review case 10: an id that is open at the old process of an upgrade runs at the new

A bad client sends the ids of five open submit-pick requests to the new process: upstreams run each twice. Nothing is fixed.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""Case 10: balancers are killed at once while discovery goes down; the list that each is started with says that an upstream drains."""
+"""Case 10: a new version starts under load, and a bad client sends the ids of requests that are open at the old process."""
 import asyncio
 import os
 import signal
@@ -6,103 +6,85 @@
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand_ins_2"))
-from harness import (TROUBLE, Agent, Balancer, Upstream, World, config, fleet_file, main, request, settings, until)
+from harness import (HOST, TROUBLE, Agent, Balancer, Upstream, World, config, listening_socket, main, read_message, request, settings,
+                     until)
 
-MEMBERS = ("b1", "b2", "b3")
-GRACE = 0.25 + 0.05  # contract.drain_grace_us, and 50 ms on sockets
-FLEET = """[lease]
-length = "3s"
+CLIENTS = 5
+WORK = 1.5  # seconds of a request
+OPERATIONS = [{"name": "submit-pick", "repeat": "single_shot", "latency_objective_us": 3000000, "client_timeout_us": 3000000}]
 
-[list]
-stale = "4s"
 
-[recovery]
-every = "2s"
-wait = "3s"
-warm = "60s"
-"""
+class Client:
+    """A usual client, with one connection that it keeps."""
 
+    def __init__(self, run, name, address):
+        self.run, self.name, self.address = run, name, address
 
-async def play(run):
-    world, upstreams, agents, balancers = World(), {}, [], []
-    for number in range(4):
-        upstream = Upstream(run, f"s-{number}")
-        await upstream.start()
-        upstreams[upstream.uid] = upstream
-        world.set(upstream.uid, upstream.port)
-    addresses = {member: f"127.0.0.1:{run.ports.take()}" for member in MEMBERS}
-    for index, member in enumerate(MEMBERS):
-        agent = Agent(run, member, world)
-        await agent.start()
-        balancer = Balancer(run, member, config(run, member, agent.address, settings(self_index=index), world.whole()),
-                            fleet_file(run, member, addresses, FLEET))
-        await balancer.start()
-        agents.append(agent)
-        balancers.append(balancer)
+    async def connect(self):
+        host, port = self.address.rsplit(":", 1)
+        self.reader, self.writer = await asyncio.open_connection(host, int(port))
 
-    async def settled():
-        answers = [await each.command("show-fleet") for each in balancers]
-        return all("duty list holder b" in answer for answer in answers)
+    async def ask(self, key):
+        body = b"pick"
+        self.writer.write(f"POST /submit-pick/x HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {key}\r\nReq-Deadline-Ms: 3000\r\n"
+                          f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        self.run.record(self.name, "sends", key)
+        message = await asyncio.wait_for(read_message(self.reader), 6)
+        self.run.record(self.name, "is answered for", key, message[0] if message else "by the end of its connection")
 
-    await until(settled, 20, "the duty is held")
-    sent = 0
 
-    async def ask(balancer):
-        nonlocal sent
-        sent += 1
-        status, _ = await request(balancer.config["listen"], "GET", f"/lookup/{sent}",
-                                  {"Req-Id": f"r-{sent}", "Req-Deadline-Ms": "1500"}, 2)
-        run.record("request", f"r-{sent}", "by", balancer.name, "answered", status)
-        return status
-
-    async def ask_for(span):
-        until_then = run.now() + span
-        while run.now() < until_then:
-            for balancer in balancers:
-                await ask(balancer)
-            await asyncio.sleep(0.03)
+async def play(run):
+    world, upstreams = World(), []
+    for number in range(3):
+        upstream = Upstream(run, f"s-{number}", WORK)
+        await upstream.start()
+        upstreams.append(upstream)
+        world.set(upstream.uid, upstream.port)
+    agent = Agent(run, "n1", world)
+    await agent.start()
+    its_settings = settings(balancers=1, operations=OPERATIONS)
+    # The platform's socket, which every process inherits; and a folder that both have.
+    first = config(run, "n1", agent.address, its_settings, world.whole())
+    platform_socket = listening_socket(int(first["listen"].rsplit(":", 1)[1]))
+    shared = os.path.join(run.temporary, "shared")
+    os.makedirs(shared)
+    old = Balancer(run, "old", first)
+    old.passed_socket, old.shared = platform_socket, shared
+    await old.start()
 
-    def written(balancer):
-        try:
-            return os.stat(os.path.join(balancer.folder, "data", "snapshot")).st_mtime_ns
-        except FileNotFoundError:
-            return 0
+    async def says_yes(balancer):
+        return (await balancer.command("ready")).startswith("SUCCESS")
 
-    await ask_for(4)
-    before = written(balancers[0])
-    while written(balancers[0]) == before:
-        await asyncio.sleep(0.02)
-    world.set_state("s-1", "draining")
-    run.record("the list", world.rev, "says that s-1 drains")
-    await ask_for(0.9)
-    last_told = run.now()
-    if any(when > last_told - 0.5 for when, _ in upstreams["s-1"].arrivals):
-        run.record("s-1 gets work although all were told: this part is not judged")
+    await until(lambda: says_yes(old), 20, "the old process says yes")
+    clients = [Client(run, f"client {number}", first["listen"]) for number in range(CLIENTS)]
+    for client in clients:
+        await client.connect()
+    await asyncio.gather(*(client.ask(f"first-{number}") for number, client in enumerate(clients)))
+    new = Balancer(run, "new", dict(first, mgmt=f"{HOST}:{run.ports.take()}", seed="1c1f30d27a5be964"))
+    new.passed_socket, new.shared = platform_socket, shared
     if TROUBLE:
-        for agent in agents:
-            agent.silent = True
-        run.record("discovery is down")
-        for balancer in balancers:
-            balancer.signal(signal.SIGKILL)
-        for balancer in balancers:
-            await balancer.wait_end(5)
-            balancer.config["known"] = world.whole()  # as each had it last
-        await asyncio.sleep(0.5)
-        for balancer in balancers:
-            await balancer.start()
-    restarted_at = run.now()
+        await new.start()
+        await until(lambda: says_yes(new), 6, "the new process says yes")
+    asked = [asyncio.create_task(client.ask(f"pick-{number}")) for number, client in enumerate(clients)]
     await asyncio.sleep(0.2)
-    await ask_for(7.5)
-    for agent in agents:
-        agent.silent = False
-    run.record("discovery is back")
-    await ask_for(2)
-    late = [when for when, _ in upstreams["s-1"].arrivals if when > restarted_at + GRACE]
-    run.record("sent", sent, {uid: len(each.arrivals) for uid, each in upstreams.items()})
-    if late:
-        return [f"s-1 got {len(late)} requests from {late[0] - restarted_at:.2f} to {late[-1] - restarted_at:.2f} s after the start "
-                "of balancers whose own configuration says that it drains"]
-    return []
+    if TROUBLE:
+        old.signal(signal.SIGTERM)
+    await asyncio.sleep(0.3)
+    for number in range(CLIENTS):
+        key = f"pick-{number}"
+        answer = asyncio.create_task(request(first["listen"], "POST", "/submit-pick/x", {"Req-Id": key, "Req-Deadline-Ms": "3000"}, 6, b"pick"))
+        run.record("a bad client sends", key, "too")
+        asked.append(answer)
+        answer.add_done_callback(lambda done, key=key: run.record("the bad client is answered for", key, done.result()[0]))
+    await asyncio.wait(asked, timeout=10)
+    if TROUBLE:
+        run.record("the old process has ended with", await old.wait_end(5))
+    begun = {}
+    for upstream in upstreams:
+        for when, key in upstream.arrivals:
+            begun.setdefault(key, []).append((when, upstream.uid))
+    return [f"{key}, which must never run twice, has run {len(times)} times: " + ", ".join(f"at {when:.3f} s by {uid}" for when, uid in times)
+            for key, times in begun.items() if len(times) > 1]
 
 
 if __name__ == "__main__":
--- a/review/stand_ins_2/harness.py
+++ b/review/stand_ins_2/harness.py
@@ -123,6 +123,7 @@
     def __init__(self, run, name, config, fleet=None):
         self.run, self.name, self.config, self.fleet = run, name, config, fleet
         self.process = None
+        self.passed_socket = self.shared = None  # the platform's listening socket, and a folder, of two processes
         self.folder = os.path.join(run.temporary, name)
         os.makedirs(self.folder, exist_ok=True)
         self.log_path = os.path.join(self.folder, "log.txt")
@@ -138,14 +139,19 @@
             with open(fleet_path, "w", encoding="utf-8") as out:
                 out.write(self.fleet)
             command += " --fleet " + fleet_path
-        temporary = os.path.join(self.folder, "tmp")
-        shutil.rmtree(temporary, ignore_errors=True)
-        os.makedirs(temporary)
+        temporary = self.shared or os.path.join(self.folder, "tmp")
+        if not self.shared:
+            shutil.rmtree(temporary, ignore_errors=True)
+            os.makedirs(temporary)
         environment = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
         environment.update({"NODE_CONFIG": config_path, "TMPDIR": temporary})
+        more = {}
+        if self.passed_socket:
+            environment["NODE_PASSED_SOCKET"] = "5"
+            more = {"pass_fds": (5,), "preexec_fn": lambda: os.dup2(self.passed_socket.fileno(), 5)}
         with open(self.log_path, "ab") as log:
             self.process = await asyncio.create_subprocess_exec("/bin/sh", "-c", command, cwd=ROOT, stdin=asyncio.subprocess.DEVNULL,
-                                                                stdout=log, stderr=log, env=environment)
+                                                                stdout=log, stderr=log, env=environment, **more)
         self.run.record(self.name, "started, process", self.process.pid)
 
     def is_running(self):
