--- a/review/stand_ins_2/harness.py
+++ b/review/stand_ins_2/harness.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import resource
 import shutil
 import signal
 import socket
@@ -33,15 +34,19 @@
     listen, and let the servers of this run bind beside them."""
 
     def __init__(self):
-        self.held = []
+        self.held = {}
 
     def take(self):
         held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         held.bind((HOST, 0))
-        self.held.append(held)
+        self.held[held.getsockname()[1]] = held
         return held.getsockname()[1]
 
+    def release(self, port):
+        """A server of this process listens there now."""
+        self.held.pop(port).close()
+
 
 def listening_socket(port):
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -108,6 +113,7 @@
                 writer.close()
 
         self.servers.append(await asyncio.start_server(guarded, sock=listening_socket(port)))
+        self.ports.release(port)
 
     async def cleanup(self):
         for process in self.processes:
@@ -369,6 +375,10 @@
 def main(case_file, play):
     """Plays the case: 10 the rule held, 11 it was broken, 2 it could not run (run_case.sh turns that into its own exit status).
     `play` returns what broke the rule, empty if nothing did."""
+    # Some hundred stand-ins are one process: as many descriptors as an ordinary user may have.
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = 4096 if most == resource.RLIM_INFINITY else min(4096, most)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, most))
     run = Run(case_file)
 
     async def whole():
