--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
                      until)
 
 MEMBERS = ("b1", "b2", "b3")
-PODS, IN_POD, ROUNDS = 3, 2, 8
+PODS, IN_POD, ROUNDS = 3, 2, 6
 WORK = 0.8  # seconds of a request
 WINDOW = 6.0  # for which the nodes of one pod drop a repeat
 FLEET = """[lease]
@@ -125,7 +125,7 @@
             await asyncio.sleep(0.3)
             leaving.end()
             run.record(leaving.uid, "ends")
-        await asyncio.sleep(3)
+        await asyncio.sleep(4)
     await asyncio.wait(asked, timeout=10)
     run.record("sent", sent, "run", len(runs))
     breaks = []
