The processes of an upgrade share the ids of requests, so that none runs at both

Cause: Reducer kept the ids that are open and those that may have run in members of its own, and HotRestart shared a lock and no state. To rules both processes are one balancer; each knew only the ids that came to it.

Change: both use one table (request_id_table), in sealed anonymous memory that the new process opens through /proc after a line in the old one's lock file. An id is claimed when its request has been received; one that must not run twice is claimed once more right before its first byte is sent. Each is one compare-and-exchange: no lock that a stopped process could hold, no system call that could fail, no file that could be cut short. A claim of a process that has ended does not count, by a lock that the kernel drops. Failures at the start are tried again for half a second; then the process starts with a table of its own, and the log and request_ids_shared say so. RecentRequestIds becomes a part of the table; its test is kept with the same bounds.

--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -13,6 +13,11 @@
 // New attempts may start for this long after a caller has shut its sending side.
 constexpr Duration half_closed_grace = seconds(0.05);
 
+Response repeated_id_response(IdClaim claim)
+{
+    return plain_response(409, claim == IdClaim::is_open ? "this id is open\n" : "this id was used before\n");
+}
+
 }  // namespace
 
 uint64_t hash_uid(std::string_view uid)
@@ -22,11 +27,13 @@
     return hash;
 }
 
-Reducer::Reducer(ServiceConfig& config, uint64_t seed, std::string discovery_address, MemoryBudget* memory)
+Reducer::Reducer(ServiceConfig& config, uint64_t seed, std::string discovery_address, MemoryBudget* memory,
+                 RequestIdRegistry* request_ids)
     : config_(config),
       memory_(memory ? *memory : unlimited_memory_),
       endpoint_memory_(memory_, MemoryPurpose::endpoint_list),
-      recent_request_ids_(seed),
+      own_request_ids_(request_ids ? nullptr : std::make_unique<RequestIdRegistry>(seed)),
+      request_ids_(request_ids ? *request_ids : *own_request_ids_),
       discovery_address_(std::move(discovery_address)),
       balancer_(config.settings, seed, *this)
 {
@@ -77,22 +84,7 @@
         effects_.push_back(SendResponse{event.caller, plain_response(503, "throttled\n"), true});
         return;
     }
-    // Each request has an id of its own, a client's retry too. What may have run under an id, for a client
-    // that has left or was answered, is not run again.
-    if (!may_run_twice(event.request) && recent_request_ids_.contains(event.request.id)) {
-        ++outcomes.failure;
-        ++repeated_ids_;
-        effects_.push_back(
-            SendResponse{event.caller, plain_response(409, "this id was used before\n"), true});
-        return;
-    }
-    // Of two forwards with one id, an upstream would take the second for a copy of the first.
-    if (!open_request_ids_.insert(event.request.id).second) {
-        ++outcomes.failure;
-        ++repeated_ids_;
-        effects_.push_back(SendResponse{event.caller, plain_response(409, "this id is open\n"), true});
-        return;
-    }
+    if (reject_repeated_id(event, outcomes)) return;
     if (free_invocations_.empty()) {
         free_invocations_.push_back(static_cast<InvocationId>(invocations_.size()));
         invocations_.emplace_back();
@@ -121,6 +113,19 @@
     balancer_.accept(now_, invocation_id, invocation_request);
 }
 
+// Each request has an id of its own, a client's retry too. What may have run under an id, for a client that
+// has left or was answered, is not run again. Of two forwards with one id, an upstream would take the second
+// for a copy of the first.
+bool Reducer::reject_repeated_id(const RequestReceived& event, OutcomeCounts& outcomes)
+{
+    const IdClaim claim = request_ids_.claim(event.request.id, may_run_twice(event.request));
+    if (claim == IdClaim::claimed) return false;
+    ++outcomes.failure;
+    ++repeated_ids_;
+    effects_.push_back(SendResponse{event.caller, repeated_id_response(claim), true});
+    return true;
+}
+
 void Reducer::on(DownstreamDisconnected event)
 {
     if (const auto relay = relay_of_.find(event.caller); relay != relay_of_.end()) {
@@ -183,7 +188,7 @@
         return effects_.push_back(WriteUpstream{event.attempt, probe, false, attempt.fencing_token});
     }
     Invocation& invocation = invocations_[*attempt.invocation_id];
-    if (!invocation.may_run_twice) recent_request_ids_.add(invocation.request.id);
+    if (!record_run(invocation)) return end_repeated_invocation(event.attempt, *attempt.invocation_id);
     invocation.memory.resize(sizeof(Invocation) + invocation.request.memory_bytes());
     const Duration time_left =
         invocation.request.body_incomplete ? invocation.request.time_left : attempt.deadline - now_;
@@ -194,6 +199,23 @@
         invocation.unwritten_bytes = invocation.request.body.size();
 }
 
+// Returns false if another process of this balancer has sent a request of the same id.
+bool Reducer::record_run(Invocation& invocation)
+{
+    if (invocation.may_run_twice || invocation.run_recorded) return true;
+    invocation.run_recorded = request_ids_.record_run(invocation.request.id);
+    return invocation.run_recorded;
+}
+
+// Before anything was sent for it.
+void Reducer::end_repeated_invocation(AttemptId id, InvocationId invocation_id)
+{
+    ++repeated_ids_;
+    respond(invocation_id, repeated_id_response(IdClaim::was_used));
+    effects_.push_back(CloseUpstream{id});
+    end_attempt(id, AttemptResult::not_sent, nullptr);
+}
+
 void Reducer::on(RequestWritten event)
 {
     const auto found = attempts_.find(event.attempt);
@@ -319,7 +341,7 @@
 void Reducer::finish(Invocation& invocation)
 {
     invocation.finished = true;
-    open_request_ids_.erase(invocation.request.id);
+    request_ids_.close(invocation.request.id);
 }
 
 // The response to each invocation goes through here; a second one is never sent.
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "memory_budget.h"
-#include "recent_request_ids.h"
+#include "request_id_registry.h"
 #include "src/fleet/endpoints/endpoint_view.h"
 #include "src/fleet/startup/startup_sequencer.h"
 #include "src/http/message.h"
@@ -272,9 +272,10 @@
 {
   public:
     // `config` is shared with all components; new settings are written to it. `memory`: of all components;
-    // without it, memory is not limited.
+    // without it, memory is not limited. `request_ids`: of all processes of this balancer; without it, this
+    // is the only process.
     Reducer(ServiceConfig& config, uint64_t seed, std::string discovery_address,
-            MemoryBudget* memory = nullptr);
+            MemoryBudget* memory = nullptr, RequestIdRegistry* request_ids = nullptr);
 
     // Makes this balancer a member of a fleet: what the decision module is shown of the upstreams then
     // follows the choices of all members. To be called before the first event.
@@ -319,6 +320,7 @@
         TimePoint chunk_received_at;
         bool overdue = false;         // its client's time is over before all of it was read
         bool may_run_twice = false;   // as it was on acceptance
+        bool run_recorded = false;    // of one that must not run twice: its bytes may have been sent
         bool body_discarded = false;  // bytes were sent that are no longer held: it cannot be sent again
         bool has_relay = false;       // the response of one of its attempts is being relayed
         std::optional<TimePoint> half_closed_at;  // its caller sends nothing more
@@ -398,6 +400,9 @@
     bool take_forward_budgets(uint32_t forward_index, UpstreamId upstream_id);
     std::optional<Duration> tenant_rate_retry_after(const Request& request);
     bool reject_at_admission(RequestReceived& event);
+    bool reject_repeated_id(const RequestReceived& event, OutcomeCounts& outcomes);
+    bool record_run(Invocation& invocation);
+    void end_repeated_invocation(AttemptId id, InvocationId invocation_id);
     void update_startup();
     void add_snapshot_data(LocalObservations& observations);
     double value_rank_of(uint32_t operation) const;
@@ -450,8 +455,8 @@
     std::vector<Invocation> invocations_;
     std::vector<InvocationId> free_invocations_;
     std::unordered_map<RequestId, InvocationId> invocation_of_;
-    std::unordered_set<std::string> open_request_ids_;  // of unanswered requests
-    RecentRequestIds recent_request_ids_;               // of those that may have run and must not run twice
+    std::unique_ptr<RequestIdRegistry> own_request_ids_;  // unless it was given one
+    RequestIdRegistry& request_ids_;
     std::unordered_map<AttemptId, Attempt> attempts_;
     std::unordered_map<AttemptId, Relay> relays_;
     std::unordered_map<RequestId, AttemptId> relay_of_;
--- a/src/net/reducer_admin.cpp
+++ b/src/net/reducer_admin.cpp
@@ -55,7 +55,7 @@
 ServiceStatistics Reducer::statistics()
 {
     ServiceStatistics result{
-        outcomes_, backend_calls_, requests_received_, requests_abandoned_, open_request_ids_.size(), 0, 0};
+        outcomes_, backend_calls_, requests_received_, requests_abandoned_, request_ids_.open_count(), 0, 0};
     for (const Upstream& upstream : upstreams_) result.hosts_listed += upstream.phase != EndpointPhase::gone;
     for (UpstreamId upstream_id = 0; upstream_id < upstreams_.size(); ++upstream_id)
         result.hosts_down +=
@@ -81,7 +81,7 @@
     result.add_counter("throttled.all_reduced", throttled.all_reduced);
     result.add_counter("throttled.no_upstream", throttled.no_upstream);
     result.add_counter("throttled.attempts_ended", throttled.attempts_ended);
-    result.add_gauge("recent_request_ids", recent_request_ids_.size());
+    result.add_gauge("recent_request_ids", request_ids_.may_have_run_count());
     result.add_counter("repeated_request_ids", repeated_ids_);
     result.add_counter("responses_stalled", responses_stalled_);
     result.add_counter("responses_given_up", responses_given_up_);
--- a/src/net/reducer_relay.cpp
+++ b/src/net/reducer_relay.cpp
@@ -161,7 +161,7 @@
 {
     const Relay relay = std::move(relays_[id]);
     if (outcome) ++(relay.outcomes->*outcome);
-    open_request_ids_.erase(relay.request_id);
+    request_ids_.close(relay.request_id);
     relay_of_.erase(relay.caller);
     relays_.erase(id);
 }
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -21,6 +21,8 @@
 // Used while others serve the same callers: a connection that has been idle this long is unlikely to send a
 // request just now, and one that has sent nothing since it connected is unlikely to do so at all.
 constexpr Duration idle_before_close = seconds(0.3), silent_before_close = seconds(1);
+// At the start, for another process of this balancer to be reachable.
+constexpr std::chrono::milliseconds join_patience{500};
 constexpr Duration warning_interval = seconds(1);  // of the same problem, in the log
 constexpr const char* peer_messages_unsupported =
     "settings.policy_limits.peers: messages are not carried on sockets; serving without";
@@ -82,6 +84,13 @@
     return config;
 }
 
+RequestIdRegistry make_request_ids(SharedRequestIds* shared, uint64_t hash_key)
+{
+    if (!shared) return RequestIdRegistry(hash_key);
+    return RequestIdRegistry(shared->table(), shared->self(),
+                             [shared](RequestIdOwner owner) { return shared->is_running(owner); });
+}
+
 template <class F>
 struct OneShotCallback {
     F callback;
@@ -107,7 +116,11 @@
       descriptors_(usable_descriptors(config_.max_descriptors, fleet_descriptors(fleet))),
       base_(make_event_base()),
       memory_(config_.memory_budget_bytes),
-      reducer_(config_.service_config, config_.seed, to_string(config_.discovery), &memory_),
+      hot_restart_(config_.shared_folder.empty() ? nullptr
+                                                 : std::make_unique<HotRestart>(config_.shared_folder)),
+      shared_request_ids_(hot_restart_ ? join_request_ids(*hot_restart_, join_patience) : nullptr),
+      request_ids_(make_request_ids(shared_request_ids_.get(), config_.seed)),
+      reducer_(config_.service_config, config_.seed, to_string(config_.discovery), &memory_, &request_ids_),
       upstreams_(base_.get(), config_.service_config,
                  ConnectionBudget(descriptor_share(upstream_share), descriptors_,
                                   [this] { return downstream_.open_connections(); }),
@@ -122,7 +135,6 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     reducer_.set_max_transfers(descriptor_share(transfer_share));
-    if (!config_.shared_folder.empty()) hot_restart_.emplace(config_.shared_folder);
     if (config_.management)
         admin_.emplace(base_.get(), *config_.management, [this](Event e) {
             const auto* received = std::get_if<AdminCommandReceived>(&e);
@@ -254,6 +266,7 @@
     if (result.resources) {
         downstream_.add_metrics(*result.resources);
         result.resources->add_gauge("upstream_connections", upstreams_.open_connections());
+        result.resources->add_gauge("request_ids_shared", all_share_request_ids_);
     }
     admin_->answer(result);
 }
@@ -430,6 +443,10 @@
     const TimePoint now = monotonic_now();
     if (!hot_restart_ || now - processes_counted_at_ < process_count_interval) return;
     processes_counted_at_ = now;
+    hot_restart_->register_process();
+    hot_restart_->retry_publication();
+    request_ids_.renew_open_claims();
+    check_request_id_sharing();
     const size_t processes = hot_restart_->another_process_runs() ? 2 : 1;
     if (std::exchange(processes_, processes) == processes) return;
     spdlog::info("{}", processes > 1 ? "another process of this balancer runs: half of memory and descriptors"
@@ -439,6 +456,16 @@
     upstreams_.set_process_count(processes);
 }
 
+void Service::check_request_id_sharing()
+{
+    const bool all_share = shared_request_ids_
+                               ? !has_strangers(*hot_restart_, shared_request_ids_->table().table_id)
+                               : !hot_restart_->another_process_runs();
+    if (std::exchange(all_share_request_ids_, all_share) && !all_share)
+        spdlog::warn(
+            "another process of this balancer shares no request ids: one that it has may run here too");
+}
+
 // Closes idle connections while draining or stopping; once stopped and done, leaves the loop.
 void Service::on_timer()
 {
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -7,7 +7,7 @@
 #include "admin_server.h"
 #include "discovery.h"
 #include "downstream_server.h"
-#include "hot_restart.h"
+#include "shared_request_ids.h"
 #include "src/fleet/host/host.h"
 #include "upstream_pool.h"
 
@@ -38,6 +38,7 @@
     size_t descriptor_share(double part) const;
     void on_timer();
     void update_process_count();
+    void check_request_id_sharing();
     fleet::Host::Hooks hooks();
     void report_lists_to_fleet();
     bool shares_list() const { return fleet_ && fleet_->config().endpoint_list; }
@@ -55,6 +56,10 @@
     const size_t descriptors_;  // for callers and upstreams together
     EventBasePtr base_;
     MemoryBudget memory_;
+    // Of the other processes of this balancer; null outside of hot restarts, or where it cannot be shared.
+    std::unique_ptr<HotRestart> hot_restart_;
+    std::unique_ptr<SharedRequestIds> shared_request_ids_;
+    RequestIdRegistry request_ids_;
     Reducer reducer_;
     UpstreamPool upstreams_;
     Discovery discovery_;
@@ -70,8 +75,8 @@
     uint64_t next_fencing_token_ = 1;
     std::map<std::string, std::pair<fleet::Epoch, std::vector<fleet::ProbeReport>>> probe_reports_;
     TimePoint probes_reported_at_, ticked_at_;
-    std::optional<HotRestart> hot_restart_;
     size_t processes_ = 1;  // of this balancer
+    bool all_share_request_ids_ = true;
     TimePoint processes_counted_at_;
     std::deque<Event> events_;
     bool reducing_ = false, stopping_ = false, stopped_accepting_ = false;
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -120,7 +120,17 @@
     {
         config_.settings.operations[0].client_timeout = client_timeout;
         config_.settings.may_probe = config_.settings.load_reports_by_probe = probes;
-        reducer = std::make_unique<Reducer>(config_, 1, "here:1");
+        start(nullptr);
+    }
+    // As a process that shares its request ids with others.
+    ReducerDriver(Idempotency repeat, RequestIdRegistry& request_ids) : config_(service_config(repeat))
+    {
+        start(&request_ids);
+    }
+
+    void start(RequestIdRegistry* request_ids)
+    {
+        reducer = std::make_unique<Reducer>(config_, 1, "here:1", nullptr, request_ids);
         send(ServiceStarted{});
         update_list(true, {endpoint_a(EndpointPhase::ready)});
     }
@@ -638,16 +648,57 @@
     EXPECT_EQ(driver.lines, (Lines{"connect to 1.1.1.1:1 for attempt 2 within 2.00 s"}));
 }
 
-TEST(RecentRequestIds, HoldTheLastOnesInBoundedMemory)
+// Two processes of one balancer that share their request ids.
+struct ProcessPair {
+    ProcessPair() { table->initialize(1, 7); }
+
+    std::unique_ptr<RequestIdTable> table = std::make_unique<RequestIdTable>();
+    RequestIdRegistry first_ids{*table, 1, [](RequestIdOwner) { return true; }};
+    RequestIdRegistry second_ids{*table, 2, [](RequestIdOwner) { return true; }};
+};
+
+TEST(Request, WithAnIdThatIsOpenAtAnotherProcessIsRejected)
+{
+    for (const auto repeat : {Idempotency::idempotent, Idempotency::non_idempotent}) {
+        ProcessPair pair;
+        ReducerDriver first(repeat, pair.first_ids), second(repeat, pair.second_ids);
+        first.receive_request(1, "x");
+        second.receive_request(2, "x");
+        EXPECT_EQ(
+            second.finish(),
+            (Lines{"respond to caller 2: 409, close the connection",
+                   "op: 0 succeeded, 0 throttled, 1 errored; 0 written, 0 in flight, 1 listed, 0 down"}));
+    }
+}
+
+// Guards against two processes that both accepted an id and both send it.
+TEST(Request, WithAnIdThatAnotherProcessSentMeanwhileIsNotSent)
+{
+    for (const auto repeat : {Idempotency::deduplicated, Idempotency::non_idempotent}) {
+        ProcessPair pair;
+        ReducerDriver driver(repeat, pair.first_ids);
+        driver.receive_request(1, "x");
+        ASSERT_TRUE(pair.second_ids.record_run("x"));
+        driver.lines.clear();
+        driver.connect();
+        EXPECT_EQ(
+            driver.finish(),
+            (Lines{"respond to caller 1: 409", "close the attempt's connection",
+                   "op: 0 succeeded, 0 throttled, 1 errored; 0 written, 0 in flight, 1 listed, 0 down"}));
+    }
+}
+
+TEST(RequestIdRegistry, HoldsTheLastIdsThatMayHaveRunInBoundedMemory)
 {
-    RecentRequestIds ids(7);
+    RequestIdRegistry ids(7);
     const auto id = [](size_t n) { return "id-" + std::to_string(n); };
+    const auto was_used = [&](size_t n) { return ids.claim(id(n), false) == IdClaim::was_used; };
     constexpr size_t added = 10 * min_recent_ids;
-    for (size_t n = 0; n < added; ++n) ids.add(id(n));
-    for (size_t n = added - min_recent_ids; n < added; ++n) ASSERT_TRUE(ids.contains(id(n))) << n;
-    EXPECT_LE(ids.size(), 2 * min_recent_ids);
-    EXPECT_FALSE(ids.contains(id(0)));
-    EXPECT_FALSE(ids.contains(id(added)));
+    for (size_t n = 0; n < added; ++n) ASSERT_TRUE(ids.record_run(id(n))) << n;
+    for (size_t n = added - min_recent_ids; n < added; ++n) ASSERT_TRUE(was_used(n)) << n;
+    EXPECT_LE(ids.may_have_run_count(), 2 * min_recent_ids);
+    EXPECT_FALSE(was_used(0));
+    EXPECT_FALSE(was_used(added));
 }
 
 TEST(Request, WithoutAnUpstreamIsThrottled)
--- a/tests/upgrade.h
+++ b/tests/upgrade.h
@@ -35,6 +35,7 @@
     SharedListener& operator=(const SharedListener&) = delete;
 
     uint16_t port() const { return port_; }
+    const std::string& folder() const { return folder_; }
     // For BalancerProcess, to be run in the child.
     std::function<void()> pass_on() const
     {
