Events of the decision module that name what it does not know have no effect

Cause: probes of a fleet are made of all listed upstreams, and their results are passed on for all. The decision module is shown only its subset, and Balancer::on_probe_completed used the index of the upstream unchecked: the report of a hidden one was read and written past the end of the list. Ends of forwards, begun and stalled responses, complete requests, leaving clients, operations, mappings of new settings and machine types were used as indices unchecked in the same way.

Change: balancer.h says what each event may name and what an unknown one gets; the public functions check it, in one place, and bound times and values of reports that nobody can mean. A member of a fleet shows the module all listed upstreams, hidden ones as gone, so that a report of one is kept: the subset moves and widens by it.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES = $(patsubst ./%,%,$(sort $(shell find . -path './build*' -prune -o -name '*.cpp' -print -o -name '*.h' -print)))
 FOLDERS = $(sort $(foreach file,$(SOURCES),$(firstword $(subst /, ,$(file)))))
 
-.PHONY: build test lint tidy capacity run clean
+.PHONY: build test lint tidy sanitize capacity run clean
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
@@ -27,6 +27,13 @@
 	cmake -B $(BUILD) >/dev/null
 	printf '%s\n' $(TIDY) | xargs -P4 -n2 clang-tidy --quiet -p $(BUILD) --extra-arg=-Wno-unknown-warning-option
 
+# The unit tests under the address and undefined-behaviour sanitizers, in a build folder of their own.
+SANITIZED = $(patsubst %-sanitized,%,$(BUILD))-sanitized
+sanitize:
+	cmake -B $(SANITIZED) -DCMAKE_BUILD_TYPE=Release -DFIRTIDE_SANITIZE=ON
+	cmake --build $(SANITIZED) -j4 --target unit_tests
+	ctest --test-dir $(SANITIZED) --output-on-failure -L unit
+
 # The tables of docs/CAPACITY.md, from the runs kept in docs/capacity.
 capacity:
 	python3 scale/capacity.py
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -32,6 +32,7 @@
 constexpr Duration slowness_half_life = seconds(8);       // of an upstream's deviation from its machine type
 // The weight of one response in the mean slowness.
 constexpr double upstream_slowness_gain = 0.1, machine_type_slowness_gain = 0.01;
+constexpr double max_reported_value = 1e9;     // a greater one, or none that is a number, is no report
 constexpr double min_informative_load = 0.25;  // a lower mean of reported loads tells nothing
 constexpr size_t response_sample_size = 16;    // responses by which an upstream is judged, approximately
 constexpr size_t min_response_sample = 5;      // fewer tell nothing
@@ -96,6 +97,27 @@
 constexpr double median_tenant_headroom = 1.25;  // the median tenant's share over its use of it
 constexpr double min_tenant_burst = 4;           // invocations, for tenants with a small share here
 
+Duration bounded_time(Duration time) { return {std::clamp(time.us, -max_time_left.us, max_time_left.us)}; }
+
+// Without values that no upstream can mean.
+LoadReport sound_report(LoadReport report)
+{
+    for (auto member : {&LoadReport::queue_length, &LoadReport::in_flight, &LoadReport::utilisation,
+                        &LoadReport::mean_latency_ms, &LoadReport::errors_per_second})
+        if (report.*member && !(*(report.*member) >= 0 && *(report.*member) <= max_reported_value))
+            (report.*member).reset();
+    return report;
+}
+
+// Of each new index, the old one if there was such a one.
+IndexMapping known_indices(IndexMapping mapping, size_t new_count, size_t old_count)
+{
+    if (mapping.size() > new_count) mapping.resize(new_count);
+    for (std::optional<uint32_t>& old_index : mapping)
+        if (old_index && *old_index >= old_count) old_index.reset();
+    return mapping;
+}
+
 bool proves_not_run(AttemptResult result)
 {
     return result == AttemptResult::declined || result == AttemptResult::unreachable ||
@@ -113,7 +135,8 @@
 
 // Kept from its acceptance until it has been answered and none of its forwards is in flight.
 struct Invocation {
-    Operation operation;  // as it was on acceptance, or stricter after new settings
+    bool is_known = false;  // accepted and not released
+    Operation operation;    // as it was on acceptance, or stricter after new settings
     bool may_overlap_forwards = false;
     uint32_t max_forwards = 1;
     uint32_t operation_index = 0;
@@ -285,6 +308,28 @@
 
     double uniform_random() { return uniform_random_24_bits(random_engine); }
 
+    // ---- What events may name ----
+
+    bool knows_upstream(UpstreamId id) const { return id < upstreams.size() && upstreams[id].is_registered; }
+    bool knows_invocation(InvocationId id) const
+    {
+        return id < invocations.size() && invocations[id].is_known;
+    }
+    bool is_in_flight(InvocationId id, uint32_t forward_index) const
+    {
+        return knows_invocation(id) && forward_index < invocations[id].forwards.size() &&
+               invocations[id].forwards[forward_index].in_flight;
+    }
+    // Whether the decision is this instance's; otherwise there is nothing left to decide.
+    bool can_accept(InvocationId id, const InvocationRequest& request)
+    {
+        if (knows_invocation(id)) return false;
+        if (id < max_invocations && request.operation < settings.operations.size()) return true;
+        delegate.fail(id);
+        delegate.release_invocation(id);
+        return false;
+    }
+
     void schedule(TimePoint at, std::function<void()> callback)
     {
         timers.emplace(next_timer_id, std::move(callback));
@@ -468,8 +513,10 @@
         Invocation& invocation = invocations[id];
         if (!invocation.finished) return;
         if (std::none_of(invocation.forwards.begin(), invocation.forwards.end(),
-                         [](auto& each) { return each.in_flight; }))
+                         [](auto& each) { return each.in_flight; })) {
+            invocation.is_known = false;
             delegate.release_invocation(id);
+        }
     }
 
     // ---- Signals from responses ----
@@ -1005,6 +1052,7 @@
     {
         if (id >= invocations.size()) invocations.resize(id + 1);
         Invocation& invocation = invocations[id];
+        invocation.is_known = true;
         invocation.operation = settings.operations[request.operation];
         invocation.may_overlap_forwards = settings.may_overlap_forwards;
         invocation.max_forwards = settings.max_forwards;
@@ -1174,6 +1222,7 @@
 
     void update_endpoint(const EndpointState& endpoint)
     {
+        if (endpoint.upstream_id >= max_upstreams) return;
         if (endpoint.upstream_id >= upstreams.size()) upstreams.resize(endpoint.upstream_id + 1);
         Upstream& upstream = upstreams[endpoint.upstream_id];
         if (upstream.is_registered && upstream.endpoint.global_id != endpoint.global_id) {
@@ -1181,13 +1230,12 @@
             std::erase(own_zone, endpoint.upstream_id), std::erase(other_zones, endpoint.upstream_id);
             std::erase_if(wire_names, [&](const auto& name) { return name.second == endpoint.upstream_id; });
             for (Peer& peer : peers) set_peer_in_flight(peer, endpoint.upstream_id, 0);
-            upstream = Upstream{};
+            upstream = with_forwards_of(upstream);
         }
         if (endpoint.started_at && endpoint.started_at != upstream.endpoint.started_at) {
             // The upstream has restarted: earlier signals say nothing about it.
-            Upstream restarted;
+            Upstream restarted = with_forwards_of(upstream);
             restarted.is_registered = upstream.is_registered;
-            restarted.in_flight = upstream.in_flight, restarted.overdue = upstream.overdue,
             restarted.peer_in_flight = upstream.peer_in_flight,
             restarted.broadcast_in_flight = upstream.broadcast_in_flight;
             upstream = restarted;
@@ -1196,10 +1244,20 @@
             upstream.slow_start_tokens = uniform_random();
         }
         upstream.endpoint = endpoint;
-        if (machine_types.size() <= endpoint.machine_type) machine_types.resize(endpoint.machine_type + 1);
+        if (endpoint.machine_type >= max_machine_types) upstream.endpoint.machine_type = 0;
+        if (machine_types.size() <= upstream.endpoint.machine_type)
+            machine_types.resize(upstream.endpoint.machine_type + 1);
         if (!std::exchange(upstream.is_registered, true)) insert_in_order(endpoint.upstream_id);
     }
 
+    // Forwards in flight end later, whoever is at the index then.
+    static Upstream with_forwards_of(const Upstream& previous)
+    {
+        Upstream upstream;
+        upstream.in_flight = previous.in_flight, upstream.overdue = previous.overdue;
+        return upstream;
+    }
+
     void insert_in_order(UpstreamId upstream_id)
     {
         const auto rank = [this](UpstreamId id) {
@@ -1460,10 +1518,16 @@
 
 void Balancer::start(TimePoint now) { state_at(now).start(); }
 
+// The checks of what the host names stand here, before the state is touched.
+
 void Balancer::update_settings(TimePoint now, Settings settings, const IndexMapping& operations,
                                const IndexMapping& tenants)
 {
-    state_at(now).update_settings(std::move(settings), operations, tenants);
+    State& state = state_at(now);
+    const auto known_operations =
+        known_indices(operations, settings.operations.size(), state.settings.operations.size());
+    const auto known_tenants = known_indices(tenants, settings.tenant_quotas.size(), state.tenants.size());
+    state.update_settings(std::move(settings), known_operations, known_tenants);
 }
 
 void Balancer::set_endpoints(TimePoint now, const std::vector<EndpointState>& all)
@@ -1483,26 +1547,32 @@
 
 void Balancer::accept(TimePoint now, InvocationId invocation, const InvocationRequest& request)
 {
-    state_at(now).accept(invocation, request);
+    if (!state_at(now).can_accept(invocation, request)) return;
+    InvocationRequest bounded = request;
+    bounded.time_left = bounded_time(request.time_left);
+    state_->accept(invocation, bounded);
 }
 
 void Balancer::on_forward_ended(TimePoint now, InvocationId invocation, uint32_t forward,
                                 AttemptResult result, Duration duration, bool answered,
                                 const LoadReport& report)
 {
-    state_at(now).on_forward_ended(invocation, forward, result, duration, answered, report);
+    if (!state_at(now).is_in_flight(invocation, forward)) return;
+    state_->on_forward_ended(invocation, forward, result, std::max(Duration{}, bounded_time(duration)),
+                             answered, sound_report(report));
 }
 
 void Balancer::on_client_disconnected(TimePoint now, InvocationId invocation)
 {
-    if (!state_at(now).invocations[invocation].finished) state_->close(invocation);
+    if (state_at(now).knows_invocation(invocation) && !state_->invocations[invocation].finished)
+        state_->close(invocation);
 }
 
 void Balancer::on_probe_completed(TimePoint now, UpstreamId upstream_id, AttemptResult result,
                                   const LoadReport& report)
 {
-    if (result == AttemptResult::succeeded)
-        state_at(now).record_load_report(state_->upstreams[upstream_id], report);
+    if (state_at(now).knows_upstream(upstream_id) && result == AttemptResult::succeeded)
+        state_->record_load_report(state_->upstreams[upstream_id], sound_report(report));
 }
 
 void Balancer::on_peer_message(TimePoint now, uint32_t peer, std::string_view message)
@@ -1512,23 +1582,24 @@
 
 void Balancer::on_request_complete(TimePoint now, InvocationId invocation, Duration time_left)
 {
-    state_at(now).on_request_complete(invocation, time_left);
+    if (state_at(now).knows_invocation(invocation))
+        state_->on_request_complete(invocation, bounded_time(time_left));
 }
 
 void Balancer::on_response_begun(TimePoint now, InvocationId invocation, uint32_t forward)
 {
-    state_at(now).on_response_begun(invocation, forward);
+    if (state_at(now).is_in_flight(invocation, forward)) state_->on_response_begun(invocation, forward);
 }
 
 void Balancer::on_response_stalled(TimePoint now, InvocationId invocation, uint32_t forward)
 {
-    state_at(now).on_response_stalled(invocation, forward);
+    if (state_at(now).is_in_flight(invocation, forward)) state_->on_response_stalled(invocation, forward);
 }
 
 double Balancer::reduction(TimePoint now, UpstreamId upstream_id)
 {
-    return upstream_id < state_->upstreams.size() ? state_at(now).reduction(state_->upstreams[upstream_id])
-                                                  : 0;
+    if (!state_at(now).knows_upstream(upstream_id)) return 0;
+    return state_->reduction(state_->upstreams[upstream_id]);
 }
 
 const ThrottleCounts& Balancer::throttle_counts() const { return state_->throttle_counts; }
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -4,6 +4,17 @@
 // BalancerDelegate before the event call returns. Invocations and upstreams are small indices chosen by the
 // host. An invocation's index may be reused after release_invocation(), an upstream's once it is gone and no
 // invocation that was forwarded to it is left.
+//
+// Events may be late, or name what this instance was never shown: each is checked before it has any effect.
+// - An upstream is known from the first call of set_endpoints() or update_endpoints() that names it, for
+// good:
+//   also while it is gone. What is reported of an unknown one is ignored; a host that has reports of
+//   upstreams that this instance must not use yet shows them as gone.
+// - An invocation is known from accept() until release_invocation(), a forward of it from
+//   BalancerDelegate::forward() until on_forward_ended(). Events of unknown ones are ignored.
+// - An upstream with an index from max_upstreams on is left out. An invocation with an index from
+//   max_invocations on, or of an operation that the settings do not have, fails at once; one whose index is
+//   still in use is ignored.
 #pragma once
 
 #include <cstdint>
@@ -76,7 +87,15 @@
     uint64_t subject_key = 0;
 };
 
-// For each new index, the index it had before; unset for an item that is new.
+inline constexpr UpstreamId max_upstreams = 1 << 16;
+inline constexpr InvocationId max_invocations = 1 << 20;
+// The time left of an invocation counts as at most this long.
+inline constexpr Duration max_time_left = seconds(24 * 3600);
+// An upstream of a type from this on counts as one of type 0.
+inline constexpr uint32_t max_machine_types = 1024;
+
+// For each new index, the index it had before; unset for an item that is new. An index that did not exist
+// counts as unset.
 using IndexMapping = std::vector<std::optional<uint32_t>>;
 
 class BalancerDelegate
@@ -130,7 +149,7 @@
                             const LoadReport& report);
     void on_timer_fired(TimePoint now, uint64_t timer_id);
     void on_peer_message(TimePoint now, uint32_t peer, std::string_view message);
-    // The reduction of the upstream's entry, 0 to 1; 1 while it is stalled.
+    // The reduction of the upstream's entry, 0 to 1; 1 while it is stalled, 0 for an unknown upstream.
     double reduction(TimePoint now, UpstreamId upstream_id);
     const ThrottleCounts& throttle_counts() const;
     // Sets the part of the upstreams shared by all balancers that this one's list holds.
--- a/src/fleet/endpoints/endpoint_view.cpp
+++ b/src/fleet/endpoints/endpoint_view.cpp
@@ -233,7 +233,10 @@
     for (UpstreamId upstream = 0; upstream < endpoints_.size(); ++upstream) {
         const EndpointState next = adjusted_state(now, upstream);
         EndpointState& shown = shown_[upstream];
-        if (next.phase == EndpointPhase::gone && shown.phase == EndpointPhase::gone) continue;
+        const bool is_hidden = next.phase == EndpointPhase::gone && shown.phase == EndpointPhase::gone;
+        const bool is_listed = endpoints_[upstream].listed_state.phase != EndpointPhase::gone;
+        // The module knows a hidden one as gone, so that it can record what others report of it.
+        if (is_hidden && (!is_listed || next.global_id == shown.global_id)) continue;
         if (!differs_visibly(next, shown, upstream)) continue;
         shown = next;
         changes.push_back(next);
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -897,6 +897,93 @@
                      "op: 1 succeeded, 0 throttled, 0 errored; 1 written, 0 in flight, 1 listed, 0 down"}));
 }
 
+// A member of a fleet whose subset holds a few of many upstreams, of which all are probed for the fleet.
+class SubsetMember
+{
+  public:
+    SubsetMember() : config_(service_config(Idempotency::idempotent))
+    {
+        config_.settings.load_reports_by_probe = true;
+        fleet::EndpointView::Config view;
+        view.subset.emplace().size = 3;
+        view.self_key = 1;
+        reducer_.join_fleet(view);
+        reduce(ServiceStarted{});
+        reduce(SubsetPeersUpdated{{{1}, {2}, {3}, {4}, {5}, {6}}});
+        set_list(3);
+        set_list(upstream_count);
+    }
+
+    static std::string uid_of(size_t number) { return "s-" + std::to_string(number); }
+    void set_list(size_t count, std::optional<TimePoint> started_at = {})
+    {
+        std::vector<ListedEndpoint> list;
+        for (size_t n = 0; n < count; ++n)
+            list.push_back(
+                {uid_of(n), "1.1.1.1:" + std::to_string(n + 1), EndpointPhase::ready, 0, 0, 1, started_at});
+        reduce(EndpointListUpdated{true, std::move(list)});
+    }
+    std::vector<Effect> reduce(Event event)
+    {
+        now_ = now_ + seconds(0.001);
+        return reducer_.reduce(now_, std::move(event));
+    }
+    void report(const std::string& uid, const char* load) { reduce(ProbeReportReceived{uid, true, load}); }
+    size_t reduced_count() { return reducer_.statistics().hosts_down; }
+    TimePoint now() const { return now_; }
+
+    static constexpr size_t upstream_count = 60;
+
+  private:
+    ServiceConfig config_;
+    Reducer reducer_{config_, 1, "here:1"};
+    TimePoint now_{1'000'000'000};
+};
+
+// Guards against a crash by a report of an upstream that the decision module was never shown; an overload
+// that others have seen counts once the subset holds that upstream.
+TEST(Probes, OfOthersAreKeptOfUpstreamsOutsideTheSubset)
+{
+    for (size_t reported = 0; reported < SubsetMember::upstream_count; ++reported) {
+        SubsetMember member;
+        for (size_t n = 0; n < SubsetMember::upstream_count; ++n)
+            member.report(SubsetMember::uid_of(n), "q=0");
+        for (int times = 0; times < 6; ++times) member.report(SubsetMember::uid_of(reported), "q=1000");
+        member.report("never-listed", "q=1000");
+        EXPECT_EQ(member.reduced_count(), 1u) << reported;
+    }
+}
+
+// The same of its own probes for the fleet, also where the list has shrunk or the process is another one
+// before they end.
+TEST(Probes, ForTheFleetMayEndAfterTheListHasChanged)
+{
+    const std::vector<std::function<void(SubsetMember&)>> changes = {
+        [](SubsetMember&) {}, [](SubsetMember& member) { member.set_list(1); },
+        [](SubsetMember& member) { member.set_list(SubsetMember::upstream_count, member.now()); },
+        [](SubsetMember& member) {
+            member.set_list(1);
+            member.set_list(2 * SubsetMember::upstream_count);
+        }};
+    for (const auto& change : changes) {
+        SubsetMember member;
+        std::vector<AttemptId> probes;
+        for (const Effect& effect : member.reduce(ProbesDue{0, 1, 0, 1, 1}))
+            if (const auto* connect = std::get_if<ConnectUpstream>(&effect))
+                probes.push_back(connect->attempt);
+        ASSERT_EQ(probes.size(), SubsetMember::upstream_count);
+        for (const AttemptId probe : probes) member.reduce(UpstreamConnected{probe});
+        change(member);
+        for (const AttemptId probe : probes) {
+            Response response;
+            response.status = 200;
+            response.body = "q=1000";
+            member.reduce(ResponseReceived{probe, response});
+            member.reduce(ResponseReceived{probe, response});
+        }
+    }
+}
+
 TEST(Configuration, ReloadMovesTheWatchOnlyToAnotherAddress)
 {
     ReducerDriver driver(Idempotency::idempotent);
