--- a/tests/trace.h
+++ b/tests/trace.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "balancer_host.h"
+#include "fault_injection/port_range.h"
 #include "src/balance/balancer.h"
 
 namespace firtide
@@ -279,9 +280,11 @@
 inline const std::string status_line_ok = "HTTP/1.1 200 OK";
 inline std::string program_path;  // path of the program under test
 
+// Each once; no other test takes it, nor does the system for a connection.
 inline uint16_t free_port()
 {
-    return TestServer([](TestConnection&) {}).port;
+    static fault_injection::PortRange ports(static_cast<size_t>(getpid()));
+    return ports.next_free_port();
 }
 
 // The program under test as a child process, until stop() sends SIGTERM.
