A probe's answer counts only for the process that was asked

Cause: a probe that ends after its upstream was replaced under the same uid was recorded for the successor, and told to the whole fleet. Change: Reducer compares the incarnation, as it does before each write; load reports in responses to requests likewise. Evidence: Probes.OfAProcessThatWasReplacedSayNothingOfItsSuccessor failed before (360 reports of 60 upstreams in six rounds told to the others, and the successors reduced), and passes now; 60 of 60 cases of the reducer pass.

--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -155,7 +155,7 @@
 {
     const Upstream& upstream = upstreams_[attempt.upstream_id];
     if (upstream.phase != EndpointPhase::ready || upstream.endpoint != attempt.endpoint ||
-        upstream.incarnation != attempt.upstream_incarnation || now_ >= attempt.deadline ||
+        !is_same_process(attempt) || now_ >= attempt.deadline ||
         (attempt.write_deadline && now_ >= *attempt.write_deadline))
         return false;
     if (!attempt.invocation_id) return true;
@@ -312,18 +312,8 @@
         if (invocation.request.body_incomplete && !invocation.finished)
             effects_.push_back(SetRequestReading{invocation.caller, false});
     }
-    if (!attempt.invocation_id) {
-        --upstreams_[attempt.upstream_id].reference_count;
-        const bool with_report = response && config_.settings.load_reports_by_probe;
-        if (attempt.fencing_token)
-            effects_.push_back(ProbeCompleted{attempt.fencing_token, upstreams_[attempt.upstream_id].uid,
-                                              result == AttemptResult::succeeded,
-                                              with_report ? response->body : std::string()});
-        return balancer_.on_probe_completed(
-            now_, attempt.upstream_id, result,
-            with_report ? decode_load_report(config_, response->body) : LoadReport{});
-    }
-    const LoadReport report = response ? response->load_report : LoadReport{};
+    if (!attempt.invocation_id) return end_probe(attempt, result, response);
+    const LoadReport report = response && is_same_process(attempt) ? response->load_report : LoadReport{};
     // An attempt that was cancelled, never sent, or failed because of the request itself says nothing about
     // the upstream.
     if (view_ && result != AttemptResult::cancelled && result != AttemptResult::not_sent &&
@@ -336,6 +326,26 @@
                                now_ - attempt.started_at, finished, report);
 }
 
+// Whether the upstream is still the process that the attempt was made for.
+bool Reducer::is_same_process(const Attempt& attempt) const
+{
+    return upstreams_[attempt.upstream_id].incarnation == attempt.upstream_incarnation;
+}
+
+void Reducer::end_probe(const Attempt& attempt, AttemptResult result, const Response* response)
+{
+    Upstream& upstream = upstreams_[attempt.upstream_id];
+    --upstream.reference_count;
+    if (!is_same_process(attempt)) return;
+    const bool with_report = response && config_.settings.load_reports_by_probe;
+    if (attempt.fencing_token)
+        effects_.push_back(ProbeCompleted{attempt.fencing_token, upstream.uid,
+                                          result == AttemptResult::succeeded,
+                                          with_report ? response->body : std::string()});
+    balancer_.on_probe_completed(now_, attempt.upstream_id, result,
+                                 with_report ? decode_load_report(config_, response->body) : LoadReport{});
+}
+
 void Reducer::on(TimerFired event) { balancer_.on_timer_fired(now_, event.timer_id); }
 
 void Reducer::finish(Invocation& invocation)
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -413,6 +413,8 @@
     size_t endpoint_bytes() const;
     void start_attempt(AttemptId id, Attempt attempt);
     bool may_write(const Attempt& attempt) const;
+    bool is_same_process(const Attempt& attempt) const;
+    void end_probe(const Attempt& attempt, AttemptResult result, const Response* response);
     bool may_run_twice(const Request& request) const;
     bool may_start_attempt(const Invocation& invocation) const;
     void limit_time_left_at_shutdown(Request& request) const;
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -984,6 +984,29 @@
     }
 }
 
+// Guards against a report of a process that has gone being taken for one of its successor at the same uid.
+TEST(Probes, OfAProcessThatWasReplacedSayNothingOfItsSuccessor)
+{
+    SubsetMember member;
+    for (size_t n = 0; n < SubsetMember::upstream_count; ++n) member.report(SubsetMember::uid_of(n), "q=0");
+    for (int round = 0; round < 6; ++round) {
+        std::vector<AttemptId> probes;
+        for (const Effect& effect : member.reduce(ProbesDue{0, 1, 0, 1, 1}))
+            if (const auto* connect = std::get_if<ConnectUpstream>(&effect))
+                probes.push_back(connect->attempt);
+        for (const AttemptId probe : probes) member.reduce(UpstreamConnected{probe});
+        member.set_list(SubsetMember::upstream_count, member.now());
+        for (const AttemptId probe : probes) {
+            Response response;
+            response.status = 200;
+            response.body = "q=1000";
+            for (const Effect& effect : member.reduce(ResponseReceived{probe, response}))
+                EXPECT_FALSE(std::get_if<ProbeCompleted>(&effect)) << "told to the other balancers";
+        }
+    }
+    EXPECT_EQ(member.reduced_count(), 0u);
+}
+
 TEST(Configuration, ReloadMovesTheWatchOnlyToAnotherAddress)
 {
     ReducerDriver driver(Idempotency::idempotent);
