--- a/src/balance/decode_settings.cpp
+++ b/src/balance/decode_settings.cpp
@@ -106,63 +106,50 @@
     return found == known.end() ? nullptr : found->second;
 }
 
-}  // namespace
-
-FlatSettings parse_flat_settings(std::string_view text)
+Operation decode_operation(const Decoder& decoder, const std::string& prefix)
 {
-    FlatSettings values;
-    while (!text.empty()) {
-        const auto line = text.substr(0, text.find('\n'));
-        text.remove_prefix(std::min(text.size(), line.size() + 1));
-        if (line.empty()) continue;
-        const auto separator = line.find('=');
-        if (separator == std::string_view::npos)
-            throw SettingError("a setting without '=': " + std::string(line));
-        values.insert_or_assign(std::string(line.substr(0, separator)),
-                                std::string(line.substr(separator + 1)));
-    }
-    return values;
+    Operation operation;
+    operation.idempotency = decoder.choice<Idempotency>(prefix + "repeat",
+                                                        {{"free", Idempotency::idempotent},
+                                                         {"guarded", Idempotency::deduplicated},
+                                                         {"single_shot", Idempotency::non_idempotent}},
+                                                        operation.idempotency);
+    operation.deduplication_scope = decoder.choice<DeduplicationScope>(prefix + "group",
+                                                                       {{"all", DeduplicationScope::all},
+                                                                        {"zone", DeduplicationScope::zone},
+                                                                        {"cell", DeduplicationScope::cell}},
+                                                                       operation.deduplication_scope);
+    operation.deduplication_window = decoder.duration(prefix + "window_us", operation.deduplication_window);
+    operation.latency_objective =
+        decoder.duration(prefix + "latency_objective_us", operation.latency_objective);
+    operation.late_response_value =
+        decoder.number(prefix + "late_billed_value", operation.late_response_value);
+    operation.client_timeout = decoder.duration(prefix + "client_timeout_us", operation.client_timeout);
+    return operation;
 }
 
-ServiceConfig decode_settings(const FlatSettings& values)
+void decode_operations(const Decoder& decoder, ServiceConfig& config)
 {
-    const Decoder decoder(values);
-    ServiceConfig config;
-    Settings& settings = config.settings;
     for (size_t i = 0; i < decoder.count("operations"); ++i) {
         const auto prefix = "operations." + std::to_string(i) + ".";
-        Operation operation;
-        operation.idempotency = decoder.choice<Idempotency>(prefix + "repeat",
-                                                            {{"free", Idempotency::idempotent},
-                                                             {"guarded", Idempotency::deduplicated},
-                                                             {"single_shot", Idempotency::non_idempotent}},
-                                                            operation.idempotency);
-        operation.deduplication_scope =
-            decoder.choice<DeduplicationScope>(prefix + "group",
-                                               {{"all", DeduplicationScope::all},
-                                                {"zone", DeduplicationScope::zone},
-                                                {"cell", DeduplicationScope::cell}},
-                                               operation.deduplication_scope);
-        operation.deduplication_window =
-            decoder.duration(prefix + "window_us", operation.deduplication_window);
-        operation.latency_objective =
-            decoder.duration(prefix + "latency_objective_us", operation.latency_objective);
-        operation.late_response_value =
-            decoder.number(prefix + "late_billed_value", operation.late_response_value);
-        operation.client_timeout = decoder.duration(prefix + "client_timeout_us", operation.client_timeout);
-        settings.operations.push_back(operation);
+        config.settings.operations.push_back(decode_operation(decoder, prefix));
         config.operation_names.emplace_back(decoder.text(prefix + "name"));
     }
+}
+
+void decode_tenants(const Decoder& decoder, ServiceConfig& config)
+{
     for (size_t i = 0; i < decoder.count("projects"); ++i) {
         const auto prefix = "projects." + std::to_string(i) + ".";
-        settings.tenant_quotas.push_back(decoder.number(prefix + "quota_per_s", 0));
+        config.settings.tenant_quotas.push_back(decoder.number(prefix + "quota_per_s", 0));
         config.tenant_names.emplace_back(decoder.text(prefix + "name"));
     }
-    config.zone_names = decoder.names("dcs");
-    config.connect_timeout = decoder.duration("policy_limits.connect_timeout_us", config.connect_timeout);
-    config.upstream_idle_timeout =
-        decoder.duration("policy_limits.conn_idle_us", config.upstream_idle_timeout);
+}
+
+void decode_place_and_prices(const Decoder& decoder, Settings& settings)
+{
     settings.balancer_count = decoder.integer("balancers", settings.balancer_count);
+    if (settings.balancer_count < 1) throw SettingError("balancers: 1 or more is expected");
     settings.self_index = decoder.integer("self_index", settings.self_index);
     settings.tier = decoder.integer("tier", settings.tier);
     settings.zone = decoder.integer("zone", settings.zone);
@@ -173,6 +160,10 @@
         "telemetry.source", {{"piggyback", false}, {"pull", true}, {"silent", false}}, false);
     settings.must_watch_endpoint_list =
         decoder.choice<bool>("registry_mode", {{"automatic", false}, {"subscribe", true}}, false);
+}
+
+void decode_policy_limits(const Decoder& decoder, Settings& settings)
+{
     settings.may_cancel = decoder.flag("policy_limits.cancel");
     settings.may_overlap_forwards = decoder.flag("policy_limits.may_duplicate");
     settings.may_probe = decoder.flag("policy_limits.may_probe");
@@ -181,17 +172,53 @@
     if (decoder.flag("policy_limits.retry_after"))
         settings.max_retry_after =
             decoder.duration("policy_limits.max_retry_after_us", settings.max_retry_after);
+    settings.reply_slots = decoder.positive_integer("policy_limits.reply_slots", settings.reply_slots);
+}
+
+void decode_contract(const Decoder& decoder, Settings& settings)
+{
     settings.max_watch_retry_interval =
         decoder.duration("contract.ask_within_us", settings.max_watch_retry_interval);
     settings.slow_start_min_share = decoder.number("contract.cold_share", settings.slow_start_min_share);
     if (settings.slow_start_min_share > 1) throw SettingError("contract.cold_share: 1 at most is expected");
-    if (settings.balancer_count < 1) throw SettingError("balancers: 1 or more is expected");
     settings.slow_start_duration = decoder.duration("contract.cold_us", settings.slow_start_duration);
     settings.collapse_multiple = decoder.number("contract.fall_multiple", settings.collapse_multiple);
     settings.collapse_window = decoder.duration("contract.fall_us", settings.collapse_window);
     settings.time_left_margin = decoder.duration("contract.left_margin_us", settings.time_left_margin);
     settings.start_time_margin = decoder.duration("contract.ready_margin_us", settings.start_time_margin);
-    settings.reply_slots = decoder.positive_integer("policy_limits.reply_slots", settings.reply_slots);
+}
+
+}  // namespace
+
+FlatSettings parse_flat_settings(std::string_view text)
+{
+    FlatSettings values;
+    while (!text.empty()) {
+        const auto line = text.substr(0, text.find('\n'));
+        text.remove_prefix(std::min(text.size(), line.size() + 1));
+        if (line.empty()) continue;
+        const auto separator = line.find('=');
+        if (separator == std::string_view::npos)
+            throw SettingError("a setting without '=': " + std::string(line));
+        values.insert_or_assign(std::string(line.substr(0, separator)),
+                                std::string(line.substr(separator + 1)));
+    }
+    return values;
+}
+
+ServiceConfig decode_settings(const FlatSettings& values)
+{
+    const Decoder decoder(values);
+    ServiceConfig config;
+    decode_operations(decoder, config);
+    decode_tenants(decoder, config);
+    config.zone_names = decoder.names("dcs");
+    config.connect_timeout = decoder.duration("policy_limits.connect_timeout_us", config.connect_timeout);
+    config.upstream_idle_timeout =
+        decoder.duration("policy_limits.conn_idle_us", config.upstream_idle_timeout);
+    decode_place_and_prices(decoder, config.settings);
+    decode_policy_limits(decoder, config.settings);
+    decode_contract(decoder, config.settings);
     config.capacities_listed = decoder.choice<bool>(
         "weights", {{"silent", false}, {"nominal", true}, {"rough", true}, {"live", false}}, false);
     config.load_report_fields = decoder.names("telemetry.fields");
