--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -6,10 +6,9 @@
 // invocation that was forwarded to it is left.
 //
 // Events may be late, or name what this instance was never shown: each is checked before it has any effect.
-// - An upstream is known from the first call of set_endpoints() or update_endpoints() that names it, for
-// good:
-//   also while it is gone. What is reported of an unknown one is ignored; a host that has reports of
-//   upstreams that this instance must not use yet shows them as gone.
+// - An upstream is known from the first call of set_endpoints() or update_endpoints() that names it, also
+//   while it is gone. What is reported of an unknown one is ignored; a host that has reports of upstreams
+//   that this instance must not use yet shows them as gone.
 // - An invocation is known from accept() until release_invocation(), a forward of it from
 //   BalancerDelegate::forward() until on_forward_ended(). Events of unknown ones are ignored.
 // - An upstream with an index from max_upstreams on is left out. An invocation with an index from
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -56,7 +56,7 @@
     const size_t descriptors_;  // for callers and upstreams together
     EventBasePtr base_;
     MemoryBudget memory_;
-    // Of the other processes of this balancer; null outside of hot restarts, or where it cannot be shared.
+    // Null without a folder that the processes of this balancer share, and where nothing can be shared.
     std::unique_ptr<HotRestart> hot_restart_;
     std::unique_ptr<SharedRequestIds> shared_request_ids_;
     RequestIdRegistry request_ids_;
