Upstreams that were always hidden take no places among those that may be used

What callers would have seen: in a fleet with [subset] and probes, requests throttled while the upstreams of the subset warm up. Cause: the draw counts the first upstreams of an order as active, whether ready or not; the hidden ones stood in that order. Change: an upstream enters the order when it is first shown as not gone.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -169,6 +169,7 @@
 struct Upstream {
     EndpointState endpoint;
     bool is_registered = false;
+    bool is_ordered = false;  // it stands in the order of its zone: since it was first shown as not gone
     Entry entry;
     std::optional<TimePoint> unpaired_failure_at;  // a single timeout or reset raises nothing
     std::optional<double> reported_load;
@@ -302,7 +303,7 @@
     double probe_budget = 0;    // probes that may be sent
     UpstreamId next_probe = 0;
 
-    std::vector<UpstreamId> own_zone, other_zones;  // all registered upstreams, by rank
+    std::vector<UpstreamId> own_zone, other_zones;  // all ordered upstreams, by rank
     std::vector<std::pair<UpstreamId, double>> candidates;
     double own_zone_preference = 1, own_zone_preference_with_peers = 1;  // the own zone's weight in the draw
 
@@ -1235,7 +1236,7 @@
         if (endpoint.started_at && endpoint.started_at != upstream.endpoint.started_at) {
             // The upstream has restarted: earlier signals say nothing about it.
             Upstream restarted = with_forwards_of(upstream);
-            restarted.is_registered = upstream.is_registered;
+            restarted.is_registered = upstream.is_registered, restarted.is_ordered = upstream.is_ordered;
             restarted.peer_in_flight = upstream.peer_in_flight,
             restarted.broadcast_in_flight = upstream.broadcast_in_flight;
             upstream = restarted;
@@ -1247,7 +1248,9 @@
         if (endpoint.machine_type >= max_machine_types) upstream.endpoint.machine_type = 0;
         if (machine_types.size() <= upstream.endpoint.machine_type)
             machine_types.resize(upstream.endpoint.machine_type + 1);
-        if (!std::exchange(upstream.is_registered, true)) insert_in_order(endpoint.upstream_id);
+        upstream.is_registered = true;
+        if (endpoint.phase != EndpointPhase::gone && !std::exchange(upstream.is_ordered, true))
+            insert_in_order(endpoint.upstream_id);
     }
 
     // Forwards in flight end later, whoever is at the index then.
@@ -1383,7 +1386,7 @@
         live_peers = 0;
         own_zone.clear(), other_zones.clear(), wire_names.clear();
         for (UpstreamId id = 0; id < upstreams.size(); ++id)
-            if (upstreams[id].is_registered) insert_in_order(id);
+            if (upstreams[id].is_ordered) insert_in_order(id);
         if (settings.must_watch_endpoint_list && !was_watching) delegate.watch_endpoint_list();
         schedule_reports();
     }
--- a/tests/balancer_events.cpp
+++ b/tests/balancer_events.cpp
@@ -66,6 +66,20 @@
     EXPECT_EQ(reduction(4), 0) << "it was another process";
 }
 
+// Guards against upstreams that are known and hidden taking the places of those that may be used while they
+// warm up.
+TEST_F(BalancerEvents, UpstreamsThatWereAlwaysGoneChangeNoChoice)
+{
+    BalancerHost host(BalancerHost::make_settings(BalancerHost::make_operation(Idempotency::idempotent)));
+    for (UpstreamId hidden = 0; hidden < 100; ++hidden) host.change_endpoint(hidden, EndpointPhase::gone);
+    for (const UpstreamId warming : {100u, 101u}) {
+        host.change_endpoint(warming, EndpointPhase::ready, host.now);
+        host.balancer.on_probe_completed(host.now, warming, AttemptResult::succeeded, {0, {}, {}, {}, {}});
+    }
+    host.advance_clock(seconds(10));
+    EXPECT_EQ(host.send_many(100, AttemptResult::succeeded, ~0u, seconds(0.1)).size(), 2u);
+}
+
 TEST_F(BalancerEvents, ReportsThatNoUpstreamCanMeanHaveNoEffect)
 {
     for (const double value : {std::nan(""), std::numeric_limits<double>::infinity(), -1.0, 1e300}) {
