Ids are shared without the lock of the shared folder, where only that is not to be had

Cause: a new process that could not lock the folder for half a second (another one holds it and was stopped) started a table of its own, though the table of the old process could be opened: ids that came to both could run at both. Change: it takes an existing table then as well.

Evidence: SharedIds.AreSharedWithoutTheLockOfTheFolder failed before and passes now, with the 18 other cases of tests/request_ids.cpp and the nine of tests/upgrades.cpp.

--- a/src/net/shared_request_ids.cpp
+++ b/src/net/shared_request_ids.cpp
@@ -97,18 +97,26 @@
                                                                        : JoinResult::not_published;
 }
 
-// One attempt. While it lasts, no other process joins.
-JoinResult try_join(HotRestart& hot_restart, std::unique_ptr<SharedRequestIds>& ids)
+// Returns false if other processes have tables and none of them can be opened.
+bool adopt_any(const HotRestart& hot_restart, std::unique_ptr<SharedRequestIds>& ids)
 {
-    if (!hot_restart.register_process()) return JoinResult::not_registered;
-    const Descriptor folder_lock = hot_restart.lock_folder();
-    if (!folder_lock.valid()) return JoinResult::folder_busy;
+    bool has_table = false;
     for (const std::string& text : hot_restart.publications_of_others()) {
         const auto publication = decode_publication(text);
         if (ids || !publication) continue;
+        has_table = true;
         ids = SharedRequestIds::adopt(*publication);
-        if (!ids) return JoinResult::unreachable;
     }
+    return ids || !has_table;
+}
+
+// One attempt. While it lasts, no other process joins.
+JoinResult try_join(HotRestart& hot_restart, std::unique_ptr<SharedRequestIds>& ids)
+{
+    if (!hot_restart.register_process()) return JoinResult::not_registered;
+    const Descriptor folder_lock = hot_restart.lock_folder();
+    if (!folder_lock.valid()) return JoinResult::folder_busy;
+    if (!ids && !adopt_any(hot_restart, ids)) return JoinResult::unreachable;
     return create_and_publish(hot_restart, ids);
 }
 
@@ -205,7 +213,10 @@
     if (result == JoinResult::joined) return ids;
     spdlog::warn("request ids may not be shared with other processes of this balancer: {}",
                  description_of(result));
-    if (result != JoinResult::not_registered) create_and_publish(hot_restart, ids);
+    if (result == JoinResult::not_registered) return ids;
+    // Without the lock of the folder two processes that start at once may miss each other, and no more.
+    if (!ids) adopt_any(hot_restart, ids);
+    create_and_publish(hot_restart, ids);
     return ids;
 }
 
--- a/tests/request_ids.cpp
+++ b/tests/request_ids.cpp
@@ -332,6 +332,19 @@
     }
 }
 
+// Guards against a table of its own, and ids that run twice, where only the folder's lock is not to be had.
+TEST_F(SharedIds, AreSharedWithoutTheLockOfTheFolder)
+{
+    HotRestart first_process(folder_), second_process(folder_);
+    const auto first = join_request_ids(first_process, no_patience);
+    ASSERT_TRUE(first);
+    const Descriptor held = first_process.lock_folder();
+    ASSERT_TRUE(held.valid());
+    const auto second = join_request_ids(second_process, std::chrono::milliseconds(50));
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->table().table_id, first->table().table_id);
+}
+
 // The folder's lock is held by a process that was stopped, or the folder is gone.
 TEST_F(SharedIds, AreNoReasonNotToStart)
 {
