--- a/simulation/service_simulation.cpp
+++ b/simulation/service_simulation.cpp
@@ -94,7 +94,7 @@
     const Upstream& up = *upstreams_[upstream];
     const auto name = "u" + std::to_string(upstream + 1);
     return {
-        name,         "10.0.0.1:" + std::to_string(upstream + 1), EndpointPhase::ready, 0, 0, up.server.size,
+        name,         "10.0.0.1:" + std::to_string(upstream + 1), EndpointPhase::ready, {}, up.server.size,
         up.started_at};
 }
 
@@ -132,7 +132,7 @@
                                options_.outlier_gossip,
                                options_.quotas,
                                key_of("m" + std::to_string(balancer + 1)),
-                               0,
+                               {},
                                {},
                                0.1});
     cluster_.start(balancer);
--- a/simulator_adapter/instance.h
+++ b/simulator_adapter/instance.h
@@ -33,7 +33,7 @@
     uint32_t upstream_id;
     uint8_t zone;
     uint16_t machine_type;
-    uint16_t cell;
+    uint16_t pod_group;
     uint8_t phase;
     float nominal_capacity;
     uint64_t started_at;
--- a/simulator_adapter/main.cpp
+++ b/simulator_adapter/main.cpp
@@ -88,7 +88,7 @@
             entry.upstream_id = in.read<uint32_t>();
             entry.zone = in.read<uint8_t>();
             entry.machine_type = in.read<uint16_t>();
-            entry.cell = in.read<uint16_t>();
+            entry.pod_group = in.read<uint16_t>();
             entry.phase = in.read<uint8_t>();
             entry.nominal_capacity = in.read<float>();
             entry.started_at = in.read<uint64_t>();
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -127,7 +127,10 @@
 // One attempt of an invocation at an upstream.
 struct Forward {
     UpstreamId upstream_id = 0;
+    // As they were when it was sent: repeats are recognised by what was true then.
     TimePoint sent_at;
+    UpstreamLocation location;
+    DeduplicationScope deduplication_scope = DeduplicationScope::pod_group;
     bool in_flight = true, overdue = false, proven_not_run = false;
     bool after_idle = false;  // the upstream had been idle for longer than a mean response takes
     std::function<void(TimePoint, AttemptResult)> on_result;  // the next step of the invocation
@@ -357,7 +360,7 @@
 
     bool is_in_other_zone(const Upstream& upstream) const
     {
-        return settings.cross_zone_price > 0 && upstream.endpoint.zone != settings.zone;
+        return settings.cross_zone_price > 0 && upstream.endpoint.location.zone != settings.own_zone;
     }
 
     // Forwards per second to each active upstream if none were warming up, at most the current rate to a warm
@@ -393,30 +396,40 @@
         return upstream.slow_start_tokens >= 1;
     }
 
-    bool shares_deduplication_scope(const Invocation& invocation, UpstreamId a, UpstreamId b) const
+    // Whether upstreams at the location recognise a repeat of the forward, both by the settings under which
+    // it was sent and by those since.
+    bool recognises_repeat(const Invocation& invocation, const Forward& forward,
+                           const UpstreamLocation& location) const
     {
-        const auto &x = upstreams[a].endpoint, &y = upstreams[b].endpoint;
-        if (invocation.operation.deduplication_scope == DeduplicationScope::zone) return x.zone == y.zone;
-        if (invocation.operation.deduplication_scope == DeduplicationScope::cell) return x.cell == y.cell;
-        return true;
+        return now - forward.sent_at < invocation.operation.deduplication_window &&
+               share_deduplication_group(forward.deduplication_scope, forward.location, location) &&
+               share_deduplication_group(invocation.operation.deduplication_scope, forward.location,
+                                         location);
     }
 
-    // Rule 2: whether the earlier forwards allow another one to this upstream.
-    bool may_run_again(const Invocation& invocation, UpstreamId upstream_id) const
+    // Rule 2: whether the forwards before the one with this index allow one to an upstream at the location.
+    bool may_run_again(const Invocation& invocation, size_t forward_index,
+                       const UpstreamLocation& location) const
     {
-        for (const Forward& forward : invocation.forwards) {
+        for (size_t i = 0; i < forward_index; ++i) {
+            const Forward& forward = invocation.forwards[i];
             if (forward.proven_not_run) continue;
             if (forward.in_flight && !(invocation.may_overlap_forwards && settings.may_overlap_forwards))
                 return false;
             if (invocation.operation.idempotency == Idempotency::idempotent) continue;
             if (invocation.operation.idempotency == Idempotency::non_idempotent) return false;
-            if (!shares_deduplication_scope(invocation, forward.upstream_id, upstream_id) ||
-                now - forward.sent_at >= invocation.operation.deduplication_window)
-                return false;
+            if (!recognises_repeat(invocation, forward, location)) return false;
         }
         return true;
     }
 
+    bool may_still_send(InvocationId id, uint32_t forward_index) const
+    {
+        const Forward& forward = invocations[id].forwards[forward_index];
+        const UpstreamLocation& location = upstreams[forward.upstream_id].endpoint.location;
+        return location == forward.location && may_run_again(invocations[id], forward_index, location);
+    }
+
     bool may_throttle(const Invocation& invocation) const
     {
         for (const Forward& forward : invocation.forwards) {
@@ -434,7 +447,8 @@
         Upstream& upstream = upstreams[upstream_id];
         return !invocation.finished && now < invocation.deadline &&
                invocation.forwards.size() < std::min(invocation.max_forwards, settings.max_forwards) &&
-               upstream.endpoint.phase == EndpointPhase::ready && may_run_again(invocation, upstream_id) &&
+               upstream.endpoint.phase == EndpointPhase::ready &&
+               may_run_again(invocation, invocation.forwards.size(), upstream.endpoint.location) &&
                has_slow_start_budget(upstream);
     }
 
@@ -461,6 +475,8 @@
         schedule_broadcast();
         invocation.forwards.push_back({.upstream_id = upstream_id,
                                        .sent_at = now,
+                                       .location = upstream.endpoint.location,
+                                       .deduplication_scope = invocation.operation.deduplication_scope,
                                        .after_idle = after_idle,
                                        .on_result = std::move(on_result)});
         if (settings.may_message_peers && latency_high_quantile > 0)
@@ -1226,13 +1242,17 @@
         if (endpoint.upstream_id >= max_upstreams) return;
         if (endpoint.upstream_id >= upstreams.size()) upstreams.resize(endpoint.upstream_id + 1);
         Upstream& upstream = upstreams[endpoint.upstream_id];
+        const bool was_in_other_zone = is_in_other_zone(upstream);
         if (upstream.is_registered && upstream.endpoint.global_id != endpoint.global_id) {
             // The index of a removed upstream is reused, so that memory does not grow with every replacement.
-            std::erase(own_zone, endpoint.upstream_id), std::erase(other_zones, endpoint.upstream_id);
-            std::erase_if(wire_names, [&](const auto& name) { return name.second == endpoint.upstream_id; });
+            remove_from_order(endpoint.upstream_id);
             for (Peer& peer : peers) set_peer_in_flight(peer, endpoint.upstream_id, 0);
             upstream = with_forwards_of(upstream);
         }
+        if (upstream.is_registered && endpoint.phase == EndpointPhase::gone) {
+            upstream.endpoint.phase = EndpointPhase::gone;
+            return;
+        }
         if (endpoint.started_at && endpoint.started_at != upstream.endpoint.started_at) {
             // The upstream has restarted: earlier signals say nothing about it.
             Upstream restarted = with_forwards_of(upstream);
@@ -1245,6 +1265,10 @@
             upstream.slow_start_tokens = uniform_random();
         }
         upstream.endpoint = endpoint;
+        if (upstream.is_ordered && is_in_other_zone(upstream) != was_in_other_zone) {
+            remove_from_order(endpoint.upstream_id);
+            insert_in_order(endpoint.upstream_id);
+        }
         if (endpoint.machine_type >= max_machine_types) upstream.endpoint.machine_type = 0;
         if (machine_types.size() <= upstream.endpoint.machine_type)
             machine_types.resize(upstream.endpoint.machine_type + 1);
@@ -1261,6 +1285,12 @@
         return upstream;
     }
 
+    void remove_from_order(UpstreamId upstream_id)
+    {
+        std::erase(own_zone, upstream_id), std::erase(other_zones, upstream_id);
+        std::erase_if(wire_names, [&](const auto& name) { return name.second == upstream_id; });
+    }
+
     void insert_in_order(UpstreamId upstream_id)
     {
         const auto rank = [this](UpstreamId id) {
@@ -1599,6 +1629,11 @@
     if (state_at(now).is_in_flight(invocation, forward)) state_->on_response_stalled(invocation, forward);
 }
 
+bool Balancer::may_still_send(TimePoint now, InvocationId invocation, uint32_t forward)
+{
+    return state_at(now).is_in_flight(invocation, forward) && state_->may_still_send(invocation, forward);
+}
+
 double Balancer::reduction(TimePoint now, UpstreamId upstream_id)
 {
     if (!state_at(now).knows_upstream(upstream_id)) return 0;
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -5,12 +5,20 @@
 // host. An invocation's index may be reused after release_invocation(), an upstream's once it is gone and no
 // invocation that was forwarded to it is left.
 //
+// A deduplicated invocation that may have run is forwarded again only to the group that its forward was sent
+// to, by the locations that were shown when that was: what is shown of an upstream later, that it is gone or
+// elsewhere, changes nothing for what was sent before. Where the location of either upstream is not known, it
+// is not forwarded again, nor throttled. A host that sends a forward some time after forward() asks
+// may_still_send() right before its first byte.
+//
 // Events may be late, or name what this instance was never shown: each is checked before it has any effect.
 // - An upstream is known from the first call of set_endpoints() or update_endpoints() that names it, also
 //   while it is gone. What is reported of an unknown one is ignored; a host that has reports of upstreams
 //   that this instance must not use yet shows them as gone.
 // - An invocation is known from accept() until release_invocation(), a forward of it from
 //   BalancerDelegate::forward() until on_forward_ended(). Events of unknown ones are ignored.
+// - Of an upstream that is shown as gone, only that counts: what was known of it before stays known, until it
+//   is shown otherwise or its index stands for another one.
 // - An upstream with an index from max_upstreams on is left out. An invocation with an index from
 //   max_invocations on, or of an operation that the settings do not have, fails at once; one whose index is
 //   still in use is ignored.
@@ -52,8 +60,7 @@
     UpstreamId upstream_id = 0;
     uint64_t global_id = 0;  // the same at every balancer
     EndpointPhase phase = EndpointPhase::gone;
-    uint32_t zone = 0;
-    uint32_t cell = 0;
+    UpstreamLocation location;
     double capacity = 1;
     std::optional<TimePoint> started_at;  // unset: long ago
     uint32_t machine_type = 0;
@@ -144,6 +151,10 @@
     void on_forward_ended(TimePoint now, InvocationId invocation, uint32_t forward, AttemptResult result,
                           Duration duration, bool answered, const LoadReport& report);
     void on_client_disconnected(TimePoint now, InvocationId invocation);
+    // Whether the rules on repeats still allow the forward, now that its first byte is to be sent: the
+    // upstream is shown where it was, and what was forwarded before allows it in time. False for a forward
+    // that is not known. If false, the host ends it as a result that proves that it has not run.
+    bool may_still_send(TimePoint now, InvocationId invocation, uint32_t forward);
     void on_probe_completed(TimePoint now, UpstreamId upstream_id, AttemptResult result,
                             const LoadReport& report);
     void on_timer_fired(TimePoint now, uint64_t timer_id);
--- a/src/balance/decode_settings.cpp
+++ b/src/balance/decode_settings.cpp
@@ -114,11 +114,12 @@
                                                          {"guarded", Idempotency::deduplicated},
                                                          {"single_shot", Idempotency::non_idempotent}},
                                                         operation.idempotency);
-    operation.deduplication_scope = decoder.choice<DeduplicationScope>(prefix + "group",
-                                                                       {{"all", DeduplicationScope::all},
-                                                                        {"zone", DeduplicationScope::zone},
-                                                                        {"cell", DeduplicationScope::cell}},
-                                                                       operation.deduplication_scope);
+    operation.deduplication_scope =
+        decoder.choice<DeduplicationScope>(prefix + "group",
+                                           {{"all", DeduplicationScope::all},
+                                            {"zone", DeduplicationScope::zone},
+                                            {"cell", DeduplicationScope::pod_group}},
+                                           operation.deduplication_scope);
     operation.deduplication_window = decoder.duration(prefix + "window_us", operation.deduplication_window);
     operation.latency_objective =
         decoder.duration(prefix + "latency_objective_us", operation.latency_objective);
@@ -152,7 +153,6 @@
     if (settings.balancer_count < 1) throw SettingError("balancers: 1 or more is expected");
     settings.self_index = decoder.integer("self_index", settings.self_index);
     settings.tier = decoder.integer("tier", settings.tier);
-    settings.zone = decoder.integer("zone", settings.zone);
     settings.cross_zone_price = decoder.number("prices.cross_zone", settings.cross_zone_price);
     settings.probe_price = decoder.number("prices.probe", settings.probe_price);
     settings.peer_message_price = decoder.number("prices.peer", settings.peer_message_price);
@@ -190,6 +190,12 @@
 
 }  // namespace
 
+bool ServiceConfig::knows_zone(ZoneId zone) const
+{
+    return std::any_of(zone_names.begin(), zone_names.end(),
+                       [zone](const std::string& name) { return zone_id(name) == zone; });
+}
+
 FlatSettings parse_flat_settings(std::string_view text)
 {
     FlatSettings values;
@@ -213,6 +219,9 @@
     decode_operations(decoder, config);
     decode_tenants(decoder, config);
     config.zone_names = decoder.names("dcs");
+    config.own_zone_index = decoder.integer("zone", config.own_zone_index);
+    if (config.own_zone_index < config.zone_names.size())
+        config.settings.own_zone = zone_id(config.zone_names[config.own_zone_index]);
     config.connect_timeout = decoder.duration("policy_limits.connect_timeout_us", config.connect_timeout);
     config.upstream_idle_timeout =
         decoder.duration("policy_limits.conn_idle_us", config.upstream_idle_timeout);
--- a/src/balance/decode_settings.h
+++ b/src/balance/decode_settings.h
@@ -29,8 +29,12 @@
     bool capacities_listed = false;
 
     std::vector<std::string> operation_names, tenant_names, zone_names;  // by index
+    uint32_t own_zone_index = 0;
     Duration connect_timeout = seconds(1);
     Duration upstream_idle_timeout = seconds(5);  // after which an upstream closes an idle connection
+
+    // Whether zone_names has the zone.
+    bool knows_zone(ZoneId zone) const;
 };
 
 // Parses lines of key=value.
--- a/src/balance/settings.h
+++ b/src/balance/settings.h
@@ -2,20 +2,21 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
+#include "deduplication_group.h"
 #include "src/base/time.h"
 
 namespace firtide
 {
 
-// The values of each are ordered from the least strict to the strictest.
+// Ordered from the least strict to the strictest.
 enum class Idempotency { idempotent, deduplicated, non_idempotent };
-enum class DeduplicationScope { all, zone, cell };
 
 struct Operation {
     Idempotency idempotency = Idempotency::non_idempotent;
-    DeduplicationScope deduplication_scope = DeduplicationScope::cell;
+    DeduplicationScope deduplication_scope = DeduplicationScope::pod_group;
     Duration deduplication_window;  // how long a deduplicated repeat is recognised
     Duration latency_objective;     // zero: none
     double late_response_value = 0;
@@ -28,8 +29,8 @@
     uint32_t balancer_count = 1;
     uint32_t self_index = 0;  // this balancer's number among them
     uint32_t tier = 0;
-    uint32_t zone = 0;
-    double cross_zone_price = 0;  // per forward, relative to the value of an invocation
+    std::optional<ZoneId> own_zone;  // of this balancer; unset: none is known, so none is preferred
+    double cross_zone_price = 0;     // per forward, relative to the value of an invocation
     bool load_reports_by_probe = false;
     bool must_watch_endpoint_list = false;
     bool may_cancel = false;
--- a/src/fleet/endpoints/endpoint_view.cpp
+++ b/src/fleet/endpoints/endpoint_view.cpp
@@ -46,11 +46,19 @@
         if (endpoint.listed_state.global_id != state.global_id) endpoint = {};
         endpoint.listed_state = state;
         const double size = state.phase == EndpointPhase::gone ? 0 : state.capacity;
-        candidates_[upstream] = {state.global_id, size, state.zone == config_.zone};
+        candidates_[upstream] = {state.global_id, size, state.location.zone == config_.own_zone};
     }
     subset_outdated_ = needs_update_ = true;
 }
 
+void EndpointView::set_own_zone(std::optional<ZoneId> own_zone)
+{
+    config_.own_zone = own_zone;
+    for (UpstreamId upstream = 0; upstream < candidates_.size(); ++upstream)
+        candidates_[upstream].own_zone = endpoints_[upstream].listed_state.location.zone == own_zone;
+    subset_outdated_ = needs_update_ = true;
+}
+
 void EndpointView::set_peers(std::vector<SubsetPeer> peers)
 {
     peers_ = std::move(peers);
@@ -213,8 +221,8 @@
                                    UpstreamId upstream) const
 {
     const bool same = next.global_id == shown.global_id && next.phase == shown.phase &&
-                      next.started_at == shown.started_at && next.zone == shown.zone &&
-                      next.cell == shown.cell && next.machine_type == shown.machine_type;
+                      next.started_at == shown.started_at && next.location == shown.location &&
+                      next.machine_type == shown.machine_type;
     if (!same) return true;
     if (next.capacity == shown.capacity) return false;
     // A capacity that is fully restored is always shown, however small the step.
--- a/src/fleet/endpoints/endpoint_view.h
+++ b/src/fleet/endpoints/endpoint_view.h
@@ -45,7 +45,7 @@
         std::optional<OutlierGossipConfig> outlier_gossip;
         std::optional<QuotaConfig> quotas;
         MemberKey self_key = 0;
-        uint32_t zone = 0;  // zone number in the list
+        std::optional<ZoneId> own_zone;  // of this balancer
         Duration slow_start_duration;
         double slow_start_min_share = 0.1;  // share of its capacity that an upstream has when it starts
     };
@@ -53,6 +53,8 @@
 
     // The list as discovery has it, by position, including entries that are gone.
     void set_endpoints(const std::vector<EndpointState>& all);
+    // After new settings.
+    void set_own_zone(std::optional<ZoneId> own_zone);
     void set_peers(std::vector<SubsetPeer> peers);
     void apply_verdicts(TimePoint now, const std::map<uint64_t, OutlierGossip::Verdict>& verdicts);
     void set_quotas(TimePoint now, const std::vector<QuotaLease>& leases);
@@ -127,7 +129,7 @@
                           LocalObservations& observations) const;
     void rotate_response_counts(TimePoint now);
 
-    const Config config_;
+    Config config_;
     std::vector<Endpoint> endpoints_;  // by position
     std::vector<SubsetCandidate> candidates_;
     std::vector<SubsetPeer> peers_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -181,7 +181,7 @@
     if (out.service_config.connect_timeout <= Duration{})
         throw ConfigException("settings.policy_limits.connect_timeout_us: must be greater than 0");
     if (!out.service_config.zone_names.empty() &&
-        out.service_config.settings.zone >= out.service_config.zone_names.size())
+        out.service_config.own_zone_index >= out.service_config.zone_names.size())
         throw ConfigException("settings.zone: an index into settings.dcs is expected");
     out.allows_peer_messages = std::exchange(out.service_config.settings.may_message_peers, false);
     if (const auto known = in.find("known"); known != in.end() && !known->is_null())
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "src/io/log.h"
@@ -34,6 +35,10 @@
 constexpr Duration max_push_retry_delay = seconds(0.2), max_poll_retry_delay = seconds(1);
 constexpr size_t max_list_bytes = 8 << 20;
 
+// Of the fields of an entry; values outside count as absent.
+constexpr uint64_t max_start_ms = (uint64_t{1} << 50) - 1;  // Unix time in milliseconds
+constexpr double default_capacity = 1, max_capacity = 1e9;
+
 template <class T>
 T value_or(const json& from, const char* key, T absent)
 {
@@ -45,31 +50,69 @@
         return it->is_string() ? it->get<T>() : absent;
 }
 
-std::optional<ListedEndpoint> decode_entry(const ServiceConfig& setup, const json& in, TimePoint epoch)
+// A whole number from 0 to the limit; nullopt if there is none, or something else.
+std::optional<uint64_t> whole_number(const json& in, const char* key, uint64_t limit)
+{
+    const auto it = in.find(key);
+    if (it == in.end() || !it->is_number()) return {};
+    if (it->is_number_unsigned()) {
+        const auto value = it->get<uint64_t>();
+        return value <= limit ? std::optional(value) : std::nullopt;
+    }
+    // An integer that is no unsigned one is negative.
+    if (!it->is_number_float()) return {};
+    const auto value = it->get<double>();
+    if (!(value >= 0 && value <= static_cast<double>(limit)) || value != std::floor(value)) return {};
+    return static_cast<uint64_t>(value);
+}
+
+EndpointPhase decode_phase(const std::string& state)
+{
+    if (state == "ready") return EndpointPhase::ready;
+    if (state == "gone") return EndpointPhase::gone;
+    return EndpointPhase::draining;  // keeps work away from one of an unknown state
+}
+
+UpstreamLocation decode_location(const json& in)
+{
+    UpstreamLocation location;
+    if (const auto zone = value_or<std::string>(in, "az", ""); !zone.empty()) location.zone = zone_id(zone);
+    if (const auto number = whole_number(in, "pod_group", UINT32_MAX))
+        location.pod_group = PodGroup{static_cast<uint32_t>(*number)};
+    return location;
+}
+
+std::optional<TimePoint> decode_start(const json& in, TimePoint epoch)
+{
+    const auto start_ms = whole_number(in, "boot_ms", max_start_ms);
+    if (!start_ms) return {};
+    if (*start_ms == 0) return listed_long_ago;
+    return epoch + Duration{static_cast<int64_t>(*start_ms) * 1000};
+}
+
+double decode_capacity(const json& in)
+{
+    const auto capacity = value_or<double>(in, "capacity_hint", default_capacity);
+    return capacity > 0 && capacity <= max_capacity ? capacity : default_capacity;
+}
+
+std::optional<ListedEndpoint> decode_entry(const json& in, TimePoint epoch)
 {
-    ListedEndpoint e;
     if (!in.is_object()) return {};
-    e.uid = value_or<std::string>(in, "uid", "");
-    e.endpoint = value_or<std::string>(in, "endpoint", "");
-    const auto state = value_or<std::string>(in, "state", "");
-    if (e.uid.empty()) return {};
-    // An unknown state keeps work away, as draining does.
-    e.phase = state == "ready"  ? EndpointPhase::ready
-              : state == "gone" ? EndpointPhase::gone
-                                : EndpointPhase::draining;
-    const auto zone = value_or<std::string>(in, "az", "");
-    while (e.zone < setup.zone_names.size() && setup.zone_names[e.zone] != zone)
-        ++e.zone;  // unknown: the index after the last
-    e.cell = value_or<uint32_t>(in, "pod_group", 0);
-    e.capacity = value_or<double>(in, "capacity_hint", 1);
-    if (const auto ms = value_or<int64_t>(in, "boot_ms", 0); ms > 0 && ms < int64_t{1} << 50)
-        e.started_at = epoch + Duration{ms * 1000};
-    return e;
+    ListedEndpoint entry;
+    entry.uid = value_or<std::string>(in, "uid", "");
+    if (entry.uid.empty()) return {};
+    entry.endpoint = value_or<std::string>(in, "endpoint", "");
+    entry.phase = decode_phase(value_or<std::string>(in, "state", ""));
+    entry.location = decode_location(in);
+    entry.capacity = decode_capacity(in);
+    entry.started_at = decode_start(in, epoch);
+    return entry;
 }
 
 }  // namespace
 
-std::optional<EndpointList> decode_list(const ServiceConfig& setup, const std::string& text, TimePoint epoch)
+std::optional<EndpointList> decode_list(const std::string& text, TimePoint epoch)
 {
     EndpointList list;
     bool in_targets = false, all_valid = true;
@@ -82,7 +125,7 @@
             if (in_targets) list.update.entries.clear(), all_valid = true;
         }
         if (!in_targets || depth != 2 || event != json::parse_event_t::object_end) return true;
-        auto entry = decode_entry(setup, parsed, epoch);
+        auto entry = decode_entry(parsed, epoch);
         all_valid = all_valid && entry;
         if (entry) list.update.entries.push_back(std::move(*entry));
         return false;
@@ -121,7 +164,7 @@
 
 void check_known_list(const Config& config)
 {
-    if (!config.known_list.empty() && !decode_list(config.service_config, config.known_list, TimePoint{}))
+    if (!config.known_list.empty() && !decode_list(config.known_list, TimePoint{}))
         throw ConfigException("known: is no list of upstreams, or one of its targets has no uid");
 }
 
@@ -278,7 +321,7 @@
     const size_t size = evbuffer_get_length(body);
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(body, -1));
     const std::string text(bytes ? bytes : "", size);
-    auto list = decode_list(config_.service_config, text, epoch_);
+    auto list = decode_list(text, epoch_);
     if (!list) {
         version_.reset();
         return on_failure(request, "the answer is no list");
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -23,7 +23,7 @@
 };
 
 // Returns nullopt if the text is not a list. `epoch`: the loop's time at Unix time zero.
-std::optional<EndpointList> decode_list(const ServiceConfig& setup, const std::string& text, TimePoint epoch);
+std::optional<EndpointList> decode_list(const std::string& text, TimePoint epoch);
 
 // Applies a list, full or changes only, to the entries, which are JSON texts by uid.
 void apply_list_update(std::map<std::string, std::string>& entries, const std::string& text);
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -20,12 +20,7 @@
 
 }  // namespace
 
-uint64_t hash_uid(std::string_view uid)
-{
-    uint64_t hash = 0xcbf29ce484222325u;
-    for (const unsigned char c : uid) hash = (hash ^ c) * 0x100000001b3u;
-    return hash;
-}
+uint64_t hash_uid(std::string_view uid) { return fnv1a(uid); }
 
 Reducer::Reducer(ServiceConfig& config, uint64_t seed, std::string discovery_address, MemoryBudget* memory,
                  RequestIdRegistry* request_ids)
@@ -106,9 +101,6 @@
     invocation.chunk_received_at = now_;
     if (event.half_closed) invocation.half_closed_at = now_ - half_closed_grace;
     invocation.outcomes = &outcomes;
-    const Operation& operation_settings = config_.settings.operations[invocation_request.operation];
-    if (operation_settings.idempotency == Idempotency::deduplicated)
-        invocation.deduplication_window = operation_settings.deduplication_window;
     streamed_requests_ += invocation.request.body_incomplete;
     balancer_.accept(now_, invocation_id, invocation_request);
 }
@@ -151,18 +143,24 @@
 
 // The last check before bytes are sent: while the connection was being made, the upstream may have drained or
 // moved to another address, and the invocation may have ended or run out of time.
-bool Reducer::may_write(const Attempt& attempt) const
+bool Reducer::may_write(const Attempt& attempt)
 {
-    const Upstream& upstream = upstreams_[attempt.upstream_id];
-    if (upstream.phase != EndpointPhase::ready || upstream.endpoint != attempt.endpoint ||
-        !is_same_process(attempt) || now_ >= attempt.deadline ||
-        (attempt.write_deadline && now_ >= *attempt.write_deadline))
-        return false;
+    if (!is_still_valid(attempt) || now_ >= attempt.deadline) return false;
     if (!attempt.invocation_id) return true;
     const Invocation& invocation = invocations_[*attempt.invocation_id];
     return !invocation.finished && !invocation.body_discarded && may_start_attempt(invocation);
 }
 
+// Whether the upstream is what the attempt was made for, and the decision module would still make it.
+bool Reducer::is_still_valid(const Attempt& attempt)
+{
+    const Upstream& upstream = upstreams_[attempt.upstream_id];
+    return upstream.phase == EndpointPhase::ready && upstream.endpoint == attempt.endpoint &&
+           location_of(upstream) == attempt.location && is_same_process(attempt) &&
+           (!attempt.invocation_id ||
+            balancer_.may_still_send(now_, *attempt.invocation_id, attempt.forward_index));
+}
+
 bool Reducer::may_run_twice(const Request& request) const
 {
     return config_.settings.operations[request.operation].idempotency == Idempotency::idempotent;
@@ -374,7 +372,9 @@
 
 void Reducer::start_attempt(AttemptId id, Attempt attempt)
 {
-    attempt.upstream_incarnation = upstreams_[attempt.upstream_id].incarnation;
+    const Upstream& upstream = upstreams_[attempt.upstream_id];
+    attempt.upstream_incarnation = upstream.incarnation;
+    attempt.location = location_of(upstream);
     effects_.push_back(
         ConnectUpstream{id, attempt.upstream_id, attempt.endpoint, attempt.deadline - attempt.started_at});
     attempts_.emplace(id, std::move(attempt));
@@ -390,9 +390,6 @@
     ++upstreams_[upstream_id].reference_count;
     Attempt attempt{invocation_id, forward_index, upstream_id, upstreams_[upstream_id].endpoint,
                     now_,          now_ + timeout};
-    if (forward_index == 0) invocation.first_forward_at = now_;
-    if (forward_index > 0 && invocation.deduplication_window > Duration{})
-        attempt.write_deadline = invocation.first_forward_at + invocation.deduplication_window;
     if (!invocation.body_discarded && may_start_attempt(invocation) &&
         take_forward_budgets(forward_index, upstream_id))
         return start_attempt(id, std::move(attempt));
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -58,14 +58,15 @@
     void add_counter(std::string name, uint64_t value) { metrics.push_back({std::move(name), value, true}); }
 };
 
-// An entry of the list of upstreams.
+// An entry of the list of upstreams. What is unset or empty, the entry does not say.
 struct ListedEndpoint {
     std::string uid, endpoint;
     EndpointPhase phase = EndpointPhase::gone;
-    uint32_t zone = 0, cell = 0;
+    UpstreamLocation location;  // its zone may be one that the settings do not know
     double capacity = 1;
-    std::optional<TimePoint> started_at;
+    std::optional<TimePoint> started_at;  // listed_long_ago: it says that this was long ago
 };
+inline constexpr TimePoint listed_long_ago{INT64_MIN / 2};
 
 // Events.
 struct ServiceStarted {
@@ -324,8 +325,6 @@
         bool body_discarded = false;  // bytes were sent that are no longer held: it cannot be sent again
         bool has_relay = false;       // the response of one of its attempts is being relayed
         std::optional<TimePoint> half_closed_at;  // its caller sends nothing more
-        Duration deduplication_window;  // in which upstreams recognise a repeat; zero: no such limit
-        TimePoint first_forward_at;
         MemoryReservation memory;
     };
     // A response that is too large to buffer, while it is relayed in chunks. The decision module knows its
@@ -347,18 +346,22 @@
         TimePoint started_at, deadline;
         bool counted_as_written = false;
         uint64_t fencing_token = 0;  // of a fleet duty's probe
-        // For its first byte; later, upstreams do not recognise it as a repeat.
-        std::optional<TimePoint> write_deadline = {};
         bool counted_as_stalled = false;
+        // Of the upstream, when the attempt was started.
         uint32_t upstream_incarnation = 0;
+        UpstreamLocation location = {};
     };
     // Its slot is reused for another upstream once it has gone and nothing refers to it any more.
     struct Upstream {
         std::string uid, endpoint;
         size_t reference_count = 0;  // invocations and probes
         EndpointPhase phase = EndpointPhase::gone;
-        std::optional<TimePoint> started_at;
-        uint32_t incarnation = 0;  // counts the processes that were known under this uid
+        // As last listed while it was ready; an entry that it drains or is gone may say less.
+        UpstreamLocation location;
+        double capacity = 1;
+        std::optional<TimePoint> started_at;  // unset: long ago
+        bool has_assumed_start = false;       // started_at was not listed
+        uint32_t incarnation = 0;             // counts the processes that were known under this uid
     };
 
     void on(ServiceStarted);
@@ -410,9 +413,15 @@
     void apply_config(ServiceConfig config);
     UpstreamId find_or_add_upstream(const std::string& uid);
     std::vector<EndpointState> update_upstreams(const std::vector<ListedEndpoint>& entries, bool is_full);
+    void apply_entry(UpstreamId upstream_id, const ListedEndpoint& entry);
+    UpstreamLocation location_of(const Upstream& upstream) const;
+    EndpointState endpoint_state(UpstreamId upstream_id) const;
+    void republish_endpoints();
+    void cancel_unwritten_attempts();
+    bool is_still_valid(const Attempt& attempt);
     size_t endpoint_bytes() const;
     void start_attempt(AttemptId id, Attempt attempt);
-    bool may_write(const Attempt& attempt) const;
+    bool may_write(const Attempt& attempt);
     bool is_same_process(const Attempt& attempt) const;
     void end_probe(const Attempt& attempt, AttemptResult result, const Response* response);
     bool may_run_twice(const Request& request) const;
--- a/src/net/reducer_admin.cpp
+++ b/src/net/reducer_admin.cpp
@@ -113,10 +113,11 @@
     config_ = std::move(config);
     for (const auto& name : config_.operation_names) outcomes_[name];
     balancer_.update_settings(now_, config_.settings, operations, tenants);
+    republish_endpoints();
+    cancel_unwritten_attempts();
 }
 
-// The list and what is known of its upstreams stay as they are until the new address has sent its list. With
-// new settings, the full list is fetched again: its zones may have other indices.
+// The list and what is known of its upstreams stay as they are until the new address has sent its list.
 void Reducer::on(ConfigReloaded& event)
 {
     if (event.discovery_address == discovery_address_ && !event.service_config) return;
--- a/src/net/reducer_endpoints.cpp
+++ b/src/net/reducer_endpoints.cpp
@@ -45,39 +45,67 @@
         if (const auto found = upstream_of_.find(entry.uid); found != upstream_of_.end())
             upstreams_[found->second].phase = entry.phase;
     std::vector<EndpointState> endpoints;
-    bool any_left = false;  // a process that requests may be on their way to
     for (const ListedEndpoint& entry : entries) {
         const UpstreamId upstream_id = find_or_add_upstream(entry.uid);
         previous_phases.resize(upstreams_.size(), EndpointPhase::gone);
-        Upstream& upstream = upstreams_[upstream_id];
-        const bool is_known = !upstream.endpoint.empty();
-        const bool has_restarted = is_known && entry.started_at && entry.started_at != upstream.started_at;
-        if (has_restarted || (is_known && upstream.endpoint != entry.endpoint))
-            effects_.push_back(CloseIdle{upstream_id});
-        upstream.incarnation += has_restarted;
-        any_left = any_left || has_restarted;
-        upstream.started_at = entry.started_at;
-        upstream.endpoint = entry.endpoint;
-        upstream.phase = entry.phase;
-        endpoints.push_back(
-            {upstream_id, hash_uid(entry.uid), entry.phase, entry.zone, entry.cell, 1, entry.started_at});
-        if (config_.capacities_listed && entry.capacity > 0) endpoints.back().capacity = entry.capacity;
+        apply_entry(upstream_id, entry);
+        endpoints.push_back(endpoint_state(upstream_id));
     }
     for (UpstreamId upstream_id = 0; upstream_id < upstreams_.size(); ++upstream_id)
         if (previous_phases[upstream_id] == EndpointPhase::ready &&
             upstreams_[upstream_id].phase != EndpointPhase::ready)
-            effects_.push_back(CloseIdle{upstream_id}), any_left = true;
-    // A request may have passed may_write() before this list and not have been sent yet.
-    if (any_left)
-        for (const auto& [id, attempt] : attempts_)
-            if (upstreams_[attempt.upstream_id].phase != EndpointPhase::ready ||
-                upstreams_[attempt.upstream_id].incarnation != attempt.upstream_incarnation)
-                effects_.push_back(CancelWrite{id});
+            effects_.push_back(CloseIdle{upstream_id});
     has_listed_upstreams_ = has_listed_upstreams_ || !endpoints.empty();
     endpoint_memory_.resize(endpoint_bytes());
     return endpoints;
 }
 
+void Reducer::apply_entry(UpstreamId upstream_id, const ListedEndpoint& entry)
+{
+    Upstream& upstream = upstreams_[upstream_id];
+    upstream.phase = entry.phase;
+    const bool is_known = !upstream.endpoint.empty();
+    if (is_known && entry.phase != EndpointPhase::ready) return;
+    const bool has_moved = is_known && upstream.endpoint != entry.endpoint;
+    const bool has_restarted = is_known && entry.started_at && *entry.started_at != listed_long_ago &&
+                               entry.started_at != upstream.started_at;
+    const bool has_other_location = is_known && upstream.location != entry.location;
+    if (has_moved || has_restarted || has_other_location) {
+        effects_.push_back(CloseIdle{upstream_id});
+        ++upstream.incarnation;
+    }
+    upstream.endpoint = entry.endpoint;
+    upstream.location = entry.location;
+    upstream.capacity = entry.capacity;
+    // An entry that does not say when it started does not make a cold process a warm one.
+    if (!entry.started_at && !has_moved && !upstream.has_assumed_start) return;
+    upstream.started_at = entry.started_at == listed_long_ago ? std::nullopt : entry.started_at;
+    upstream.has_assumed_start = false;
+}
+
+// What the decision module is told: a zone that the settings do not know is none.
+UpstreamLocation Reducer::location_of(const Upstream& upstream) const
+{
+    UpstreamLocation location = upstream.location;
+    if (location.zone && !config_.knows_zone(*location.zone)) location.zone.reset();
+    return location;
+}
+
+EndpointState Reducer::endpoint_state(UpstreamId upstream_id) const
+{
+    const Upstream& upstream = upstreams_[upstream_id];
+    const double capacity = config_.capacities_listed ? upstream.capacity : 1;
+    return {upstream_id, hash_uid(upstream.uid), upstream.phase, location_of(upstream),
+            capacity,    upstream.started_at};
+}
+
+// A request may have passed may_write() before what has changed, and not have been sent yet.
+void Reducer::cancel_unwritten_attempts()
+{
+    for (const auto& [id, attempt] : attempts_)
+        if (!is_still_valid(attempt)) effects_.push_back(CancelWrite{id});
+}
+
 size_t Reducer::endpoint_bytes() const
 {
     size_t bytes = 0;
@@ -95,6 +123,7 @@
     if (startup_ && !event.entries.empty()) startup_->on_nonempty_list();
     list_received_ = list_received_ || !ignored_empty_list;
     if (!ignored_empty_list) publish_endpoints(update_upstreams(event.entries, event.is_full), event.is_full);
+    cancel_unwritten_attempts();
     balancer_.on_endpoint_list_fetched(now_, true);
 }
 
@@ -104,7 +133,22 @@
 {
     if (startup_)
         for (ListedEndpoint& entry : event.entries) entry.started_at = now_;
-    publish_endpoints(update_upstreams(event.entries, true), true);
+    const auto endpoints = update_upstreams(event.entries, true);
+    for (const EndpointState& endpoint : endpoints)
+        upstreams_[endpoint.upstream_id].has_assumed_start = startup_.has_value();
+    publish_endpoints(endpoints, true);
+    cancel_unwritten_attempts();
+}
+
+// With new settings, other zones may be known.
+void Reducer::republish_endpoints()
+{
+    std::vector<EndpointState> endpoints;
+    for (UpstreamId upstream_id = 0; upstream_id < upstreams_.size(); ++upstream_id)
+        if (upstreams_[upstream_id].phase != EndpointPhase::gone)
+            endpoints.push_back(endpoint_state(upstream_id));
+    if (view_) view_->set_own_zone(config_.settings.own_zone);
+    publish_endpoints(endpoints, false);
 }
 
 void Reducer::publish_endpoints(const std::vector<EndpointState>& endpoints, bool is_full)
--- a/src/net/reducer_fleet.cpp
+++ b/src/net/reducer_fleet.cpp
@@ -10,7 +10,7 @@
 void Reducer::join_fleet(fleet::EndpointView::Config config)
 {
     const Settings& settings = config_.settings;
-    config.zone = settings.zone,
+    config.own_zone = settings.own_zone,
     config.slow_start_duration = settings.slow_start_duration + settings.start_time_margin,
     config.slow_start_min_share = std::max(0.01, settings.slow_start_min_share);
     view_.emplace(std::move(config));
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -147,7 +147,7 @@
         if (file.startup) reducer_.enable_staged_startup(*file.startup);
         if (file.subset || file.outlier_gossip || file.quotas || file.startup)
             reducer_.join_fleet(
-                {file.subset, file.outlier_gossip, file.quotas, file.members[file.self].key, 0, {}, 0.1});
+                {file.subset, file.outlier_gossip, file.quotas, file.members[file.self].key, {}, {}, 0.1});
         fleet_.emplace(base_.get(), std::move(fleet->first), fleet->second, hooks());
         if (shares_list()) report_lists_to_fleet();
         if (admin_)
@@ -206,7 +206,7 @@
         on ? discovery_.start_polling() : discovery_.stop_polling();
     };
     h.apply_endpoint_list = [this](const fleet::ApplyEndpointList& list) {
-        auto decoded = decode_list(config_.service_config, list.text, epoch_);
+        auto decoded = decode_list(list.text, epoch_);
         if (!decoded) return;
         post(std::move(decoded->update));
         spdlog::debug("fleet list {} in force at boot_us {}", list.version, fleet::fleet_now().us);
@@ -222,7 +222,7 @@
         const auto list = std::exchange(uses.snapshot.list_text, {});
         post(SnapshotRestored{std::move(uses.snapshot)});
         if (list.empty()) return;
-        if (auto decoded = decode_list(config_.service_config, list, epoch_))
+        if (auto decoded = decode_list(list, epoch_))
             post(EndpointListRestored{std::move(decoded->update.entries)});
     };
     h.apply_subset_peers = [this](fleet::ApplySubsetPeers& uses) {
@@ -373,7 +373,7 @@
     if (config_.allows_peer_messages) spdlog::warn(peer_messages_unsupported);
     post(ServiceStarted{});
     if (!config_.known_list.empty()) {
-        if (auto list = decode_list(config_.service_config, config_.known_list, epoch_)) {
+        if (auto list = decode_list(config_.known_list, epoch_)) {
             post(EndpointListRestored{std::move(list->update.entries)});
             if (config_.service_config.settings.must_watch_endpoint_list && !shares_list())
                 discovery_.resume_from(list->version);
--- a/tests/balancer_events.cpp
+++ b/tests/balancer_events.cpp
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "balancer_host.h"
+#include "repeat_checker.h"
 #include "src/balance/peer_message.h"
 #include "src/base/random.h"
 
@@ -135,8 +136,8 @@
         host_.change_endpoint(impossible, EndpointPhase::ready);
         report(impossible, long_queue());
     }
-    host_.balancer.update_endpoints(host_.now,
-                                    {{4, 4, EndpointPhase::ready, past_all, past_all, 1, {}, past_all}});
+    host_.balancer.update_endpoints(
+        host_.now, {{4, 4, EndpointPhase::ready, {ZoneId{past_all}, PodGroup{past_all}}, 1, {}, past_all}});
     const auto used = host_.send_many(1000);
     EXPECT_EQ(used.size(), 5u);
     EXPECT_EQ(used.count(past_all), 0u);
@@ -166,7 +167,10 @@
 {
   public:
     explicit RandomEvents(uint64_t seed)
-        : engine_(static_cast<RandomEngine::result_type>(seed)), balancer_(make_settings(), seed, *this)
+        : engine_(static_cast<RandomEngine::result_type>(seed)),
+          first_settings_(make_settings()),
+          repeat_checker_(first_settings_),
+          balancer_(first_settings_, seed, *this)
     {
         balancer_.start(now_);
     }
@@ -178,9 +182,11 @@
             fire_due_timers();
             one_event();
             end_given_up_forwards();
+            if (testing::Test::HasFailure()) ADD_FAILURE() << "event " << n << " was the first to fail";
         }
         finish();
         EXPECT_GT(forwards_, events / 50) << "the walk shows little";
+        EXPECT_GT(repeat_checker_.repeats(), events / 2000) << "it shows little of repeats";
     }
 
   private:
@@ -246,12 +252,19 @@
         // An index may come to stand for another upstream.
         endpoint.global_id = endpoint.upstream_id + (one_in(10) ? 1000 * draw(3) : 0);
         endpoint.phase = static_cast<EndpointPhase>(draw(3));
-        endpoint.zone = draw(3), endpoint.cell = draw(3);
+        endpoint.location = any_location();
         endpoint.capacity = 0.01 + draw(100) / 50.0;
         if (one_in(3)) endpoint.started_at = now_ + seconds(10 - static_cast<double>(draw(60)));
         endpoint.machine_type = one_in(10) ? past_all - draw(2) : draw(4);
         return endpoint;
     }
+    UpstreamLocation any_location()
+    {
+        UpstreamLocation location;
+        if (!one_in(6)) location.zone = ZoneId{draw(3)};
+        if (!one_in(6)) location.pod_group = PodGroup{draw(3)};
+        return location;
+    }
     AttemptResult any_result() { return static_cast<AttemptResult>(draw(9)); }
 
     void one_event()
@@ -278,7 +291,10 @@
         for (EndpointState& endpoint : endpoints) endpoint = any_endpoint();
         const bool is_full = one_in(8);
         if (is_full) phases_.clear();
-        for (const EndpointState& endpoint : endpoints) phases_[endpoint.upstream_id] = endpoint.phase;
+        for (const EndpointState& endpoint : endpoints) {
+            phases_[endpoint.upstream_id] = endpoint.phase;
+            repeat_checker_.on_endpoint(endpoint);
+        }
         is_full ? balancer_.set_endpoints(now_, endpoints) : balancer_.update_endpoints(now_, endpoints);
     }
     void complete_probe()
@@ -291,8 +307,10 @@
         const InvocationId id = any_invocation();
         const bool was_open = invocations_[id].is_open;
         if (!was_open) invocations_[id] = {true, false, {}};
+        const uint32_t operation = one_in(10) ? past_all - draw(2) : draw(3);
+        if (!was_open) repeat_checker_.on_accepted(id, operation);
         balancer_.accept(now_, id,
-                         {one_in(10) ? past_all - draw(2) : draw(3), one_in(10) ? past_all : draw(5),
+                         {operation, one_in(10) ? past_all : draw(5),
                           one_in(10) ? Duration{INT64_MAX - draw(2)} : seconds(draw(300) / 100.0), one_in(5),
                           one_in(2) ? 0u : 1 + draw(3)});
     }
@@ -310,6 +328,7 @@
         if (forward >= invocation.in_flight.size() || !invocation.in_flight[forward]) return;
         invocation.in_flight[forward] = false;
         if (result == AttemptResult::succeeded) invocation.is_answered = true;
+        repeat_checker_.on_ended(id, forward, result);
         const bool answered = invocation.is_answered;
         balancer_.on_forward_ended(now_, id, forward, result,
                                    one_in(10) ? Duration{INT64_MAX} : seconds(draw(200) / 100.0), answered,
@@ -362,7 +381,10 @@
                 if (one_in(2)) index = one_in(5) ? past_all : draw(5);
             return mapping;
         };
-        balancer_.update_settings(now_, make_settings(), any_mapping(), any_mapping());
+        const Settings settings = make_settings();
+        const IndexMapping operations = any_mapping();
+        repeat_checker_.on_settings(settings, operations);
+        balancer_.update_settings(now_, settings, operations, any_mapping());
     }
 
     void fire_due_timers()
@@ -403,10 +425,15 @@
         const auto phase = phases_.find(upstream_id);
         ASSERT_TRUE(phase != phases_.end()) << upstream_id;
         EXPECT_EQ(phase->second, EndpointPhase::ready) << upstream_id;
+        repeat_checker_.on_forward(now_, id, upstream_id);
         invocations_[id].in_flight.push_back(true);
         ++forwards_;
     }
-    void throttle(InvocationId id, Duration) override { answer(id); }
+    void throttle(InvocationId id, Duration) override
+    {
+        repeat_checker_.on_throttled(id);
+        answer(id);
+    }
     void fail(InvocationId id) override { answer(id); }
     void cancel_forward(InvocationId id, uint32_t forward) override
     {
@@ -428,6 +455,7 @@
         EXPECT_TRUE(invocations_[id].is_answered) << id;
         for (const bool in_flight : invocations_[id].in_flight) EXPECT_FALSE(in_flight) << id;
         invocations_[id].in_flight.clear();
+        repeat_checker_.on_released(id);
     }
     void start_timer(TimePoint at, uint64_t id) override { timers_.emplace(at, id); }
     void probe(UpstreamId upstream_id) override { EXPECT_EQ(phases_[upstream_id], EndpointPhase::ready); }
@@ -449,6 +477,8 @@
     std::vector<GivenUp> given_up_;
     std::string broadcast_;
     size_t forwards_ = 0;
+    Settings first_settings_;
+    RepeatChecker repeat_checker_;
     Balancer balancer_;
 };
 
--- a/tests/balancer_host.h
+++ b/tests/balancer_host.h
@@ -136,19 +136,23 @@
         s.max_forwards = 6;
         s.may_cancel = s.may_overlap_forwards = s.may_probe = true;
         s.max_retry_after = seconds(1);
+        s.own_zone = ZoneId{0};
         return s;
     }
 
+    // Upstreams are in two zones in turn, and in pod groups of two.
+    static UpstreamLocation location_of(UpstreamId t) { return {ZoneId{t % 2}, PodGroup{t / 2}}; }
+
     void advance_clock(Duration duration) { now = now + duration; }
     void set_endpoints(uint32_t n)
     {
         std::vector<EndpointState> all;
-        for (UpstreamId t = 0; t < n; ++t) all.push_back({t, t, EndpointPhase::ready, t % 2, t / 2, 1, {}});
+        for (UpstreamId t = 0; t < n; ++t) all.push_back({t, t, EndpointPhase::ready, location_of(t), 1, {}});
         balancer.set_endpoints(now, all);
     }
     void change_endpoint(UpstreamId t, EndpointPhase phase, std::optional<TimePoint> started = {})
     {
-        balancer.update_endpoints(now, {{t, t, phase, t % 2, t / 2, 1, started}});
+        balancer.update_endpoints(now, {{t, t, phase, location_of(t), 1, started}});
     }
     void accept(InvocationId inv, Duration left = seconds(2), uint32_t tenant = 0, uint64_t key = 0)
     {
--- a/tests/effects.cpp
+++ b/tests/effects.cpp
@@ -39,7 +39,7 @@
                  TracingHost::make_operation(Idempotency::deduplicated, DeduplicationScope::zone),
                  AttemptResult::errored);
     run_scenario("deduplicated within a cell, errored: forwarded again to the same cell only",
-                 TracingHost::make_operation(Idempotency::deduplicated, DeduplicationScope::cell),
+                 TracingHost::make_operation(Idempotency::deduplicated, DeduplicationScope::pod_group),
                  AttemptResult::errored);
     auto short_window = deduplicated;
     short_window.deduplication_window = seconds(0.05);
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -32,7 +32,7 @@
         settings.collapse_multiple = 2.5;
         for (uint32_t i = 0; i < balancers; ++i) {
             settings.self_index = i;
-            settings.zone = i % 2;
+            settings.own_zone = ZoneId{i % 2};
             hosts.push_back(std::make_unique<TracingHost>(settings, i + 1 + seed * 1000));
             hosts.back()->recording_paused = true;
             hosts.back()->set_endpoints(upstreams);
--- a/tests/list_requests.cpp
+++ b/tests/list_requests.cpp
@@ -74,7 +74,7 @@
           started_(events.now())
     {
         balancer_.start(started_);
-        balancer_.set_endpoints(started_, {{0, 0, EndpointPhase::ready, 0, 0, 1, {}}});
+        balancer_.set_endpoints(started_, {{0, 0, EndpointPhase::ready, {}, 1, {}}});
     }
 
     // Discovery has gone down.
--- a/tests/message.cpp
+++ b/tests/message.cpp
@@ -415,17 +415,16 @@
 
 std::optional<EndpointList> decode_with_config(const std::string& text)
 {
-    return decode_list(service_config(), text, TimePoint{-1'000'000});
+    return decode_list(text, TimePoint{-1'000'000});
 }
 
 void expect_entry(const ListedEndpoint& entry, const std::string& uid, const std::string& endpoint,
-                  EndpointPhase phase, uint32_t zone, uint32_t cell, std::optional<TimePoint> started)
+                  EndpointPhase phase, const UpstreamLocation& location, std::optional<TimePoint> started)
 {
     EXPECT_EQ(entry.uid, uid);
     EXPECT_EQ(entry.endpoint, endpoint);
     EXPECT_EQ(entry.phase, phase);
-    EXPECT_EQ(entry.zone, zone);
-    EXPECT_EQ(entry.cell, cell);
+    EXPECT_EQ(entry.location, location);
     EXPECT_EQ(entry.started_at, started);
 }
 
@@ -438,8 +437,10 @@
     EXPECT_EQ(list->version, 7u);
     EXPECT_TRUE(list->update.is_full);
     ASSERT_EQ(list->update.entries.size(), 2u);
-    expect_entry(list->update.entries[0], "a", "1.2.3.4:5", EndpointPhase::ready, 1, 3, TimePoint{1'500'000});
-    expect_entry(list->update.entries[1], "b", "e", EndpointPhase::draining, 2, 0, std::nullopt);
+    expect_entry(list->update.entries[0], "a", "1.2.3.4:5", EndpointPhase::ready, {zone_id("y"), PodGroup{3}},
+                 TimePoint{1'500'000});
+    expect_entry(list->update.entries[1], "b", "e", EndpointPhase::draining, {zone_id("?"), std::nullopt},
+                 listed_long_ago);
 }
 
 // Guards against readers of ended requests that keep what had arrived of them.
@@ -471,7 +472,7 @@
     ASSERT_TRUE(gone && gone->update.entries.size() == 1);
     EXPECT_EQ(gone->version, 8u);
     EXPECT_FALSE(gone->update.is_full);
-    expect_entry(gone->update.entries[0], "a", "", EndpointPhase::gone, 2, 0, std::nullopt);
+    expect_entry(gone->update.entries[0], "a", "", EndpointPhase::gone, {}, std::nullopt);
 }
 
 TEST(EndpointList, ReadsAnUnknownStateAsDraining)
@@ -480,7 +481,7 @@
     ASSERT_TRUE(unknown && unknown->update.entries.size() == 1);
     EXPECT_EQ(unknown->version, 8u);
     EXPECT_FALSE(unknown->update.is_full);
-    expect_entry(unknown->update.entries[0], "a", "", EndpointPhase::draining, 2, 0, std::nullopt);
+    expect_entry(unknown->update.entries[0], "a", "", EndpointPhase::draining, {}, std::nullopt);
 }
 
 TEST(EndpointList, IsNoneWithATargetThatIsNoObjectOrHasNoUid)
--- a/tests/recovery.cpp
+++ b/tests/recovery.cpp
@@ -185,13 +185,13 @@
     reduce(net::ServiceStarted{});
     reduce(net::SnapshotRestored{sample_snapshot()});
     std::printf("with a hint of the list only: %s\n",
-                (reduce(net::EndpointListRestored{{{"u", "1.1.1.1:1", EndpointPhase::ready, 0, 0, 1, {}}}}),
+                (reduce(net::EndpointListRestored{{{"u", "1.1.1.1:1", EndpointPhase::ready, {}, 1, {}}}}),
                  reducer.ready() ? "READY" : "not ready yet"));
     std::printf("id that may have run, not idempotent: %s; idempotent: %s; another id: %s\n",
                 request(0, "id-1").c_str(), request(1, "id-1").c_str(), request(0, "id-2").c_str());
     reduce(net::EndpointListUpdated{true, {}});
     std::printf("upstreams after an empty list: %zu\n", reducer.statistics().hosts_listed);
-    reduce(net::EndpointListUpdated{true, {{"u", "1.1.1.1:1", EndpointPhase::ready, 0, 0, 1, {}}}});
+    reduce(net::EndpointListUpdated{true, {{"u", "1.1.1.1:1", EndpointPhase::ready, {}, 1, {}}}});
     for (int i = 0; i < 12; ++i)
         for (const auto& e : reduce(net::Tick{}))
             if (const auto* o = std::get_if<LocalObservations>(&e); o && i > 8)
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -25,12 +25,12 @@
 
 ListedEndpoint endpoint_a(EndpointPhase phase, const char* address = "1.1.1.1:1")
 {
-    return {"a", address, phase, 0, 0, 1, {}};
+    return {"a", address, phase, {}, 1, {}};
 }
 
 ListedEndpoint endpoint_b(EndpointPhase phase = EndpointPhase::ready)
 {
-    return {"b", "2.2.2.2:2", phase, 0, 0, 1, {}};
+    return {"b", "2.2.2.2:2", phase, {}, 1, {}};
 }
 
 std::string format_seconds(Duration span)
@@ -469,8 +469,8 @@
     driver.connect();
     EXPECT_EQ(driver.finish(),
               (Lines{"connect to 1.1.1.1:1 for attempt 1 within 2.00 s", "close idle connections of u0",
-                     "close the attempt's connection", "connect to 3.3.3.3:3 for attempt 2 within 1.98 s",
-                     "write POST /op/x?y HTTP/1.1",
+                     "cancel the write of attempt 1", "close the attempt's connection",
+                     "connect to 3.3.3.3:3 for attempt 2 within 1.98 s", "write POST /op/x?y HTTP/1.1",
                      "op: 0 succeeded, 0 throttled, 0 errored; 0 written, 1 in flight, 1 listed, 1 down"}));
 }
 
@@ -920,7 +920,7 @@
         std::vector<ListedEndpoint> list;
         for (size_t n = 0; n < count; ++n)
             list.push_back(
-                {uid_of(n), "1.1.1.1:" + std::to_string(n + 1), EndpointPhase::ready, 0, 0, 1, started_at});
+                {uid_of(n), "1.1.1.1:" + std::to_string(n + 1), EndpointPhase::ready, {}, 1, started_at});
         reduce(EndpointListUpdated{true, std::move(list)});
     }
     std::vector<Effect> reduce(Event event)
@@ -1079,7 +1079,7 @@
         MemoryBudget memory(SIZE_MAX);
         Reducer reducer(config, 1, "here:1", &memory);
         reducer.reduce(TimePoint{1},
-                       EndpointListUpdated{true, {{uid, endpoint, EndpointPhase::ready, 0, 0, 1, {}}}});
+                       EndpointListUpdated{true, {{uid, endpoint, EndpointPhase::ready, {}, 1, {}}}});
         return memory.used(MemoryPurpose::endpoint_list);
     };
     const size_t bytes = counted_bytes("a", "1.1.1.1:1");
@@ -1097,8 +1097,8 @@
     for (int i = 0; i < 1000; ++i) {
         const auto name = [](int n) { return n < 0 ? "a" : "u" + std::to_string(n); };
         driver.update_list(false,
-                           {{name(i - 1), "x", EndpointPhase::gone, 0, 0, 1, {}},
-                            {name(i), "1.1.1.1:" + std::to_string(i), EndpointPhase::ready, 0, 0, 1, {}}});
+                           {{name(i - 1), "x", EndpointPhase::gone, {}, 1, {}},
+                            {name(i), "1.1.1.1:" + std::to_string(i), EndpointPhase::ready, {}, 1, {}}});
         driver.receive_request(2, ("id2-" + std::to_string(i)).c_str());
         driver.connect();
         driver.respond(200);
--- a/tests/size.cpp
+++ b/tests/size.cpp
@@ -123,7 +123,7 @@
     // A balancer reaches each slow machine too seldom to learn about them one by one.
     TracingHost machine_type_host(settings_for(400));
     std::vector<EndpointState> endpoints;
-    for (UpstreamId t = 0; t < 60; ++t) endpoints.push_back({t, t, EndpointPhase::ready, 0, 0, 1, {}, t % 2});
+    for (UpstreamId t = 0; t < 60; ++t) endpoints.push_back({t, t, EndpointPhase::ready, {}, 1, {}, t % 2});
     machine_type_host.balancer.set_endpoints(machine_type_host.now, endpoints);
     machine_type_host.print_heading(
         "half the upstreams are of a machine type that takes three times as long, one invocation per 2 s");
--- a/tests/upstreams.cpp
+++ b/tests/upstreams.cpp
@@ -30,7 +30,7 @@
 
     TracingHost new_host(settings);
     new_host.print_heading("a new balancer that knows only restarted upstreams forwards next to nothing");
-    new_host.balancer.set_endpoints(new_host.now, {{0, 0, EndpointPhase::ready, 0, 0, 1, new_host.now}});
+    new_host.balancer.set_endpoints(new_host.now, {{0, 0, EndpointPhase::ready, {}, 1, new_host.now}});
     TracingHost::print_counts("first second", new_host.send_many(100));
     for (int i = 0; i < 9; ++i) new_host.send_many(100);
     TracingHost::print_counts("eleventh second", new_host.send_many(100));
