Late results of a process count no more for the one that took its uid or index

What callers saw: after a replacement under the same uid the new process got less than its share, and operators saw it counted as down: resets and failed connects of the process before raised its entry.

Cause: the decision module and a member's view recorded each result for whoever is at the upstream's index when it comes. And the reducer told another process by its start alone: a uid that came back at another address, or in another zone or pod group, without a start, or after a `gone` entry without an address, was the same one.

Change: the module counts processes at an index (a start or an incarnation that differs, another id) and leaves out what belongs to an earlier one; the reducer gives it the incarnation, which now also counts another address or location.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -131,6 +131,7 @@
     TimePoint sent_at;
     UpstreamLocation location;
     DeduplicationScope deduplication_scope = DeduplicationScope::pod_group;
+    uint32_t process = 0;  // of the upstream
     bool in_flight = true, overdue = false, proven_not_run = false;
     bool after_idle = false;  // the upstream had been idle for longer than a mean response takes
     std::function<void(TimePoint, AttemptResult)> on_result;  // the next step of the invocation
@@ -172,6 +173,7 @@
 struct Upstream {
     EndpointState endpoint;
     bool is_registered = false;
+    uint32_t process = 0;     // counts the processes that were known at this index
     bool is_ordered = false;  // it stands in the order of its zone: since it was first shown as not gone
     Entry entry;
     std::optional<TimePoint> unpaired_failure_at;  // a single timeout or reset raises nothing
@@ -477,6 +479,7 @@
                                        .sent_at = now,
                                        .location = upstream.endpoint.location,
                                        .deduplication_scope = invocation.operation.deduplication_scope,
+                                       .process = upstream.process,
                                        .after_idle = after_idle,
                                        .on_result = std::move(on_result)});
         if (settings.may_message_peers && latency_high_quantile > 0)
@@ -1219,14 +1222,17 @@
         if (forward.overdue) --upstream.overdue, --overdue;
         --in_flight;
         schedule_broadcast();
-        if (result == AttemptResult::succeeded || result == AttemptResult::errored ||
-            result == AttemptResult::declined || result == AttemptResult::invalid_request)
-            upstream.waiting_since = now;
-        upstream.last_ended_at = now;
-        const bool failed = result == AttemptResult::timed_out || result == AttemptResult::reset;
-        if (result == AttemptResult::succeeded || failed) record_idle_outcome(forward.after_idle, failed);
-        record_result(invocation, upstream, result, duration, is_blocked);
-        record_load_report(upstream, report);
+        // How a process ended says nothing about the one that took its place.
+        if (forward.process == upstream.process) {
+            if (result == AttemptResult::succeeded || result == AttemptResult::errored ||
+                result == AttemptResult::declined || result == AttemptResult::invalid_request)
+                upstream.waiting_since = now;
+            upstream.last_ended_at = now;
+            const bool failed = result == AttemptResult::timed_out || result == AttemptResult::reset;
+            if (result == AttemptResult::succeeded || failed) record_idle_outcome(forward.after_idle, failed);
+            record_result(invocation, upstream, result, duration, is_blocked);
+            record_load_report(upstream, report);
+        }
         const auto on_result = std::move(forward.on_result);
         if (answered && !invocation.finished) return close(id);
         if (invocation.finished) return release_if_done(id);
@@ -1253,8 +1259,8 @@
             upstream.endpoint.phase = EndpointPhase::gone;
             return;
         }
-        if (endpoint.started_at && endpoint.started_at != upstream.endpoint.started_at) {
-            // The upstream has restarted: earlier signals say nothing about it.
+        if (is_other_process(upstream, endpoint)) {
+            // Earlier signals say nothing about it.
             Upstream restarted = with_forwards_of(upstream);
             restarted.is_registered = upstream.is_registered, restarted.is_ordered = upstream.is_ordered;
             restarted.peer_in_flight = upstream.peer_in_flight,
@@ -1277,11 +1283,18 @@
             insert_in_order(endpoint.upstream_id);
     }
 
+    static bool is_other_process(const Upstream& upstream, const EndpointState& endpoint)
+    {
+        return (endpoint.started_at && endpoint.started_at != upstream.endpoint.started_at) ||
+               endpoint.incarnation != upstream.endpoint.incarnation;
+    }
+
     // Forwards in flight end later, whoever is at the index then.
     static Upstream with_forwards_of(const Upstream& previous)
     {
         Upstream upstream;
         upstream.in_flight = previous.in_flight, upstream.overdue = previous.overdue;
+        upstream.process = previous.process + 1;
         return upstream;
     }
 
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -64,6 +64,8 @@
     double capacity = 1;
     std::optional<TimePoint> started_at;  // unset: long ago
     uint32_t machine_type = 0;
+    // Changes where the host knows of another process under the same id, also without another start.
+    uint32_t incarnation = 0;
 };
 
 // Why invocations were throttled, since the start: how many of each.
--- a/src/fleet/endpoints/endpoint_view.cpp
+++ b/src/fleet/endpoints/endpoint_view.cpp
@@ -222,7 +222,7 @@
 {
     const bool same = next.global_id == shown.global_id && next.phase == shown.phase &&
                       next.started_at == shown.started_at && next.location == shown.location &&
-                      next.machine_type == shown.machine_type;
+                      next.machine_type == shown.machine_type && next.incarnation == shown.incarnation;
     if (!same) return true;
     if (next.capacity == shown.capacity) return false;
     // A capacity that is fully restored is always shown, however small the step.
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -314,8 +314,8 @@
     const LoadReport report = response && is_same_process(attempt) ? response->load_report : LoadReport{};
     // An attempt that was cancelled, never sent, or failed because of the request itself says nothing about
     // the upstream.
-    if (view_ && result != AttemptResult::cancelled && result != AttemptResult::not_sent &&
-        result != AttemptResult::invalid_request)
+    if (view_ && is_same_process(attempt) && result != AttemptResult::cancelled &&
+        result != AttemptResult::not_sent && result != AttemptResult::invalid_request)
         view_->record_response(now_, attempt.upstream_id, result == AttemptResult::succeeded);
     // The first success is the response; the decision module does not have to ask for it.
     if (result == AttemptResult::succeeded) respond(*attempt.invocation_id, std::move(*response));
--- a/src/net/reducer_endpoints.cpp
+++ b/src/net/reducer_endpoints.cpp
@@ -10,6 +10,18 @@
 
 constexpr Duration probe_timeout = seconds(0.25);
 
+template <class Part>
+bool differ(const std::optional<Part>& a, const std::optional<Part>& b)
+{
+    return a && b && *a != *b;
+}
+
+// A process does not change its zone or pod group. Where one of two is not known, they may be the same.
+bool is_elsewhere(const UpstreamLocation& a, const UpstreamLocation& b)
+{
+    return differ(a.zone, b.zone) || differ(a.pod_group, b.pod_group);
+}
+
 }  // namespace
 
 // A new upstream takes the slot of one that has gone, so that memory does not grow with every upstream that
@@ -69,8 +81,7 @@
     const bool has_moved = is_known && upstream.endpoint != entry.endpoint;
     const bool has_restarted = is_known && entry.started_at && *entry.started_at != listed_long_ago &&
                                entry.started_at != upstream.started_at;
-    const bool has_other_location = is_known && upstream.location != entry.location;
-    if (has_moved || has_restarted || has_other_location) {
+    if (has_moved || has_restarted || (is_known && is_elsewhere(upstream.location, entry.location))) {
         effects_.push_back(CloseIdle{upstream_id});
         ++upstream.incarnation;
     }
@@ -95,8 +106,14 @@
 {
     const Upstream& upstream = upstreams_[upstream_id];
     const double capacity = config_.capacities_listed ? upstream.capacity : 1;
-    return {upstream_id, hash_uid(upstream.uid), upstream.phase, location_of(upstream),
-            capacity,    upstream.started_at};
+    return {upstream_id,
+            hash_uid(upstream.uid),
+            upstream.phase,
+            location_of(upstream),
+            capacity,
+            upstream.started_at,
+            0,
+            upstream.incarnation};
 }
 
 // A request may have passed may_write() before what has changed, and not have been sent yet.
--- a/tests/balancer_events.cpp
+++ b/tests/balancer_events.cpp
@@ -67,6 +67,23 @@
     EXPECT_EQ(reduction(4), 0) << "it was another process";
 }
 
+// Guards against resets of a process that has ended counting for the one that took its place.
+TEST_F(BalancerEvents, ResultsOfAProcessBeforeSayNothingOfTheNext)
+{
+    const auto reduction_after_resets = [](bool restarts) {
+        BalancerHost host(
+            BalancerHost::make_settings(BalancerHost::make_operation(Idempotency::non_idempotent)));
+        host.set_endpoints(1);
+        for (const InvocationId id : {0u, 1u}) host.accept(id);
+        host.advance_clock(seconds(0.1));
+        if (restarts) host.change_endpoint(0, EndpointPhase::ready, host.now);
+        for (const InvocationId id : {0u, 1u}) host.end_attempt(id, AttemptResult::reset);
+        return host.balancer.reduction(host.now, 0);
+    };
+    EXPECT_GT(reduction_after_resets(false), 0);
+    EXPECT_EQ(reduction_after_resets(true), 0);
+}
+
 // Guards against upstreams that are known and hidden taking the places of those that may be used while they
 // warm up.
 TEST_F(BalancerEvents, UpstreamsThatWereAlwaysGoneChangeNoChoice)
