--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -104,6 +104,8 @@
     if (entry.uid.empty()) return {};
     entry.endpoint = value_or<std::string>(in, "endpoint", "");
     entry.phase = decode_phase(value_or<std::string>(in, "state", ""));
+    // Work cannot go to it, but what it has may end there.
+    if (entry.endpoint.empty() && entry.phase == EndpointPhase::ready) entry.phase = EndpointPhase::draining;
     entry.location = decode_location(in);
     entry.capacity = decode_capacity(in);
     entry.started_at = decode_start(in, epoch);
--- a/tests/message.cpp
+++ b/tests/message.cpp
@@ -484,6 +484,44 @@
     expect_entry(unknown->update.entries[0], "a", "", EndpointPhase::draining, {}, std::nullopt);
 }
 
+// Guards against what is no value, or none that there can be, being taken for one: the first pod, a huge
+// capacity, a start long ago.
+TEST(EndpointList, TakesValuesThatThereCannotBeForAbsentOnes)
+{
+    const auto entry_with = [](const std::string& key, const std::string& value) {
+        const auto list =
+            decode_with_config(R"({"rev":8,"targets":[{"uid":"a","endpoint":"e","state":"ready",")" + key +
+                               "\":" + value + "}]}");
+        return list && list->update.entries.size() == 1 ? list->update.entries[0] : ListedEndpoint{};
+    };
+    for (const std::string none :
+         {"null", "true", "{}", "[1]", "-1", "1.5", "1e300", "99999999999999999999"}) {
+        EXPECT_EQ(entry_with("pod_group", none).location, UpstreamLocation{}) << none;
+        EXPECT_EQ(entry_with("boot_ms", none).started_at, std::nullopt) << none;
+    }
+    for (const std::string none : {"null", "7", "[]", R"("")"})
+        EXPECT_EQ(entry_with("az", none).location, UpstreamLocation{}) << none;
+    for (const std::string none : {"null", R"("2")", "-1", "0", "1e300"})
+        EXPECT_EQ(entry_with("capacity_hint", none).capacity, 1) << none;
+    EXPECT_EQ(entry_with("pod_group", "4294967296").location, UpstreamLocation{});
+    EXPECT_EQ(entry_with("boot_ms", "1125899906842624").started_at, std::nullopt);
+    EXPECT_EQ(entry_with("pod_group", "0").location.pod_group, PodGroup{0});
+    EXPECT_EQ(entry_with("pod_group", "3.0").location.pod_group, PodGroup{3});
+    EXPECT_EQ(entry_with("pod_group", "4294967295").location.pod_group, PodGroup{4294967295});
+    EXPECT_EQ(entry_with("boot_ms", "0").started_at, listed_long_ago);
+    EXPECT_EQ(entry_with("capacity_hint", "2.5").capacity, 2.5);
+}
+
+TEST(EndpointList, ReadsAReadyTargetWithoutAnEndpointAsDraining)
+{
+    for (const std::string endpoint : {"", R"("endpoint":"",)", R"("endpoint":7,)"}) {
+        const auto list =
+            decode_with_config(R"({"rev":8,"targets":[{"uid":"a",)" + endpoint + R"("state":"ready"}]})");
+        ASSERT_TRUE(list && list->update.entries.size() == 1) << endpoint;
+        EXPECT_EQ(list->update.entries[0].phase, EndpointPhase::draining) << endpoint;
+    }
+}
+
 TEST(EndpointList, IsNoneWithATargetThatIsNoObjectOrHasNoUid)
 {
     for (const std::string target : {"7", "null", R"("a")", "[]", "{}", R"({"uid":""})"}) {
