--- a/tests/listed_fields.cpp
+++ b/tests/listed_fields.cpp
@@ -76,11 +76,13 @@
 
     void send(Event event)
     {
-        for (const Effect& effect : reducer_.reduce(now_, std::move(event)))
-            if (const auto* connect = std::get_if<ConnectUpstream>(&effect)) {
-                last_attempt_ = connect->attempt;
-                last_endpoint_ = connect->endpoint;
-            }
+        const auto effects = reducer_.reduce(now_, std::move(event));
+        for (const Effect& effect : effects) {
+            const auto* connect = std::get_if<ConnectUpstream>(&effect);
+            if (!connect) continue;
+            last_attempt_ = connect->attempt;
+            last_endpoint_ = connect->endpoint;
+        }
     }
 
     ServiceConfig config_;
