Test: a member's subset follows its own zone under new settings

What callers saw: after new settings with another `zone`, a member with a subset by zones went on using the upstreams of the zone before, until a restart.

--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -897,6 +897,48 @@
                      "op: 1 succeeded, 0 throttled, 0 errored; 1 written, 0 in flight, 1 listed, 0 down"}));
 }
 
+// Guards against a member that goes on using the upstreams of the zone which it was in by the settings
+// before.
+TEST(NewSettings, OfAnotherOwnZoneMoveTheSubsetThere)
+{
+    const std::vector<std::string> zones{"a", "b"};
+    ServiceConfig config = service_config(Idempotency::idempotent);
+    config.zone_names = zones;
+    config.settings.own_zone = zone_id("a");
+    Reducer reducer(config, 1, "here:1");
+    fleet::EndpointView::Config view;
+    view.subset.emplace().size = 3;
+    view.subset->zone_aware = true;
+    view.subset->remote_size = 0;
+    view.self_key = 1;
+    reducer.join_fleet(view);
+    TimePoint now{1};
+    reducer.reduce(now, ServiceStarted{});
+    reducer.reduce(now, SubsetPeersUpdated{{{1, true}, {2, true}}});
+    std::vector<ListedEndpoint> list;
+    for (const std::string& zone : zones)
+        for (int n = 0; n < 10; ++n)
+            list.push_back(
+                {zone + std::to_string(n), zone + ":1", EndpointPhase::ready, {zone_id(zone), {}}, 1, {}});
+    reducer.reduce(now, EndpointListUpdated{true, list});
+    const auto endpoint_of_request = [&](RequestId caller) {
+        const std::string id = "id" + std::to_string(caller);
+        const auto effects = reducer.reduce(
+            now,
+            RequestReceived{
+                caller,
+                {"POST", "/op/x", id, 0, 0, seconds(2), {{"Req-Id", id}}, "body", config.config_version}});
+        for (const Effect& effect : effects)
+            if (const auto* connect = std::get_if<ConnectUpstream>(&effect)) return connect->endpoint;
+        return std::string();
+    };
+    EXPECT_EQ(endpoint_of_request(1), "a:1");
+    ServiceConfig moved = config;
+    moved.settings.own_zone = zone_id("b");
+    reducer.reduce(now, ConfigReloaded{"here:1", moved});
+    EXPECT_EQ(endpoint_of_request(2), "b:1");
+}
+
 // A member of a fleet whose subset holds a few of many upstreams, of which all are probed for the fleet.
 class SubsetMember
 {
