Tests: repeats that are not sent yet, and a list that is restored meanwhile

What callers saw: a repeat could be sent after the window of new settings, or to an upstream that had moved to another group while its connection was made.

--- a/tests/deduplication_groups.cpp
+++ b/tests/deduplication_groups.cpp
@@ -28,15 +28,17 @@
         for (const auto& [key, value] : fields) out.append(",\"").append(key).append("\":").append(value);
         return out + '}';
     }
+    Target renamed(const std::string& other_uid) const { return {other_uid, fields}; }
 };
 
+std::string uid_of(uint32_t number) { return "s-" + std::to_string(number); }
 std::string quoted(const std::string& text) { return '"' + text + '"'; }
 
 // Upstream n is at the endpoint "n:1", in pod and zone n % group_count.
 Target target(uint32_t number, uint32_t first_pod = 0)
 {
     const uint32_t group = number % group_count;
-    return {"s-" + std::to_string(number),
+    return {uid_of(number),
             {{"endpoint", quoted(std::to_string(number) + ":1")},
              {"az", quoted(std::string(1, static_cast<char>('a' + group)))},
              {"pod_group", std::to_string(first_pod + group)},
@@ -94,6 +96,19 @@
     {
         send(ConfigReloaded{"here:1", service_config(scope_, zones)});
     }
+    void load_window(Duration duration)
+    {
+        ServiceConfig config = service_config(scope_, zones_abc);
+        config.settings.operations[0].deduplication_window = duration;
+        send(ConfigReloaded{"here:1", config});
+    }
+    // Whether bytes are sent when the connection for the last attempt is there.
+    bool sends_when_connected()
+    {
+        writes_ = 0;
+        send(UpstreamConnected{last_attempt_});
+        return writes_ > 0;
+    }
     void request()
     {
         send(RequestReceived{1, {"POST", "/op/x", "id", 0, 0, seconds(2), {{"Req-Id", "id"}}, "body"}});
@@ -116,6 +131,7 @@
         for (const Effect& effect : reducer_.reduce(now_, std::move(event))) {
             if (const auto* response = std::get_if<SendResponse>(&effect))
                 outcome_.status = response->response.status;
+            writes_ += std::holds_alternative<WriteUpstream>(effect);
             const auto* connect = std::get_if<ConnectUpstream>(&effect);
             if (!connect) continue;
             last_attempt_ = connect->attempt;
@@ -130,10 +146,26 @@
     TimePoint now_{1'000'000};
     std::vector<Target> targets_;
     AttemptId last_attempt_ = 0;
+    int writes_ = 0;
     std::optional<uint32_t> last_endpoint_;
     Outcome outcome_;
 };
 
+// Lists of before a start, as a snapshot, a file or the configuration has them.
+void restore_list_with_first_elsewhere(Trial& trial)
+{
+    const auto entries = [&] {
+        std::string text;
+        for (const Target& each : trial.targets())
+            text.append(text.empty() ? "" : ",")
+                .append(each.uid == uid_of(trial.first()) ? target(trial.first() + 1).renamed(each.uid).text()
+                                                          : each.text());
+        return decode_list(R"({"rev":1,"all":true,"targets":[)" + text + "]}", TimePoint{});
+    }();
+    ASSERT_TRUE(entries);
+    trial.send(EndpointListRestored{entries->update.entries});
+}
+
 // What is done between the first attempt and its reset.
 struct Change {
     std::string name;
@@ -162,23 +194,22 @@
 Change first_is_only(const std::string& name, const std::string& state)
 {
     return {name, [=](Trial& trial) {
-                trial.update(false, {{"s-" + std::to_string(trial.first()), {{"state", quoted(state)}}}});
+                trial.update(false, {{uid_of(trial.first()), {{"state", quoted(state)}}}});
             }};
 }
 
 void list_without_first(Trial& trial)
 {
-    std::erase_if(trial.targets(),
-                  [&](const Target& each) { return each.uid == "s-" + std::to_string(trial.first()); });
+    std::erase_if(trial.targets(), [&](const Target& each) { return each.uid == uid_of(trial.first()); });
     trial.list_all();
 }
 
 // Its uid comes up again as another process, in another group.
 void move_first(Trial& trial)
 {
-    trial.update(false, {{"s-" + std::to_string(trial.first()), {{"state", quoted("gone")}}}});
+    trial.update(false, {{uid_of(trial.first()), {{"state", quoted("gone")}}}});
     const uint32_t elsewhere = trial.first() + 100 * group_count + 1;
-    trial.update(false, {{"s-" + std::to_string(trial.first()), target(elsewhere).fields}});
+    trial.update(false, {{uid_of(trial.first()), target(elsewhere).fields}});
 }
 
 std::vector<Change> changes_of_the_list()
@@ -194,7 +225,8 @@
             first_is("GoneOfForeignTypes", "gone", {{"pod_group", quoted("2")}, {"az", "7"}}),
             first_is("GoneOutOfRange", "gone", {{"pod_group", "-1"}, {"az", quoted("elsewhere")}}),
             first_is("GoneOfThePodAfterTheLast", "gone", {{"pod_group", "4294967296"}}),
-            {"ComesUpElsewhere", move_first}};
+            {"ComesUpElsewhere", move_first},
+            {"RestoredElsewhere", restore_list_with_first_elsewhere}};
 }
 
 class RepeatAfterChange : public testing::TestWithParam<std::tuple<DeduplicationScope, uint32_t, Change>>
@@ -241,7 +273,7 @@
             Trial trial(DeduplicationScope::zone, seed);
             trial.list_all();
             trial.request();
-            trial.update(false, {{"s-" + std::to_string(trial.first()), {{"state", quoted("gone")}}}});
+            trial.update(false, {{uid_of(trial.first()), {{"state", quoted("gone")}}}});
             trial.load_zones(zones_cab);
             if (is_relisted) list_without_first(trial);
             EXPECT_TRUE(trial.reset().went_to_group_of_first()) << "seed " << seed;
@@ -275,6 +307,43 @@
     }
 }
 
+// Guards against a repeat that was allowed when its connection was begun, and is not any more when it is
+// there.
+TEST(RepeatThatIsNotSentYet, IsSentWhileNothingChanges)
+{
+    Trial trial(DeduplicationScope::pod_group, 1);
+    trial.list_all();
+    trial.request();
+    ASSERT_TRUE(trial.reset().second);
+    EXPECT_TRUE(trial.sends_when_connected());
+}
+
+TEST(RepeatThatIsNotSentYet, IsNotSentAfterTheWindowOfNewSettings)
+{
+    Trial trial(DeduplicationScope::pod_group, 1);
+    trial.list_all();
+    trial.request();
+    ASSERT_TRUE(trial.reset().second);
+    trial.load_window(seconds(0.1));
+    trial.advance(seconds(0.2));
+    EXPECT_FALSE(trial.sends_when_connected());
+}
+
+TEST(RepeatThatIsNotSentYet, IsNotSentOnceItsUpstreamIsInAnotherGroup)
+{
+    for (const char* group : {"7", "null"}) {
+        Trial trial(DeduplicationScope::pod_group, 1);
+        trial.list_all();
+        trial.request();
+        const Outcome outcome = trial.reset();
+        ASSERT_TRUE(outcome.second);
+        Target moved = trial.targets()[*outcome.second];
+        moved.fields["pod_group"] = group;
+        trial.update(false, {moved});
+        EXPECT_FALSE(trial.sends_when_connected()) << group;
+    }
+}
+
 // A value that names no group: the field of an entry, as JSON.
 struct NoGroup {
     std::string name;
