--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "forwarding_rules.h"
 #include "peer_message.h"
 #include "src/base/random.h"
 
@@ -51,7 +52,6 @@
 constexpr Duration recent_use_window = seconds(10);  // an upstream that had requests within it is in use
 constexpr double max_upstream_load = 5;              // requests at an upstream, where peers report theirs
 constexpr Duration rate_window = seconds(4);
-constexpr double slow_start_budget_share = 0.7;  // of the multiple at which an upstream collapses
 
 // Probes and messages to peers.
 constexpr Duration probe_interval = seconds(1);          // approximate: jittered
@@ -124,36 +124,6 @@
            result == AttemptResult::not_sent;
 }
 
-// One attempt of an invocation at an upstream.
-struct Forward {
-    UpstreamId upstream_id = 0;
-    // As they were when it was sent: repeats are recognised by what was true then.
-    TimePoint sent_at;
-    UpstreamLocation location;
-    DeduplicationScope deduplication_scope = DeduplicationScope::pod_group;
-    uint32_t process = 0;  // of the upstream
-    bool in_flight = true, overdue = false, proven_not_run = false;
-    bool after_idle = false;  // the upstream had been idle for longer than a mean response takes
-    std::function<void(TimePoint, AttemptResult)> on_result;  // the next step of the invocation
-};
-
-// Kept from its acceptance until it has been answered and none of its forwards is in flight.
-struct Invocation {
-    bool is_known = false;  // accepted and not released
-    Operation operation;    // as it was on acceptance, or stricter after new settings
-    bool may_overlap_forwards = false;
-    uint32_t max_forwards = 1;
-    uint32_t operation_index = 0;
-    uint64_t subject_key = 0;
-    TimePoint arrived_at;
-    TimePoint deadline;      // until which the client waits
-    TimePoint useful_until;  // a later response is worthless
-    bool finished = true;
-    bool accepted_at_low_load = false;
-    uint32_t redirects = 0;
-    std::vector<Forward> forwards;
-};
-
 // A reduction of the requests to an upstream, or of those with one key.
 struct Entry {
     double reduction = 0;
@@ -189,8 +159,7 @@
     TimePoint last_ended_at{INT64_MIN / 2};
     TimePoint waiting_since;  // the later of its last response and its first forward still in flight
 
-    double slow_start_tokens = 0;
-    TimePoint slow_start_tokens_at;
+    SlowStartTokens slow_start_tokens;
 
     uint32_t peer_in_flight = 0;      // of the other balancers, as they reported it
     uint8_t broadcast_in_flight = 0;  // own, as reported last
@@ -342,23 +311,9 @@
         delegate.start_timer(at, next_timer_id++);
     }
 
-    // ---- Rules that every forward and every reply obeys ----
-
-    // Rule 5: the upstream may have started later than listed.
-    bool is_warming(const Upstream& upstream) const
-    {
-        return upstream.endpoint.started_at && now - *upstream.endpoint.started_at <
-                                                   settings.slow_start_duration + settings.start_time_margin;
-    }
+    // ---- What the rules rest on ----
 
-    // The least share of its capacity that an upstream has, by the time since its last start.
-    double warm_capacity_share(const Upstream& upstream) const
-    {
-        if (!is_warming(upstream)) return 1;
-        const double age = std::max(0.0, (now - *upstream.endpoint.started_at - settings.start_time_margin) /
-                                             settings.slow_start_duration);
-        return settings.slow_start_min_share + (1 - settings.slow_start_min_share) * age;
-    }
+    ForwardingRules rules() const { return {settings, now}; }
 
     bool is_in_other_zone(const Upstream& upstream) const
     {
@@ -375,7 +330,7 @@
         for (const Upstream& upstream : upstreams) {
             if (upstream.endpoint.phase != EndpointPhase::ready) continue;
             ++(is_in_other_zone(upstream) ? in_other_zones : in_own_zone);
-            warm_count += !is_warming(upstream) &&
+            warm_count += !rules().is_warming(upstream.endpoint) &&
                           (upstream.in_flight > 0 || now - upstream.last_ended_at < recent_use_window);
         }
         const auto active_count = std::min(active_upstream_count(), in_own_zone) +
@@ -384,74 +339,24 @@
         return warm_count > 0 ? std::min(even, warm_forward_rate.rate(now) / warm_count) : even;
     }
 
-    // Rule 4: a restarted upstream gets a part of its share, as all balancers together would overload it.
     bool has_slow_start_budget(Upstream& upstream)
     {
-        if (!is_warming(upstream)) return true;
-        const double tokens_per_second = even_forward_rate() * warm_capacity_share(upstream) *
-                                         settings.collapse_multiple * slow_start_budget_share;
-        upstream.slow_start_tokens += (now - upstream.slow_start_tokens_at).seconds() * tokens_per_second;
-        upstream.slow_start_tokens =
-            std::min(upstream.slow_start_tokens,
-                     std::max(1.0, tokens_per_second * settings.collapse_window.seconds()));
-        upstream.slow_start_tokens_at = now;
-        return upstream.slow_start_tokens >= 1;
-    }
-
-    // Whether upstreams at the location recognise a repeat of the forward, both by the settings under which
-    // it was sent and by those since.
-    bool recognises_repeat(const Invocation& invocation, const Forward& forward,
-                           const UpstreamLocation& location) const
-    {
-        return now - forward.sent_at < invocation.operation.deduplication_window &&
-               share_deduplication_group(forward.deduplication_scope, forward.location, location) &&
-               share_deduplication_group(invocation.operation.deduplication_scope, forward.location,
-                                         location);
-    }
-
-    // Rule 2: whether the forwards before the one with this index allow one to an upstream at the location.
-    bool may_run_again(const Invocation& invocation, size_t forward_index,
-                       const UpstreamLocation& location) const
-    {
-        for (size_t i = 0; i < forward_index; ++i) {
-            const Forward& forward = invocation.forwards[i];
-            if (forward.proven_not_run) continue;
-            if (forward.in_flight && !(invocation.may_overlap_forwards && settings.may_overlap_forwards))
-                return false;
-            if (invocation.operation.idempotency == Idempotency::idempotent) continue;
-            if (invocation.operation.idempotency == Idempotency::non_idempotent) return false;
-            if (!recognises_repeat(invocation, forward, location)) return false;
-        }
-        return true;
+        return !rules().is_warming(upstream.endpoint) ||
+               rules().has_slow_start_token(upstream.endpoint, upstream.slow_start_tokens,
+                                            even_forward_rate());
     }
 
-    bool may_still_send(InvocationId id, uint32_t forward_index) const
-    {
-        const Forward& forward = invocations[id].forwards[forward_index];
-        const UpstreamLocation& location = upstreams[forward.upstream_id].endpoint.location;
-        return location == forward.location && may_run_again(invocations[id], forward_index, location);
-    }
-
-    bool may_throttle(const Invocation& invocation) const
+    bool may_send(const Invocation& invocation, UpstreamId upstream_id)
     {
-        for (const Forward& forward : invocation.forwards) {
-            if (forward.proven_not_run || invocation.operation.idempotency == Idempotency::idempotent)
-                continue;
-            if (invocation.operation.idempotency == Idempotency::non_idempotent ||
-                invocation.operation.deduplication_scope != DeduplicationScope::all)
-                return false;
-        }
-        return true;
+        Upstream& upstream = upstreams[upstream_id];
+        return rules().may_send(invocation, upstream.endpoint) && has_slow_start_budget(upstream);
     }
 
-    bool may_send(const Invocation& invocation, UpstreamId upstream_id)
+    bool may_still_send(InvocationId id, uint32_t forward_index) const
     {
-        Upstream& upstream = upstreams[upstream_id];
-        return !invocation.finished && now < invocation.deadline &&
-               invocation.forwards.size() < std::min(invocation.max_forwards, settings.max_forwards) &&
-               upstream.endpoint.phase == EndpointPhase::ready &&
-               may_run_again(invocation, invocation.forwards.size(), upstream.endpoint.location) &&
-               has_slow_start_budget(upstream);
+        const UpstreamId upstream_id = invocations[id].forwards[forward_index].upstream_id;
+        return rules().may_still_send(invocations[id], forward_index,
+                                      upstreams[upstream_id].endpoint.location);
     }
 
     // The only place that forwards.
@@ -461,8 +366,8 @@
         Invocation& invocation = invocations[id];
         if (!may_send(invocation, upstream_id)) return false;
         Upstream& upstream = upstreams[upstream_id];
-        if (is_warming(upstream))
-            upstream.slow_start_tokens -= 1;
+        if (rules().is_warming(upstream.endpoint))
+            upstream.slow_start_tokens.count -= 1;
         else
             warm_forward_rate.record(now);
         bool after_idle =
@@ -506,7 +411,7 @@
     {
         Invocation& invocation = invocations[id];
         if (invocation.finished) return;
-        if (throttled && may_throttle(invocation))
+        if (throttled && ForwardingRules::may_throttle(invocation))
             delegate.throttle(id, std::min(retry_after, settings.max_retry_after));
         else
             delegate.fail(id);
@@ -781,10 +686,10 @@
             if (upstream.endpoint.phase != EndpointPhase::ready) continue;
             ++ready;
             if (upstream.in_flight == 0 && now - upstream.last_ended_at >= recent_use_window &&
-                !is_warming(upstream))
+                !rules().is_warming(upstream.endpoint))
                 continue;
             ++in_use;
-            if (reduction(upstream) < 0.5) able += warm_capacity_share(upstream);
+            if (reduction(upstream) < 0.5) able += rules().warm_capacity_share(upstream.endpoint);
         }
         const double new_capacity = ready * (in_use > 0 ? std::max(min_able_share, able / in_use) : 1);
         if (capacity > 0 && new_capacity > 0)
@@ -934,7 +839,8 @@
     {
         if (live_peers > 0) return upstream.in_flight - upstream.overdue + upstream.peer_in_flight;
         const double own_in_flight = upstream.in_flight,
-                     mean_load = zone_load[is_in_other_zone(upstream)] * warm_capacity_share(upstream);
+                     mean_load = zone_load[is_in_other_zone(upstream)] *
+                                 rules().warm_capacity_share(upstream.endpoint);
         if (!upstream.reported_load) return mean_load + own_in_flight;
         const double freshness = std::exp2(-((now - upstream.reported_at) / load_report_half_life));
         const double load = mean_load + (*upstream.reported_load - mean_load) * freshness;
@@ -982,7 +888,8 @@
             response_seconds > 0 ? (invocation.useful_until - now).seconds() / response_seconds : 1e9;
         if (live_peers > 0)
             return expected_load(upstream) >
-                   std::min(responses_in_time - 1, max_upstream_load * warm_capacity_share(upstream));
+                   std::min(responses_in_time - 1,
+                            max_upstream_load * rules().warm_capacity_share(upstream.endpoint));
         return expected_load(upstream) > std::max(1.0, responses_in_time - 1.5);
     }
 
@@ -1007,8 +914,8 @@
                 const bool is_active =
                     (active_left > 0 && active_left--) || (live_peers == 0 && !queues_reported);
                 if (upstream.endpoint.phase != EndpointPhase::ready || !is_eligible(id)) continue;
-                if ((is_warming(upstream) && !is_active) || is_crowded(invocation, upstream) ||
-                    !may_send(invocation, id))
+                if ((rules().is_warming(upstream.endpoint) && !is_active) ||
+                    is_crowded(invocation, upstream) || !may_send(invocation, id))
                     continue;
                 const double idleness =
                     upstream.endpoint.capacity / (upstream.endpoint.capacity + expected_load(upstream));
@@ -1016,7 +923,8 @@
                     mean_reported_load < min_informative_load || !latencies_reported
                         ? fourth_power(slowness(upstream))
                         : 1;
-                const double weight = upstream.endpoint.capacity * warm_capacity_share(upstream) *
+                const double weight = upstream.endpoint.capacity *
+                                      rules().warm_capacity_share(upstream.endpoint) *
                                       idleness_weight(idleness, upstream) / slowness_divisor;
                 total += weight;
                 candidates.emplace_back(id, weight);
@@ -1266,9 +1174,9 @@
             restarted.peer_in_flight = upstream.peer_in_flight,
             restarted.broadcast_in_flight = upstream.broadcast_in_flight;
             upstream = restarted;
-            upstream.slow_start_tokens_at = now;
+            upstream.slow_start_tokens.updated_at = now;
             // Random, so that balancers that are notified together do not all send at once.
-            upstream.slow_start_tokens = uniform_random();
+            upstream.slow_start_tokens.count = uniform_random();
         }
         upstream.endpoint = endpoint;
         if (upstream.is_ordered && is_in_other_zone(upstream) != was_in_other_zone) {
