--- a/tests/effects.cpp
+++ b/tests/effects.cpp
@@ -38,7 +38,7 @@
     run_scenario("deduplicated within a zone, errored: forwarded again to the same zone only",
                  TracingHost::make_operation(Idempotency::deduplicated, DeduplicationScope::zone),
                  AttemptResult::errored);
-    run_scenario("deduplicated within a cell, errored: forwarded again to the same cell only",
+    run_scenario("deduplicated within a pod group, errored: forwarded again to the same pod group only",
                  TracingHost::make_operation(Idempotency::deduplicated, DeduplicationScope::pod_group),
                  AttemptResult::errored);
     auto short_window = deduplicated;
