Test: a first attempt isn't sent once the group of its upstream is not known

Without the check the attempt would be kept under the group that its upstream had when its connection was begun.

Evidence: passes; with the comparison of locations taken out of may_still_send and of the reducer (a trial) it fails in both of its cases, and no other case did.

--- a/tests/deduplication_groups.cpp
+++ b/tests/deduplication_groups.cpp
@@ -109,11 +109,15 @@
         send(UpstreamConnected{last_attempt_});
         return writes_ > 0;
     }
-    void request()
+    void begin_request()
     {
         send(RequestReceived{1, {"POST", "/op/x", "id", 0, 0, seconds(2), {{"Req-Id", "id"}}, "body"}});
         outcome_.first = last_endpoint_.value();
         last_endpoint_.reset();
+    }
+    void request()
+    {
+        begin_request();
         send(UpstreamConnected{last_attempt_});
         send(RequestWritten{last_attempt_});
     }
@@ -344,6 +348,23 @@
     }
 }
 
+// Guards against a first attempt that is kept under the group which its upstream had before its bytes were
+// sent.
+TEST(FirstAttemptThatIsNotSentYet, IsNotSentOnceTheGroupOfItsUpstreamIsNotKnown)
+{
+    const auto sends_after = [](const Change& change) {
+        Trial trial(DeduplicationScope::zone, 1);
+        trial.list_all();
+        trial.begin_request();
+        change.apply(trial);
+        return trial.sends_when_connected();
+    };
+    EXPECT_TRUE(sends_after(changes_of_the_list()[0]));
+    EXPECT_FALSE(sends_after(first_is("WithoutAZone", "ready", {{"az", "null"}})));
+    EXPECT_FALSE(
+        sends_after({"UnderSettingsWithoutItsZone", [](Trial& trial) { trial.load_zones({"elsewhere"}); }}));
+}
+
 // A value that names no group: the field of an entry, as JSON.
 struct NoGroup {
     std::string name;
