Operations bound to zones or kinds of machine are sent there alone (placement)

Cause: the settings of the rule on placement were never read.

Change: an operation has its allowed zones and kinds of machine, as typed values; ForwardingRules asks for them at each choice and again right before the first byte. What is not known is not allowed. Open requests obey both the settings before and the new ones. On sockets the kind is `model` of the list, a name of `kinds`; in the simulator its number.

--- a/simulator_adapter/instance.cpp
+++ b/simulator_adapter/instance.cpp
@@ -28,20 +28,12 @@
     return static_cast<uint32_t>(std::clamp<int64_t>(duration.us, 0, INT32_MAX));
 }
 
-// The simulator's lists give each zone's number, under settings that stay the same.
-ServiceConfig decode_with_zone_numbers(std::string_view settings)
-{
-    ServiceConfig config = decode_settings(parse_flat_settings(settings));
-    config.settings.own_zone = ZoneId{config.own_zone_index};
-    return config;
-}
-
 }  // namespace
 
 Instance::Instance(uint16_t instance_id, uint64_t seed, std::string_view settings, Writer& out)
     : instance_id_(instance_id),
       out_(out),
-      config_(decode_with_zone_numbers(settings)),
+      config_(decode_settings(parse_flat_settings(settings), PlaceIdentity::number)),
       balancer_(config_.settings, seed, *this)
 {
 }
@@ -61,12 +53,13 @@
     endpoints_.clear();
     for (const EndpointEntry& entry : entries) {
         if (entry.phase > 2) throw MalformedInput("unknown state of an upstream");
-        EndpointState endpoint{upstream_index(entry.upstream_id),
-                               entry.upstream_id,
-                               static_cast<EndpointPhase>(entry.phase),
-                               {ZoneId{entry.zone}, PodGroup{entry.pod_group}},
-                               1,
-                               {}};
+        EndpointState endpoint{
+            upstream_index(entry.upstream_id),
+            entry.upstream_id,
+            static_cast<EndpointPhase>(entry.phase),
+            {ZoneId{entry.zone}, PodGroup{entry.pod_group}, MachineKind{entry.machine_type}},
+            1,
+            {}};
         if (config_.capacities_listed && std::isfinite(entry.nominal_capacity) && entry.nominal_capacity > 0)
             endpoint.capacity = entry.nominal_capacity;
         endpoint.machine_type = entry.machine_type;
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -118,6 +118,20 @@
     return mapping;
 }
 
+// Leaves only what both allow.
+template <class Part>
+void restrict_to(std::optional<std::vector<Part>>& allowed, const std::optional<std::vector<Part>>& others)
+{
+    if (!others) return;
+    if (!allowed) {
+        allowed = others;
+        return;
+    }
+    std::erase_if(*allowed, [&](const Part& part) {
+        return std::find(others->begin(), others->end(), part) == others->end();
+    });
+}
+
 bool proves_not_run(AttemptResult result)
 {
     return result == AttemptResult::declined || result == AttemptResult::unreachable ||
@@ -1310,6 +1324,8 @@
                 std::max(invocation.operation.idempotency, new_operation.idempotency);
             invocation.operation.deduplication_scope =
                 std::max(invocation.operation.deduplication_scope, new_operation.deduplication_scope);
+            restrict_to(invocation.operation.allowed_zones, new_operation.allowed_zones);
+            restrict_to(invocation.operation.allowed_machine_kinds, new_operation.allowed_machine_kinds);
             invocation.operation.deduplication_window =
                 std::min(invocation.operation.deduplication_window, new_operation.deduplication_window);
         }
--- a/src/balance/decode_settings.cpp
+++ b/src/balance/decode_settings.cpp
@@ -52,6 +52,21 @@
         return static_cast<uint32_t>(value);
     }
 
+    // Whole numbers, separated by commas; nullopt if there are none.
+    std::optional<std::vector<uint32_t>> integers(const std::string& key) const
+    {
+        if (text(key).empty()) return {};
+        std::vector<uint32_t> all;
+        for (const std::string& item : names(key)) {
+            uint32_t value = 0;
+            const auto [end, failed] = std::from_chars(item.data(), item.data() + item.size(), value);
+            if (failed != std::errc() || end != item.data() + item.size())
+                throw SettingError("unreadable setting " + key + "=" + std::string(text(key)));
+            all.push_back(value);
+        }
+        return all;
+    }
+
     Duration duration(const std::string& key, Duration default_value) const
     {
         return {static_cast<int64_t>(number(key, static_cast<double>(default_value.us)))};
@@ -129,11 +144,41 @@
     return operation;
 }
 
-void decode_operations(const Decoder& decoder, ServiceConfig& config)
+// The zone or kind of machine with this number; nullopt if the settings have no name for it.
+template <class Place>
+std::optional<Place> place_at(uint32_t index, const std::vector<std::string>& names, PlaceIdentity identity,
+                              Place (*place_of)(std::string_view))
+{
+    if (identity == PlaceIdentity::number) return Place{index};
+    return index < names.size() ? std::optional(place_of(names[index])) : std::nullopt;
+}
+
+template <class Place>
+std::optional<std::vector<Place>> decode_places(const Decoder& decoder, const std::string& key,
+                                                const std::vector<std::string>& names, PlaceIdentity identity,
+                                                Place (*place_of)(std::string_view))
+{
+    const auto indices = decoder.integers(key);
+    if (!indices) return {};
+    std::vector<Place> places;
+    for (const uint32_t index : *indices) {
+        const auto place = place_at(index, names, identity, place_of);
+        if (!place) throw SettingError(key + ": " + std::to_string(index) + " has no name in the settings");
+        places.push_back(*place);
+    }
+    return places;
+}
+
+void decode_operations(const Decoder& decoder, ServiceConfig& config, PlaceIdentity identity)
 {
     for (size_t i = 0; i < decoder.count("operations"); ++i) {
         const auto prefix = "operations." + std::to_string(i) + ".";
-        config.settings.operations.push_back(decode_operation(decoder, prefix));
+        Operation operation = decode_operation(decoder, prefix);
+        operation.allowed_zones =
+            decode_places(decoder, prefix + "allowed_in", config.zone_names, identity, zone_id);
+        operation.allowed_machine_kinds =
+            decode_places(decoder, prefix + "runs_on", config.machine_kind_names, identity, machine_kind);
+        config.settings.operations.push_back(std::move(operation));
         config.operation_names.emplace_back(decoder.text(prefix + "name"));
     }
 }
@@ -190,6 +235,12 @@
 
 }  // namespace
 
+bool ServiceConfig::knows_machine_kind(MachineKind kind) const
+{
+    return std::any_of(machine_kind_names.begin(), machine_kind_names.end(),
+                       [kind](const std::string& name) { return machine_kind(name) == kind; });
+}
+
 bool ServiceConfig::knows_zone(ZoneId zone) const
 {
     return std::any_of(zone_names.begin(), zone_names.end(),
@@ -212,16 +263,16 @@
     return values;
 }
 
-ServiceConfig decode_settings(const FlatSettings& values)
+ServiceConfig decode_settings(const FlatSettings& values, PlaceIdentity identity)
 {
     const Decoder decoder(values);
     ServiceConfig config;
-    decode_operations(decoder, config);
-    decode_tenants(decoder, config);
     config.zone_names = decoder.names("dcs");
+    config.machine_kind_names = decoder.names("kinds");
     config.own_zone_index = decoder.integer("zone", config.own_zone_index);
-    if (config.own_zone_index < config.zone_names.size())
-        config.settings.own_zone = zone_id(config.zone_names[config.own_zone_index]);
+    config.settings.own_zone = place_at(config.own_zone_index, config.zone_names, identity, zone_id);
+    decode_operations(decoder, config, identity);
+    decode_tenants(decoder, config);
     config.connect_timeout = decoder.duration("policy_limits.connect_timeout_us", config.connect_timeout);
     config.upstream_idle_timeout =
         decoder.duration("policy_limits.conn_idle_us", config.upstream_idle_timeout);
--- a/src/balance/decode_settings.h
+++ b/src/balance/decode_settings.h
@@ -28,18 +28,23 @@
     std::vector<LoadReportField> load_report_members;  // the member for each of them
     bool capacities_listed = false;
 
-    std::vector<std::string> operation_names, tenant_names, zone_names;  // by index
+    std::vector<std::string> operation_names, tenant_names, zone_names, machine_kind_names;  // by index
     uint32_t own_zone_index = 0;
     Duration connect_timeout = seconds(1);
     Duration upstream_idle_timeout = seconds(5);  // after which an upstream closes an idle connection
 
-    // Whether zone_names has the zone.
+    // Whether zone_names has the zone, and machine_kind_names the kind.
     bool knows_zone(ZoneId zone) const;
+    bool knows_machine_kind(MachineKind kind) const;
 };
 
 // Parses lines of key=value.
 FlatSettings parse_flat_settings(std::string_view text);
 
-ServiceConfig decode_settings(const FlatSettings& values);
+// How the lists of a host identify zones and kinds of machine: by their names, or by their numbers in the
+// settings, which must stay the same then.
+enum class PlaceIdentity { name, number };
+
+ServiceConfig decode_settings(const FlatSettings& values, PlaceIdentity identity = PlaceIdentity::name);
 
 }  // namespace firtide
--- a/src/balance/deduplication_group.h
+++ b/src/balance/deduplication_group.h
@@ -20,10 +20,16 @@
 // A pod group: a small group of upstreams, numbered over all zones.
 enum class PodGroup : uint32_t {};
 
+// A kind of machine: by its name, or by a number, as a zone.
+enum class MachineKind : uint64_t {};
+
+inline constexpr MachineKind machine_kind(std::string_view name) { return MachineKind{fnv1a(name)}; }
+
 // Where an upstream is. Unset: not known. It is no zone or pod group then, and none that two upstreams share.
 struct UpstreamLocation {
     std::optional<ZoneId> zone;
     std::optional<PodGroup> pod_group;
+    std::optional<MachineKind> machine_kind;
 
     bool operator==(const UpstreamLocation&) const = default;
 };
--- a/src/balance/forwarding_rules.cpp
+++ b/src/balance/forwarding_rules.cpp
@@ -9,6 +9,13 @@
 
 constexpr double slow_start_budget_share = 0.7;  // of the multiple at which an upstream collapses
 
+template <class Part>
+bool is_one_of(const std::optional<Part>& part, const std::optional<std::vector<Part>>& allowed)
+{
+    if (!allowed) return true;
+    return part && std::find(allowed->begin(), allowed->end(), *part) != allowed->end();
+}
+
 }  // namespace
 
 bool ForwardingRules::is_warming(const EndpointState& endpoint) const
@@ -41,7 +48,7 @@
 {
     return !invocation.finished && now_ < invocation.deadline &&
            invocation.forwards.size() < std::min(invocation.max_forwards, settings_.max_forwards) &&
-           endpoint.phase == EndpointPhase::ready &&
+           endpoint.phase == EndpointPhase::ready && is_allowed_at(invocation.operation, endpoint.location) &&
            may_run_again(invocation, invocation.forwards.size(), endpoint.location);
 }
 
@@ -49,9 +56,16 @@
                                      const UpstreamLocation& location) const
 {
     return location == invocation.forwards[forward_index].location &&
+           is_allowed_at(invocation.operation, location) &&
            may_run_again(invocation, forward_index, location);
 }
 
+bool ForwardingRules::is_allowed_at(const Operation& operation, const UpstreamLocation& location)
+{
+    return is_one_of(location.zone, operation.allowed_zones) &&
+           is_one_of(location.machine_kind, operation.allowed_machine_kinds);
+}
+
 bool ForwardingRules::may_throttle(const Invocation& invocation)
 {
     for (const Forward& forward : invocation.forwards) {
--- a/src/balance/forwarding_rules.h
+++ b/src/balance/forwarding_rules.h
@@ -38,6 +38,9 @@
     static bool may_throttle(const Invocation& invocation);
 
   private:
+    // Whether the operation may be sent to an upstream there at all. One whose zone or kind of machine is not
+    // known is none of those that are allowed.
+    static bool is_allowed_at(const Operation& operation, const UpstreamLocation& location);
     bool may_run_again(const Invocation& invocation, size_t forward_index,
                        const UpstreamLocation& location) const;
     bool recognises_repeat(const Invocation& invocation, const Forward& forward,
--- a/src/balance/settings.h
+++ b/src/balance/settings.h
@@ -21,6 +21,9 @@
     Duration latency_objective;     // zero: none
     double late_response_value = 0;
     Duration client_timeout = seconds(10);  // over all attempts of a client
+    // The only zones and kinds of machine that it may be sent to; unset: any.
+    std::optional<std::vector<ZoneId>> allowed_zones;
+    std::optional<std::vector<MachineKind>> allowed_machine_kinds;
 };
 
 struct Settings {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -77,6 +77,8 @@
 {
     UpstreamLocation location;
     if (const auto zone = value_or<std::string>(in, "az", ""); !zone.empty()) location.zone = zone_id(zone);
+    if (const auto kind = value_or<std::string>(in, "model", ""); !kind.empty())
+        location.machine_kind = machine_kind(kind);
     if (const auto number = whole_number(in, "pod_group", UINT32_MAX))
         location.pod_group = PodGroup{static_cast<uint32_t>(*number)};
     return location;
--- a/src/net/reducer_endpoints.cpp
+++ b/src/net/reducer_endpoints.cpp
@@ -16,10 +16,12 @@
     return a && b && *a != *b;
 }
 
-// A process does not change its zone or pod group. Where one of two is not known, they may be the same.
+// A process does not change its zone, pod group or machine. Where one of two is not known, they may be the
+// same.
 bool is_elsewhere(const UpstreamLocation& a, const UpstreamLocation& b)
 {
-    return differ(a.zone, b.zone) || differ(a.pod_group, b.pod_group);
+    return differ(a.zone, b.zone) || differ(a.pod_group, b.pod_group) ||
+           differ(a.machine_kind, b.machine_kind);
 }
 
 }  // namespace
@@ -94,11 +96,13 @@
     upstream.has_assumed_start = false;
 }
 
-// What the decision module is told: a zone that the settings do not know is none.
+// What the decision module is told: a zone or kind of machine that the settings do not know is none.
 UpstreamLocation Reducer::location_of(const Upstream& upstream) const
 {
     UpstreamLocation location = upstream.location;
     if (location.zone && !config_.knows_zone(*location.zone)) location.zone.reset();
+    if (location.machine_kind && !config_.knows_machine_kind(*location.machine_kind))
+        location.machine_kind.reset();
     return location;
 }
 
--- a/tests/balancer_events.cpp
+++ b/tests/balancer_events.cpp
@@ -153,8 +153,14 @@
         host_.change_endpoint(impossible, EndpointPhase::ready);
         report(impossible, long_queue());
     }
-    host_.balancer.update_endpoints(
-        host_.now, {{4, 4, EndpointPhase::ready, {ZoneId{past_all}, PodGroup{past_all}}, 1, {}, past_all}});
+    host_.balancer.update_endpoints(host_.now,
+                                    {{4,
+                                      4,
+                                      EndpointPhase::ready,
+                                      {ZoneId{past_all}, PodGroup{past_all}, MachineKind{past_all}},
+                                      1,
+                                      {},
+                                      past_all}});
     const auto used = host_.send_many(1000);
     EXPECT_EQ(used.size(), 5u);
     EXPECT_EQ(used.count(past_all), 0u);
@@ -222,6 +228,8 @@
             Operation made = BalancerHost::make_operation(static_cast<Idempotency>(draw(3)),
                                                           static_cast<DeduplicationScope>(draw(3)));
             made.late_response_value = draw(2);
+            if (one_in(4)) made.allowed_zones = {{ZoneId{draw(3)}, ZoneId{draw(3)}}};
+            if (one_in(4)) made.allowed_machine_kinds = {{MachineKind{draw(3)}, MachineKind{draw(3)}}};
             return made;
         };
         Settings settings = BalancerHost::make_settings(operation());
@@ -280,6 +288,7 @@
         UpstreamLocation location;
         if (!one_in(6)) location.zone = ZoneId{draw(3)};
         if (!one_in(6)) location.pod_group = PodGroup{draw(3)};
+        if (!one_in(6)) location.machine_kind = MachineKind{draw(3)};
         return location;
     }
     AttemptResult any_result() { return static_cast<AttemptResult>(draw(9)); }
--- a/tests/balancer_host.h
+++ b/tests/balancer_host.h
@@ -126,7 +126,7 @@
 
     static Operation make_operation(Idempotency repeat, DeduplicationScope group = DeduplicationScope::all)
     {
-        return {repeat, group, seconds(2), seconds(1), 0, seconds(2)};
+        return {repeat, group, seconds(2), seconds(1), 0, seconds(2), {}, {}};
     }
 
     static Settings make_settings(Operation operation)
@@ -141,7 +141,7 @@
     }
 
     // Upstreams are in two zones in turn, and in pod groups of two.
-    static UpstreamLocation location_of(UpstreamId t) { return {ZoneId{t % 2}, PodGroup{t / 2}}; }
+    static UpstreamLocation location_of(UpstreamId t) { return {ZoneId{t % 2}, PodGroup{t / 2}, {}}; }
 
     void advance_clock(Duration duration) { now = now + duration; }
     void set_endpoints(uint32_t n)
--- a/tests/message.cpp
+++ b/tests/message.cpp
@@ -437,9 +437,9 @@
     EXPECT_EQ(list->version, 7u);
     EXPECT_TRUE(list->update.is_full);
     ASSERT_EQ(list->update.entries.size(), 2u);
-    expect_entry(list->update.entries[0], "a", "1.2.3.4:5", EndpointPhase::ready, {zone_id("y"), PodGroup{3}},
-                 TimePoint{1'500'000});
-    expect_entry(list->update.entries[1], "b", "e", EndpointPhase::draining, {zone_id("?"), std::nullopt},
+    expect_entry(list->update.entries[0], "a", "1.2.3.4:5", EndpointPhase::ready,
+                 {zone_id("y"), PodGroup{3}, {}}, TimePoint{1'500'000});
+    expect_entry(list->update.entries[1], "b", "e", EndpointPhase::draining, {zone_id("?"), {}, {}},
                  listed_long_ago);
 }
 
--- a/tests/reducer.cpp
+++ b/tests/reducer.cpp
@@ -918,8 +918,12 @@
     std::vector<ListedEndpoint> list;
     for (const std::string& zone : zones)
         for (int n = 0; n < 10; ++n)
-            list.push_back(
-                {zone + std::to_string(n), zone + ":1", EndpointPhase::ready, {zone_id(zone), {}}, 1, {}});
+            list.push_back({zone + std::to_string(n),
+                            zone + ":1",
+                            EndpointPhase::ready,
+                            {zone_id(zone), {}, {}},
+                            1,
+                            {}});
     reducer.reduce(now, EndpointListUpdated{true, list});
     const auto endpoint_of_request = [&](RequestId caller) {
         const std::string id = "id" + std::to_string(caller);
--- a/tests/repeat_checker.h
+++ b/tests/repeat_checker.h
@@ -1,6 +1,6 @@
-// A second, plain account of the rule on repeats, apart from the decision module: what was sent where, when
-// and to which group as it was then. Each forward and each throttling reply is checked against all that was
-// sent before it.
+// A second, plain account of the rules on repeats and on placement, apart from the decision module: what was
+// sent where, when and to which group as it was then. Each forward and each throttling reply is checked
+// against all that was sent before it.
 #pragma once
 
 #include <gtest/gtest.h>
@@ -38,6 +38,9 @@
     {
         Invocation& invocation = invocations_.at(id);
         const UpstreamLocation& location = locations_.at(upstream);
+        EXPECT_TRUE(is_among(invocation.operation.allowed_zones, location.zone)) << "invocation " << id;
+        EXPECT_TRUE(is_among(invocation.operation.allowed_machine_kinds, location.machine_kind))
+            << "invocation " << id;
         for (const Forward& earlier : invocation.forwards)
             EXPECT_TRUE(allows(invocation, earlier, now, location))
                 << "invocation " << id << " again at upstream " << upstream;
@@ -79,6 +82,21 @@
         std::vector<Forward> forwards;
     };
 
+    template <class Place>
+    static bool is_among(const std::optional<std::vector<Place>>& allowed, const std::optional<Place>& place)
+    {
+        return !allowed || (place && std::count(allowed->begin(), allowed->end(), *place) > 0);
+    }
+    template <class Place>
+    static void keep_common(std::optional<std::vector<Place>>& kept,
+                            const std::optional<std::vector<Place>>& next)
+    {
+        std::vector<Place> common;
+        for (const Place& place : kept ? *kept : std::vector<Place>{})
+            if (is_among(next, std::optional(place))) common.push_back(place);
+        kept = kept ? std::optional(common) : next;
+    }
+
     void tighten(Invocation& invocation, const IndexMapping& operations)
     {
         if (!invocation.operation_index) return;
@@ -89,6 +107,8 @@
         if (!index) return;
         const Operation& next = settings_.operations[*index];
         Operation& operation = invocation.operation;
+        keep_common(operation.allowed_zones, next.allowed_zones);
+        keep_common(operation.allowed_machine_kinds, next.allowed_machine_kinds);
         operation.idempotency = std::max(operation.idempotency, next.idempotency);
         operation.deduplication_scope = std::max(operation.deduplication_scope, next.deduplication_scope);
         operation.deduplication_window = std::min(operation.deduplication_window, next.deduplication_window);
