Memory: bound what libevent's buffers take beside what is counted

Cause: libevent rounds a buffer with its header up to a power of two, so a read of 4 KiB took 8 and a copied message of 64 KiB and a head 128; and with deferred callbacks all ready connections were read before the first was parsed and counted. Evidence: at the peak of the heap (22.3 MB, 17.4 counted) 574 buffers of 8 KiB and 39 of 128 KiB, by a count of each allocation.

Fix: a read fits 4 KiB with its header, messages of 4 KiB and more stay in their own string, streams of clients call back at once.

Test: StayWithinTheMemoryLimit/32MBLargeBodiesStoppedHalfWay, unchanged.

--- a/src/net/downstream_limits.cpp
+++ b/src/net/downstream_limits.cpp
@@ -27,7 +27,7 @@
 constexpr size_t min_eviction_batch = 16, max_eviction_part = 4;
 constexpr Duration warning_interval = seconds(1);  // of the same problem, in the log
 constexpr Duration stall_threshold = seconds(0.2);
-// A request of this size is not worth evicting for its memory.
+// A request up to this size is not worth evicting for its memory.
 constexpr size_t small_request_bytes = 4 * 1024;
 constexpr Duration memory_eviction_interval = seconds(0.005);
 
@@ -186,6 +186,13 @@
     return evicted;
 }
 
+// Whether the request holds much, or will by the length that it announces.
+bool DownstreamServer::is_large_request(ConnectionIterator it)
+{
+    return it->request_memory_bytes() > small_request_bytes ||
+           it->reader.content_length().value_or(0) > small_request_bytes;
+}
+
 // Whether the request may take the memory that it holds by now and, if it is forwarded now, that of the copy
 // on its way to an upstream. Where memory is short, others that hold much and make no progress end first.
 bool DownstreamServer::has_memory_for(ConnectionIterator it)
@@ -193,7 +200,7 @@
     const size_t held = it->request_memory_bytes();
     const size_t copied = it->reader.is_complete() || fills_buffer(it) ? held : 0;
     const auto fits = [&] {
-        return held > small_request_bytes ? memory_.has_room_for_large(copied) : memory_.has_room(copied);
+        return is_large_request(it) ? memory_.has_room_for_large(copied) : memory_.has_room(copied);
     };
     if (fits()) return true;
     evict_for_memory(it);
@@ -214,7 +221,7 @@
         return true;
     });
     evict_from(reading_request, silent_before_eviction, SIZE_MAX, [&](auto it) {
-        if (enough() || it == except || it->request_memory_bytes() < small_request_bytes) return false;
+        if (enough() || it == except || !is_large_request(it)) return false;
         reject_for_memory(it);
         return true;
     });
--- a/src/net/downstream_server.cpp
+++ b/src/net/downstream_server.cpp
@@ -8,6 +8,7 @@
 #include "downstream_connection.h"
 #include "src/base/replace.h"
 #include "src/io/log.h"
+#include "src/io/stream_buffers.h"
 
 namespace firtide::net
 {
@@ -120,7 +121,9 @@
     it->id = next_connection_id_++;
     it->self = it;
     it->phase_since = monotonic_now();
-    it->stream.reset(bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+    // Without deferred callbacks: what is read is parsed and counted before the next connection is read.
+    it->stream.reset(bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE));
+    bound_read_size(it->stream.get());
     bufferevent_setcb(
         it->stream.get(),
         [](bufferevent*, void* arg) {
@@ -284,15 +287,16 @@
     const auto found = connection_of_.find(chunk.caller);
     if (found == connection_of_.end()) return;
     const ConnectionIterator it = found->second;
-    const auto bytes = encode_body_chunk(std::move(chunk.bytes), it->chunked, chunk.is_last);
+    auto bytes = encode_body_chunk(std::move(chunk.bytes), it->chunked, chunk.is_last);
     if (chunk.is_last) {
         it->streaming_response = false;
         bufferevent_setwatermark(it->stream.get(), EV_WRITE, 0, 0);
     }
-    bufferevent_write(it->stream.get(), bytes.data(), bytes.size());
+    const bool empty = bytes.empty();
+    write_bytes(it->stream.get(), std::move(bytes));
     it->update_memory();
     // Writing an empty last piece would not trigger the stream's write callback.
-    if (bytes.empty()) bufferevent_trigger(it->stream.get(), EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
+    if (empty) bufferevent_trigger(it->stream.get(), EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
 }
 
 // Resets the connection: the caller can tell that the response is incomplete, even one that ends with the
@@ -329,10 +333,10 @@
     // further requests.
     it->close_after_response = it->close_after_response || !it->reader.is_complete();
     it->body_bytes_due = it->reader.max_remaining_body_bytes();
-    const auto bytes = encode_response(response, it->close_after_response, it->reader.is_http_1_0());
+    auto bytes = encode_response(response, it->close_after_response, it->reader.is_http_1_0());
     replace_and_free(it->reader, RequestReader(config_.service_config));
     enter_phase(it, sending_response);
-    bufferevent_write(it->stream.get(), bytes.data(), bytes.size());
+    write_bytes(it->stream.get(), std::move(bytes));
     it->update_memory();
 }
 
--- a/src/net/downstream_server.h
+++ b/src/net/downstream_server.h
@@ -92,6 +92,7 @@
     void close_connection(ConnectionIterator it);
     template <class End>
     size_t evict_from(Phase phase, Duration at_least, size_t count, End&& end);
+    static bool is_large_request(ConnectionIterator it);
     bool has_memory_for(ConnectionIterator it);
     void evict_for_memory(ConnectionIterator except);
     void reject_for_memory(ConnectionIterator it);
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -249,13 +249,13 @@
 
 // A write for a duty is authorized by the fleet once more, right before its bytes leave, because getting a
 // connection takes time.
-void Service::execute(const WriteUpstream& write)
+void Service::execute(WriteUpstream& write)
 {
     const auto found = duty_probes_.find(write.fencing_token);
     if (!write.fencing_token ||
         (found != duty_probes_.end() &&
          fleet_->authorize(found->second.duty, found->second.epoch, fleet::probe_duration)))
-        return upstreams_.write(write);
+        return upstreams_.write(std::move(write));
     upstreams_.abandon(write.attempt);
     post(AttemptFailed{write.attempt, {AttemptProgress::not_connected, FailureCause::no_descriptor}});
 }
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -42,7 +42,7 @@
     fleet::Host::Hooks hooks();
     void report_lists_to_fleet();
     bool shares_list() const { return fleet_ && fleet_->config().endpoint_list; }
-    void execute(const WriteUpstream& write);
+    void execute(WriteUpstream& write);
     void execute(ProbeCompleted& probed);
     void execute(AdminCommandResult& result);
     void report_probes();
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -11,6 +11,7 @@
 
 #include "src/base/replace.h"
 #include "src/io/log.h"
+#include "src/io/stream_buffers.h"
 #include "src/io/unread_input.h"
 
 namespace firtide::net
@@ -222,6 +223,7 @@
             c->owner->on_event(c->self, what);
         },
         &*it);
+    bound_read_size(it->stream.get());
     bufferevent_setwatermark(it->stream.get(), EV_READ, 0, body_read_watermark_bytes);
     bufferevent_enable(it->stream.get(), EV_READ | EV_WRITE);
     it->connect_timer = make_timeout_timer(*it, setup_.connect_timeout);
@@ -257,7 +259,7 @@
     it->response_timer = make_timeout_timer(*it, limit);
 }
 
-void UpstreamPool::write(const WriteUpstream& write)
+void UpstreamPool::write(WriteUpstream write)
 {
     const auto it = connection_of_.find(write.attempt);
     if (it == connection_of_.end()) return;
@@ -267,7 +269,7 @@
     connection->request_begun = true;
     connection->request_incomplete = write.request_incomplete;
     connection->request_bytes += write.bytes.size();
-    bufferevent_write(connection->stream.get(), write.bytes.data(), write.bytes.size());
+    write_bytes(connection->stream.get(), std::move(write.bytes));
     connection->update_memory();
     // Limits how long an upstream may leave the sent part of a request unread, even while its caller still
     // sends.
--- a/src/net/upstream_pool.h
+++ b/src/net/upstream_pool.h
@@ -23,7 +23,7 @@
     ~UpstreamPool();
 
     void start_attempt(const ConnectUpstream& connect);
-    void write(const WriteUpstream& write);
+    void write(WriteUpstream write);
     void set_timeout(const SetAttemptTimeout& change);
     void set_response_reading(const SetResponseReading& reading);
     void abandon(AttemptId attempt);
