Voters: a refused pre-vote tells the refusing voter's own term

Callers saw (operators of a fleet): no leader and no duty granted, for good, with three live voters.

Cause: libraft answers a pre-vote that it refuses with the term of the request. The voter with the newest log, at term 4, was refused for that term by voters at 19 and 22 and never learned theirs; they were refused for their older logs. Evidence: a trace of the messages of the election: 83 requests for term 5, answered by 'term 5, not granted' each time.

Fix: the environment sends the voter's own term with a refusal if it is the higher one; the candidate takes it over and asks for a term that is accepted.

--- a/src/fleet/consensus/raft_environment.cpp
+++ b/src/fleet/consensus/raft_environment.cpp
@@ -1,5 +1,7 @@
 #include "raft_environment.h"
 
+#include <algorithm>
+
 #include "raft_codec.h"
 
 namespace firtide::fleet
@@ -10,6 +12,17 @@
 constexpr int64_t microseconds_per_millisecond = 1000;
 constexpr Term bootstrap_term = 1;
 
+// libraft answers a pre-vote that it refuses with the term of the request. The candidate has to learn a
+// higher term of this voter: with the newest log but a low term, it would be refused for ever, and nobody
+// else would be elected.
+raft_message with_own_term(const raft_message& message, Term own_term)
+{
+    raft_message out = message;
+    if (out.type != RAFT_IO_REQUEST_VOTE_RESULT || out.request_vote_result.vote_granted) return out;
+    out.request_vote_result.term = std::max<raft_term>(out.request_vote_result.term, own_term);
+    return out;
+}
+
 }  // namespace
 
 RaftEnvironment::RaftEnvironment(Store& store, std::vector<VoterEffect>& effects, uint64_t seed)
@@ -121,7 +134,8 @@
 int RaftEnvironment::send(raft_io* io, raft_io_send* request, const raft_message* message,
                           raft_io_send_cb done)
 {
-    if (auto bytes = encode_raft_message(*message))
+    const Term own_term = environment_of(io).store_.state().term;
+    if (auto bytes = encode_raft_message(with_own_term(*message, own_term)))
         environment_of(io).effects_.emplace_back(SendRaftMessage{message->server_id, std::move(*bytes), 0});
     environment_of(io).completions_.emplace_back([request, done] {
         if (done) done(request, 0);
