--- a/src/io/stream_buffers.cpp
+++ b/src/io/stream_buffers.cpp
@@ -32,7 +32,9 @@
         return;
     }
     auto owned = std::make_unique<std::string>(std::move(bytes));
-    const auto free_owned = [](const void*, size_t, void* owner) { delete static_cast<std::string*>(owner); };
+    const auto free_owned = [](const void*, size_t, void* owner) {
+        const std::unique_ptr<std::string> freed(static_cast<std::string*>(owner));
+    };
     if (evbuffer_add_reference(bufferevent_get_output(stream), owned->data(), owned->size(), free_owned,
                                owned.get()) != 0)
         throw std::bad_alloc();
