Leases: members tell a newly founded log from the one before by its name

Cause: terms and table versions of a new log begin again. A holder's renewal was extended by the new leader's answer before its table was looked at, and the table was dropped as an older one; the epochs met were never told.

Fix: the first leader of a log names it at random, as the first committed command, and answers and grants nothing before. Table versions carry the name in their upper half: no message and no record has another form. A member that gets an answer to a pending renewal from a log of another name drops its leases and table and tells the epochs that it has met. The leader of a log that has granted nothing waits for a lease before its first grants.

fleet_model_check: duties begin a lease later, so the settling time before the window of faults grows by a lease; the trace line printed the last line of the trace, which is now the loss that follows the violation. It prints the violation's own line instead, and NONE without one: as strict.

--- a/simulation/model_check.cpp
+++ b/simulation/model_check.cpp
@@ -34,7 +34,8 @@
     SimulatedCluster cluster(options, check.seed);
     cluster.trace_enabled = trace != nullptr;
     for (size_t i = 0; i < cluster.size(); ++i) cluster.start(i);
-    cluster.run(check.settle_time);
+    // The first duties of a new log are granted a lease after the first election.
+    cluster.run(check.settle_time + check.options.lease.duration);
     armed = true;
     const TimePoint end = cluster.now() + check.fault_window;
     while (cluster.violations().empty() && cluster.step(end)) {
--- a/src/fleet/lease/lease_client.cpp
+++ b/src/fleet/lease/lease_client.cpp
@@ -124,6 +124,7 @@
 void LeaseClient::on_renew_response(TimePoint now, MemberIndex from, const LeaseRenewResponse& response)
 {
     now_ = now;
+    if (is_from_new_log(response)) follow_new_log(response.term);
     if (response.term < term_) return;
     if (response.term > term_) {
         term_ = response.term;
@@ -136,13 +137,39 @@
     apply_leases(response);
 }
 
+// Whether the voters have founded a new log since the last response. Its terms and versions begin again, so
+// they cannot be compared with those of the log before. A late response of that one answers no pending
+// renewal.
+bool LeaseClient::is_from_new_log(const LeaseRenewResponse& response) const
+{
+    if (!response.nonce || !response.table_version || !table_.version()) return false;
+    return log_of(response.table_version) != log_of(table_.version()) &&
+           pending_renewal(response.nonce) != pending_renewals_.end();
+}
+
+// The new log knows nothing of the leases and epochs of the log before.
+void LeaseClient::follow_new_log(Term term)
+{
+    while (!held_.empty())
+        drop_lease(std::string(held_.begin()->first), "the voters have lost the log that granted it");
+    for (const auto& [duty, entry] : table_.entries())
+        given_up_[duty] = std::max(given_up_[duty], entry.epoch);
+    table_ = {};
+    term_ = leader_term_ = term;
+}
+
+std::deque<LeaseClient::PendingRenewal>::const_iterator LeaseClient::pending_renewal(uint64_t nonce) const
+{
+    return std::find_if(pending_renewals_.begin(), pending_renewals_.end(),
+                        [&](const PendingRenewal& pending) { return pending.nonce == nonce; });
+}
+
 bool LeaseClient::extend_lease(TimePoint now, uint64_t nonce)
 {
-    const auto renewal = std::find_if(pending_renewals_.begin(), pending_renewals_.end(),
-                                      [&](const PendingRenewal& pending) { return pending.nonce == nonce; });
+    const auto renewal = pending_renewal(nonce);
     if (renewal == pending_renewals_.end()) return false;
     lease_end_ = std::max(lease_end_, renewal->sent + config_.lease.holder_duration());
-    pending_renewals_.erase(pending_renewals_.begin(), renewal + 1);
+    pending_renewals_.erase(pending_renewals_.cbegin(), renewal + 1);
     last_renewal_answered_ = true;
     const bool first_answer = std::exchange(last_answered_nonce_, nonce) == 0;
     const double jitter = 0.9 + 0.2 * uniform_random();
--- a/src/fleet/lease/lease_client.h
+++ b/src/fleet/lease/lease_client.h
@@ -95,6 +95,9 @@
 
     void send_renew_request(TimePoint now);
     LeaseRenewRequest renew_request() const;
+    bool is_from_new_log(const LeaseRenewResponse& response) const;
+    void follow_new_log(Term term);
+    std::deque<PendingRenewal>::const_iterator pending_renewal(uint64_t nonce) const;
     // Returns false if no renewal with this nonce is pending.
     bool extend_lease(TimePoint now, uint64_t nonce);
     void apply_leases(const LeaseRenewResponse& response);
--- a/src/fleet/lease/lease_manager.cpp
+++ b/src/fleet/lease/lease_manager.cpp
@@ -4,7 +4,6 @@
 
 #include "lease_rank.h"
 #include "lease_timing.h"
-#include "src/base/random.h"
 
 namespace firtide::fleet
 {
@@ -20,11 +19,11 @@
 
 }  // namespace
 
-LeaseManager::LeaseManager(const FleetConfig& config, uint64_t seed) : config_(config), sessions_(config)
+LeaseManager::LeaseManager(const FleetConfig& config, uint64_t seed)
+    : config_(config), random_(static_cast<uint32_t>(seed ^ seed >> 32)), sessions_(config)
 {
     // A random start keeps a restarted leader from mistaking the result of an earlier proposal for its own.
-    RandomEngine random(static_cast<uint32_t>(seed ^ seed >> 32));
-    last_proposal_id_ = uint64_t{random()} << 32;
+    last_proposal_id_ = uint64_t{random_()} << 32;
 }
 
 void LeaseManager::on_elected(TimePoint now, Term term)
@@ -37,6 +36,7 @@
     pending_renewals_.clear();
     pending_proposals_.clear();
     pending_duties_.clear();
+    naming_proposal_.reset();
     transfers_.clear();
 }
 
@@ -54,6 +54,7 @@
 void LeaseManager::tick(TimePoint now)
 {
     if (!is_leader_ || !table_) return;
+    if (table_->version() == 0) return name_log(now);
     advance_transfers(now);
     assign_leases(now);
     rebalance(now);
@@ -78,6 +79,18 @@
     pending_renewals_.push_back({from, request});
 }
 
+// Nothing is answered or granted before: without its name, members could not tell this log from the one
+// before.
+void LeaseManager::name_log(TimePoint now)
+{
+    if (naming_proposal_) return;
+    LeaseCommand command;
+    command.kind = LeaseCommand::confirm;
+    command.epoch = std::max<LogName>(1, static_cast<LogName>(random_()));
+    naming_proposal_ = last_proposal_id_ + 1;
+    propose(now, {command});
+}
+
 void LeaseManager::propose_pending_renewals(TimePoint now)
 {
     const Duration batch =
@@ -100,6 +113,7 @@
     auto node = pending_proposals_.extract(proposal);
     if (node.empty()) return;
     const PendingProposal pending = std::move(node.mapped());
+    if (naming_proposal_ == proposal) naming_proposal_.reset();
     for (const LeaseCommand& command : pending.commands) pending_duties_.erase(command.duty);
     if (!is_leader_ || !committed) return;
     for (const PendingRenewal& renewal : pending.renewals) send_response(renewal, table);
@@ -169,10 +183,7 @@
                                 std::vector<LeaseCommand>& commands)
 {
     const auto lease = table_->entry(duty.name);
-    // It takes one renewal interval after an election to learn which members are live. Until then, duties
-    // without a holder are not granted, so that the first member to renew does not get every duty.
-    const Duration settling = config_.lease.duration * (lease_timing::renewal_interval * settling_intervals);
-    const bool settled = now - elected_at_ > settling;
+    const bool settled = now - elected_at_ > wait_before_grants();
     if (lease.holder ? !is_expired(now, lease) : !settled) return;
     if (lease.holder) release_expired(duty, lease, loads, commands);
     if (duty.kind == DutyKind::drain) return grant_permit(now, duty, commands);
@@ -183,6 +194,15 @@
     grant(commands, duty.name, *to, transfers_.count(duty.name) ? "handed over" : "nobody held it");
 }
 
+// How long after an election duties without a holder are not granted.
+Duration LeaseManager::wait_before_grants() const
+{
+    if (!table_->has_granted() && !disabled_checks.wait_after_election) return config_.lease.duration;
+    // It takes one renewal interval to learn which members are live: the first member to renew does not get
+    // every duty.
+    return config_.lease.duration * (lease_timing::renewal_interval * settling_intervals);
+}
+
 void LeaseManager::release_expired(const Duty& duty, const LeaseTable::Entry& lease, Loads& loads,
                                    std::vector<LeaseCommand>& commands)
 {
--- a/src/fleet/lease/lease_manager.h
+++ b/src/fleet/lease/lease_manager.h
@@ -5,7 +5,8 @@
 // Every decision is proposed to the replicated log. A renewal is answered once a proposal made after it has
 // been committed, which proves that this voter was still the leader. A new leader waits for a full lease
 // before it grants duties that others may hold, because its predecessor may have confirmed renewals until
-// just before the election.
+// just before the election. So does the leader of a log that has granted nothing yet: voters that lost their
+// disks may have founded it, and leases of the log before may still be in force.
 //
 // Does no I/O and reads no clock. Not thread-safe.
 #pragma once
@@ -17,6 +18,7 @@
 #include <vector>
 
 #include "lease_sessions.h"
+#include "src/base/random.h"
 #include "src/fleet/transport/outgoing.h"
 
 namespace firtide::fleet
@@ -84,6 +86,8 @@
     void notify_grantees(const std::vector<LeaseCommand>& commands, const LeaseTable& table);
     void notify_grantee(MemberIndex member, const LeaseCommand& grant, const LeaseTable& table);
 
+    void name_log(TimePoint now);
+
     // ---- grants ----
     void assign_leases(TimePoint now);
     void assign_lease(TimePoint now, const Duty& duty, Loads& loads, std::vector<LeaseCommand>& commands);
@@ -99,6 +103,7 @@
                                            MemberIndex last_holder) const;
     std::optional<MemberIndex> choose_holder(const std::string& duty, const Loads& loads) const;
     bool is_expired(TimePoint now, const LeaseTable::Entry& lease) const;
+    Duration wait_before_grants() const;
 
     // ---- transfers ----
     void rebalance(TimePoint now);
@@ -111,6 +116,7 @@
     void report_result(const std::optional<CommandOrigin>& origin, bool success, const std::string& text);
 
     const FleetConfig& config_;
+    RandomEngine random_;
     const LeaseTable* table_ = nullptr;
     bool is_leader_ = false;
     Term term_ = 0;
@@ -122,6 +128,7 @@
     std::set<std::string> pending_duties_;  // duties changed by a pending proposal
     std::map<std::string, Transfer> transfers_;
     uint64_t last_proposal_id_ = 0;
+    std::optional<uint64_t> naming_proposal_;  // of a log that has no name yet
     std::vector<OutgoingMessage> sends_;
     std::vector<Proposal> proposals_;
 };
--- a/src/fleet/lease/lease_table.cpp
+++ b/src/fleet/lease/lease_table.cpp
@@ -30,11 +30,24 @@
 void LeaseTable::apply(const std::vector<LeaseCommand>& commands)
 {
     for (const LeaseCommand& command : commands) {
-        if (command.kind == LeaseCommand::confirm) continue;
-        if (apply(command, entries_[command.duty])) ++version_;
+        if (command.kind == LeaseCommand::confirm)
+            name_log(static_cast<LogName>(command.epoch));
+        else if (apply(command, entries_[command.duty]))
+            ++version_;
     }
 }
 
+void LeaseTable::name_log(LogName name)
+{
+    if (version_ == 0) version_ = uint64_t{name} << change_count_bits;
+}
+
+bool LeaseTable::has_granted() const
+{
+    return std::any_of(entries_.begin(), entries_.end(),
+                       [](const auto& entry) { return entry.second.epoch > 0; });
+}
+
 bool LeaseTable::apply(const LeaseCommand& command, Entry& entry)
 {
     if (command.kind == LeaseCommand::release) {
--- a/src/fleet/lease/lease_table.h
+++ b/src/fleet/lease/lease_table.h
@@ -21,7 +21,9 @@
     enum Kind : uint8_t {
         grant,    // only if the duty has no holder; the new epoch is above `epoch` and above the last one
         release,  // only if the lease is held at exactly this epoch
-        confirm,  // changes nothing; its commit proves that the proposer was the leader when it proposed it
+        // Changes no duty; its commit proves that the proposer was the leader when it proposed it. If `epoch`
+        // is not zero and the log has no name yet, it becomes the log's name.
+        confirm,
     };
     uint8_t kind = confirm;
     std::string duty;
@@ -33,6 +35,16 @@
     MSGPACK_DEFINE(kind, duty, epoch, holder, instance, reason, pinned)
 };
 
+// The name of a log, by which members tell a log that was founded anew from the one before; zero: none. Logs
+// of versions before there were names have none.
+using LogName = uint32_t;
+// The name is the upper half of each version of the log's table; the lower half counts changes.
+inline constexpr unsigned change_count_bits = 32;
+inline LogName log_of(uint64_t table_version)
+{
+    return static_cast<LogName>(table_version >> change_count_bits);
+}
+
 // Commands that the leader asks to append to the log, as one entry.
 struct Proposal {
     uint64_t id = 0;  // returned with the ProposalResult
@@ -58,8 +70,10 @@
     [[nodiscard]] const std::map<std::string, Entry>& entries() const { return entries_; }
     // The entry of a duty; an empty one if it was never granted.
     [[nodiscard]] Entry entry(const std::string& duty) const;
-    // Increases with every change.
+    // Increases with every change. Zero: the log has neither a name nor any change.
     [[nodiscard]] uint64_t version() const { return version_; }
+    // Whether the log has ever granted a duty.
+    [[nodiscard]] bool has_granted() const;
 
     // Replaces the whole table with the one received from the leader.
     void assign(const std::vector<LeaseRecord>& leases, uint64_t version);
@@ -73,6 +87,7 @@
 
   private:
     static bool apply(const LeaseCommand& command, Entry& entry);
+    void name_log(LogName name);
 
     std::map<std::string, Entry> entries_;
     uint64_t version_ = 0;
--- a/tests/fleet_model_check.cpp
+++ b/tests/fleet_model_check.cpp
@@ -6,6 +6,21 @@
 using namespace firtide;
 using namespace firtide::simulation;
 
+namespace
+{
+
+// The line of the trace that tells of the violation, without its time.
+std::string violation_of(const std::vector<std::string>& trace)
+{
+    constexpr size_t time_width = 10;
+    std::string found = "NONE";
+    for (const std::string& line : trace)
+        if (line.find("VIOLATION") != std::string::npos) found = line.substr(time_width);
+    return found;
+}
+
+}  // namespace
+
 int main()
 {
     ModelCheck c;
@@ -25,7 +40,7 @@
     c.options.lease_gate = false;
     auto got = run_model_check(c);
     std::printf("no lease gate: %s\n", got.rule.c_str());
-    std::printf("  its trace ends: %s\n", got.trace.empty() ? "EMPTY" : got.trace.back().substr(10).c_str());
+    std::printf("  its trace shows: %s\n", violation_of(got.trace).c_str());
     // The fault schedule that was found violates the rule again, and none with the lease gate enabled.
     std::printf("  again: %s\n", run_schedule(c, got.first_violation, nullptr, nullptr).empty()
                                      ? "NO VIOLATION"
