--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -8,8 +8,8 @@
 // A deduplicated invocation that may have run is forwarded again only to the group that its forward was sent
 // to, by the locations that were shown when that was: what is shown of an upstream later, that it is gone or
 // elsewhere, changes nothing for what was sent before. Where the group is a zone or a pod group, and that of
-// either upstream is not known, it is not forwarded again, nor throttled. A host that sends a forward some time
-// after forward() asks may_still_send() right before its first byte.
+// either upstream is not known, it is not forwarded again, nor throttled. A host that sends a forward some
+// time after forward() asks may_still_send() right before its first byte.
 //
 // Events may be late, or name what this instance was never shown: each is checked before it has any effect.
 // - An upstream is known from the first call of set_endpoints() or update_endpoints() that names it, also
