Upgrade tests: memory of a process is read once it is the program

Seen: 'both 367812 kB of 16384 kB' (and 211,200, 207,800) in Upgrades.IntoACrowdStayWithinTheMemoryLimitTogether, known red. With a shared listener the old process answers the new one's readiness check, so the reader starts when the new process has been forked and is still a copy of the test, crowd included; the peaks of the two programs alone were 14,276 and 11,184 kB.

The reader skips a process while /proc/PID/exe is the test itself.

--- a/tests/upgrade.h
+++ b/tests/upgrade.h
@@ -77,11 +77,20 @@
     void run(pid_t first, pid_t second)
     {
         for (; !stopping_; sleep_ms(10)) {
+            if (!runs_the_program(first) || !runs_the_program(second)) continue;
             const Resident a = resident(first), b = resident(second);
             if (a.own_bytes > 0 && b.own_bytes > 0)
                 peak_ = std::max(peak_, a.own_bytes + b.own_bytes + std::max(a.file_bytes, b.file_bytes));
         }
     }
+    // A child that has been forked and not yet become the program has this test's memory.
+    static bool runs_the_program(pid_t pid)
+    {
+        std::error_code failed;
+        const auto own = std::filesystem::read_symlink("/proc/self/exe", failed);
+        const auto other = std::filesystem::read_symlink("/proc/" + std::to_string(pid) + "/exe", failed);
+        return !failed && other != own;
+    }
     struct Resident {
         size_t own_bytes = 0, file_bytes = 0;
     };
