Fault injection: the leader is the member that says of itself that it leads

The step asks "the leader", and the rig took whom the members name: b1, killed and started again 0.1 s before, was still named by b2 and b3, which had not elected another yet. b1 answered rightly. So the failure was the rig's, and no fault of the program.

The rig now takes the member that names itself, which is stricter: 'expect leader', 'settle' and 'until' wait for a leader that exists.

--- a/fault_injection/test_cluster.cpp
+++ b/fault_injection/test_cluster.cpp
@@ -388,6 +388,8 @@
     throw std::runtime_error("'" + id + "' is not a member of the cluster");
 }
 
+// The member that says of itself that it leads; others may still name one that has been killed and started
+// again.
 std::optional<size_t> TestCluster::leader()
 {
     std::optional<size_t> found;
@@ -399,7 +401,7 @@
         if (at == std::string::npos || term == std::string::npos) continue;
         const auto id = text.substr(at + 8, text.find(' ', at + 8) - at - 8);
         const auto number = std::strtoul(text.c_str() + term + 6, nullptr, 10);
-        if (id != "none" && number >= best && is_running(index_of(id))) best = number, found = index_of(id);
+        if (id == id_of(i) && number >= best) best = number, found = i;
     }
     return found;
 }
