--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -831,12 +831,10 @@
         return exceeds_share;
     }
 
-    // Only the first tier throttles for load: in deeper tiers the work already done above would be lost. The
-    // limit is learnt from response times over latency objectives; without any, it would stay at its first
-    // value.
+    // Only the first tier throttles for load: in deeper tiers the work already done above would be lost.
     bool over_concurrency_limit(bool exceeds_tenant_share)
     {
-        if (settings.tier > 0 || longest_objective == Duration{}) return false;
+        if (settings.tier > 0) return false;
         const double active_in_flight = total_in_flight() - stalled_in_flight;
         // The limit bounds the mean; requests in flight vary around it by its root.
         const double limit = std::min(concurrency_limit, max_limit());
