Memory: a request that holds little is not ended for the length it announces

Since a request counts as large by its announced length, also where memory is short and requests that make no progress are ended: one that had sent only its head, and waits before its body, could get 503 after 0.2 s although that frees next to nothing. Found by reading; no test forces it and nobody has reported it. Such a request now has to hold 2 KiB: more than a head of ordinary size, less than one read.

--- a/src/net/downstream_limits.cpp
+++ b/src/net/downstream_limits.cpp
@@ -27,8 +27,10 @@
 constexpr size_t min_eviction_batch = 16, max_eviction_part = 4;
 constexpr Duration warning_interval = seconds(1);  // of the same problem, in the log
 constexpr Duration stall_threshold = seconds(0.2);
-// A request up to this size is not worth evicting for its memory.
+// The last part of the memory is kept for requests up to this size.
 constexpr size_t small_request_bytes = 4 * 1024;
+// A request that holds less is not worth evicting for its memory: more than a head, less than one read.
+constexpr size_t min_evicted_bytes = 2 * 1024;
 constexpr Duration memory_eviction_interval = seconds(0.005);
 
 }  // namespace
@@ -221,7 +223,8 @@
         return true;
     });
     evict_from(reading_request, silent_before_eviction, SIZE_MAX, [&](auto it) {
-        if (enough() || it == except || !is_large_request(it)) return false;
+        const bool frees_memory = it->request_memory_bytes() >= min_evicted_bytes;
+        if (enough() || it == except || !is_large_request(it) || !frees_memory) return false;
         reject_for_memory(it);
         return true;
     });
